--- /dev/null
+++ b/packages/auburnturn/src/core/call/constants.ts
@@ -0,0 +1,23 @@
+/** Header names of the callers' interface and between nodes; docs/INTERFACE.md documents them. */
+export const headerNames = {
+  /** Milliseconds left for the call. */
+  timeout: 'auburnturn-timeout-ms',
+  /** `yes` or `no`: the caller's own word on whether the call may repeat. */
+  idempotent: 'auburnturn-idempotent',
+  /** Names the one target and incarnation that may run the call. */
+  ticket: 'auburnturn-ticket',
+  /** `not-run`, `may-have-run` or `done`, on every answer. */
+  verdict: 'auburnturn-verdict',
+  /** The cause of a verdict that is not `done`. */
+  cause: 'auburnturn-cause',
+  /** Attempts made so far at this call by all layers. */
+  attempt: 'auburnturn-attempt',
+  /** How deep in a chain of calls this call is; 1 for the first. */
+  depth: 'auburnturn-depth',
+  /** A node's load, on answers between nodes. */
+  load: 'auburnturn-load',
+  /** The incarnation that answered, on answers between nodes. */
+  incarnation: 'auburnturn-incarnation',
+  /** The service a call is for, between nodes. */
+  service: 'auburnturn-service'
+} as const
--- /dev/null
+++ b/packages/auburnturn/src/core/clock/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Time as seen by every part: a most scheduler behind a few plain calls.
+ * Nothing outside this folder reads the system clock or sets a timer on its own.
+ */
+export { Clock } from './clock.js'
+export { ManualClock } from './manual-clock.js'
--- /dev/null
+++ b/packages/auburnturn/src/core/errors/errors-data.ts
@@ -0,0 +1,24 @@
+import type { ErrorEntry } from './types.js'
+
+function entry<Name extends string> (name: Name, title: string, message: (detail: string) => string, hint?: string): ErrorEntry & { readonly name: Name } {
+  return hint === undefined ? { name, title, message } : { name, title, message, hint }
+}
+
+/** Every error that reaches a person: its tag, title, message and a hint at what to do. */
+export const errors = {
+  'settings-invalid': entry('settings-invalid', 'Settings are not valid',
+    detail => `The settings were refused:\n${detail}`,
+    'Run `auburnturn check FILE` until it is silent.'),
+  'settings-unreadable': entry('settings-unreadable', 'Settings cannot be read',
+    detail => `The settings file could not be read: ${detail}`),
+  'document-invalid': entry('document-invalid', 'Configuration entry is not valid',
+    detail => `The configuration entry was refused whole:\n${detail}`,
+    'The last good version stays in force; correct the entry and publish it again.'),
+  'node-unreachable': entry('node-unreachable', 'Node cannot be reached',
+    detail => `No answer from ${detail}.`,
+    'The operator address is a loopback address by default: run the command on the VM itself.'),
+  'platform-unreachable': entry('platform-unreachable', 'Platform cannot be reached',
+    detail => `The platform did not answer: ${detail}`),
+  'address-in-use': entry('address-in-use', 'Address is already in use',
+    detail => `Cannot listen on ${detail}.`)
+} as const
--- /dev/null
+++ b/packages/auburnturn/src/core/http/index.ts
@@ -0,0 +1,7 @@
+/** HTTP/1.1 towards callers, other nodes and upstreams. */
+export { Exchange } from './exchange.js'
+export { findHeader, forwardHeaders } from './headers.js'
+export { Listener } from './listener.js'
+export { formatLoad, parseLoad } from './load.js'
+export { createProblem } from './problem.js'
+export type { Identified, Identify, Serve } from './types.js'
--- /dev/null
+++ b/packages/auburnturn/src/core/logger/index.ts
@@ -0,0 +1,3 @@
+/** Structured logs: one line of key=value pairs per event, written through roarr. */
+export { Logger } from './logger.js'
+export type { Field, Fields, Level } from './types.js'
--- /dev/null
+++ b/packages/auburnturn/src/core/logger/logger.ts
@@ -0,0 +1,61 @@
+import { Roarr } from 'roarr'
+import type { Fields, Level } from './types.js'
+
+type Write = (line: string) => void
+
+const rank: Record<Level, number> = { debug: 20, info: 30, warn: 40, error: 50 }
+
+/** Writes events of one subsystem; passed to each part, never global. */
+export class Logger {
+  private readonly subsystem: string
+  private readonly level: Level
+  private readonly write: Write
+
+  private constructor (subsystem: string, level: Level, write: Write) {
+    this.subsystem = subsystem
+    this.level = level
+    this.write = write
+  }
+
+  /** `write` receives whole lines without a line end; standard error unless given. */
+  static create (level: Level = 'info', write: Write = line => { process.stderr.write(`${line}\n`) }): Logger {
+    return new Logger('auburnturn', level, write)
+  }
+
+  /** A logger that drops everything. */
+  static createSilent (): Logger {
+    return new Logger('silent', 'error', () => {})
+  }
+
+  /** The same logger under the name of a subsystem. */
+  label (subsystem: string): Logger {
+    return new Logger(subsystem, this.level, this.write)
+  }
+
+  debug (event: string, fields: Fields = {}): void { this.emit('debug', event, fields) }
+  info (event: string, fields: Fields = {}): void { this.emit('info', event, fields) }
+  warn (event: string, fields: Fields = {}): void { this.emit('warn', event, fields) }
+  error (event: string, fields: Fields = {}): void { this.emit('error', event, fields) }
+
+  private emit (level: Level, event: string, fields: Fields): void {
+    if (rank[level] < rank[this.level]) return
+    // roarr's own output stays off unless ROARR_LOG is set, so the line is written here.
+    const roarr = Roarr.child(message => {
+      this.write(formatLine(message.time, level, this.subsystem, event, fields))
+      return message
+    })
+    roarr[level](event)
+  }
+}
+
+function formatLine (time: number, level: Level, subsystem: string, event: string, fields: Fields): string {
+  const pairs = [`time=${new Date(time).toISOString()}`, `level=${level}`, `subsystem=${subsystem}`, `event=${event}`]
+  for (const [key, value] of Object.entries(fields)) {
+    if (value !== undefined) pairs.push(`${key}=${quoteValue(String(value))}`)
+  }
+  return pairs.join(' ')
+}
+
+function quoteValue (value: string): string {
+  return /^[\w.:/+@-]+$/.test(value) ? value : JSON.stringify(value)
+}
--- /dev/null
+++ b/packages/auburnturn/src/core/metrics/index.ts
@@ -0,0 +1,2 @@
+/** Counters and latency histograms of one node, readable as JSON and by Prometheus. */
+export { Metrics } from './metrics.js'
--- /dev/null
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -0,0 +1,145 @@
+import { randomBytes } from 'node:crypto'
+import { Admission } from '../admission/index.js'
+import { headerNames } from '../call/index.js'
+import type { RawHeaders } from '../call/types.js'
+import { Clock } from '../clock/index.js'
+import { Store } from '../configuration/index.js'
+import { Exchange, formatLoad, Listener } from '../http/index.js'
+import { Logger } from '../logger/index.js'
+import { Directory } from '../membership/index.js'
+import { Metrics } from '../metrics/index.js'
+import { Operator } from '../operator/index.js'
+import { Platform } from '../platform/index.js'
+import { Random } from '../random/index.js'
+import { Router } from '../router/index.js'
+import type { NodeSettings } from '../settings/index.js'
+import { Supervisor } from '../supervisor/index.js'
+import { Target } from '../target/index.js'
+import { identifyCall } from './identify.js'
+import { Peers } from './peers.js'
+import { followConfiguration, followMembers } from './readers.js'
+
+/** What a node is given from outside; all have working defaults. */
+export interface NodeOptions {
+  readonly clock?: Clock
+  readonly logger?: Logger
+  readonly random?: Random
+}
+
+/** The process beside one upstream. */
+export class Node {
+  readonly incarnation = randomBytes(8).toString('hex')
+  readonly store: Store
+  readonly directory: Directory
+  private readonly settings: NodeSettings
+  private readonly clock: Clock
+  private readonly logger: Logger
+  private readonly random: Random
+  private readonly metrics = Metrics.create()
+  private readonly supervisor: Supervisor
+  private readonly admission: Admission
+  private readonly ports = { callers: 0, peers: 0, operator: 0 }
+
+  private constructor (settings: NodeSettings, options: NodeOptions) {
+    this.settings = settings
+    this.clock = options.clock ?? Clock.create()
+    this.logger = (options.logger ?? Logger.create(settings.log.level)).label('node')
+    this.random = options.random ?? Random.create(randomBytes(4).readInt32LE())
+    this.store = Store.create({ clock: this.clock, logger: this.logger.label('configuration') })
+    this.directory = Directory.create()
+    this.admission = Admission.create({ clock: this.clock })
+    this.supervisor = Supervisor.create({ clock: this.clock, logger: this.logger.label('supervisor') })
+  }
+
+  /** Starts every part; rejects with a fault when an address can't be bound. */
+  static async create (settings: NodeSettings, options: NodeOptions = {}): Promise<Node> {
+    const node = new Node(settings, options)
+    try {
+      await node.start()
+    } catch (error) {
+      await node.supervisor.close()
+      throw error
+    }
+    return node
+  }
+
+  get callersPort (): number { return this.ports.callers }
+  get peersPort (): number { return this.ports.peers }
+  get operatorPort (): number { return this.ports.operator }
+
+  /** Refuses new work as not run, lets what is in flight end, then closes every part. */
+  async close (): Promise<void> {
+    this.admission.drain()
+    await this.supervisor.close()
+  }
+
+  dump (): Record<string, unknown> {
+    return {
+      node: { id: this.settings.id, service: this.settings.service, incarnation: this.incarnation },
+      configuration: this.store.dump(),
+      membership: this.directory.dump(),
+      admission: this.admission.dump(),
+      metrics: this.metrics.dump(),
+      parts: this.supervisor.dump()
+    }
+  }
+
+  private async start (): Promise<void> {
+    const { settings, clock, logger, store, directory } = this
+    const platform = Platform.create(settings.platform.map(({ ip, port }) => `http://${ip}:${port}`))
+    const peers = Peers.create({ clock, connections: settings.limits.connectionsPerTarget })
+    const upstream = this.createUpstream()
+    const target = Target.create({ incarnation: this.incarnation, clock, admission: this.admission, run: async (call, body, answer) => await upstream.send(call, body, answer) })
+    const router = this.createRouter(peers, target)
+    await this.supervisor.add('platform', async () => platform)
+    await this.supervisor.add('configuration', async () => followConfiguration({ platform, store, clock, logger }))
+    await this.supervisor.add('members', async () => followMembers({ platform, directory, clock, logger }))
+    await this.supervisor.add('upstream', async () => upstream)
+    await this.supervisor.add('peers', async () => peers)
+    await this.supervisor.add('router', async () => ({ close: async () => {}, dump: () => router.dump() }))
+    await this.listen('peers', true, router, target)
+    await this.listen('callers', false, router, target)
+    await this.supervisor.add('operator', async () => await this.openOperator())
+  }
+
+  private createUpstream (): Exchange {
+    const { ip, port } = this.settings.upstream
+    const { connectMs } = this.store.profileOf(this.settings.service).timeouts
+    return Exchange.create({ origin: `http://${ip}:${port}`, connections: this.settings.limits.callerConnections, connectMs, clock: this.clock })
+  }
+
+  private createRouter (peers: Peers, target: Target): Router {
+    const { id, service } = this.settings
+    return Router.create({ clock: this.clock, random: this.random, directory: this.directory, remote: peers.attempt, local: { id, service, target } })
+  }
+
+  private async listen (name: 'callers' | 'peers', forwarded: boolean, router: Router, target: Target): Promise<void> {
+    const { clock, store, directory, settings, logger, incarnation } = this
+    const answerHeaders = (): RawHeaders => forwarded
+      ? [headerNames.load, formatLoad(target.load), headerNames.incarnation, incarnation]
+      : []
+    await this.supervisor.add(name, async () => {
+      const listener = await Listener.create({
+        ...settings[name],
+        connections: settings.limits.callerConnections,
+        headerBytes: settings.limits.headerBytes,
+        answerHeaders,
+        logger: logger.label(name),
+        identify: (request, signal) => identifyCall(request, signal, { clock, store, directory, forwarded }),
+        serve: async (call, body, answer) => {
+          const outcome = await router.run(call, body, answer)
+          this.metrics.count(`calls_total{verdict="${outcome.verdict.kind}"}`)
+          return outcome
+        }
+      })
+      this.ports[name] = listener.port
+      return listener
+    })
+  }
+
+  private async openOperator (): Promise<Operator> {
+    const operator = await Operator.create({ ...this.settings.operator, dumpNode: () => this.dump(), metrics: this.metrics })
+    this.ports.operator = operator.port
+    return operator
+  }
+}
--- /dev/null
+++ b/packages/auburnturn/src/core/verdict/types.ts
@@ -0,0 +1,34 @@
+/** Why a request is known not to have run. */
+export type NotRunCause =
+  | 'admission-closed' // starting or draining
+  | 'overloaded'
+  | 'queue-timeout'
+  | 'deadline-expired'
+  | 'quarantined'
+  | 'unknown-service'
+  | 'no-target'
+  | 'connect-failed'
+  | 'bad-request'
+  | 'ticket-refused'
+  | 'caller-gone'
+
+/** Why it cannot be known whether a request ran. */
+export type MayHaveRunCause =
+  | 'connection-lost'
+  | 'answer-cut'
+  | 'timeout'
+  | 'caller-gone'
+  | 'ticket-running'
+  | 'ticket-lost' // the incarnation or the record that knew is gone
+  | 'upstream-crashed'
+
+/** Said only with proof that nothing of the request ran. */
+export interface NotRun { readonly kind: 'not-run', readonly cause: NotRunCause }
+
+/** The request may have run, wholly or in part. */
+export interface MayHaveRun { readonly kind: 'may-have-run', readonly cause: MayHaveRunCause }
+
+/** The request ran and its whole answer arrived. */
+export interface Done { readonly kind: 'done' }
+
+export type Verdict = NotRun | MayHaveRun | Done
--- /dev/null
+++ b/packages/auburnturn/src/core/verdict/verdict.ts
@@ -0,0 +1,23 @@
+import type { Done, MayHaveRun, MayHaveRunCause, NotRun, NotRunCause, Verdict } from './types.js'
+
+/** The request certainly did not run. */
+export function notRun (cause: NotRunCause): NotRun {
+  return { kind: 'not-run', cause }
+}
+
+/** The request may have run, wholly or in part. */
+export function mayHaveRun (cause: MayHaveRunCause): MayHaveRun {
+  return { kind: 'may-have-run', cause }
+}
+
+/** The request ran and its whole answer is known. */
+export const done: Done = { kind: 'done' }
+
+/** Whether another attempt is safe: always after `not-run`, else only for idempotent requests. */
+export function isRetryable (verdict: Verdict, idempotent: boolean): boolean {
+  switch (verdict.kind) {
+    case 'not-run': return true
+    case 'may-have-run': return idempotent
+    case 'done': return false
+  }
+}
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,9 @@
+/** Runs a bench by name: `npm run bench -- NAME`. */
+const benches = ['path', 'routing', 'control'] as const
+
+const name = process.argv[2]
+if (!benches.some(known => known === name)) {
+  process.stderr.write(`Usage: npm run bench -- ${benches.join('|')}\n`)
+  process.exit(2)
+}
+await import(`./${name as string}/index.js`)
--- /dev/null
+++ b/packages/stand-ins/src/platform-service.ts
@@ -0,0 +1,96 @@
+import { createServer } from 'node:http'
+import type { Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { Entry, Member } from 'auburnturn'
+
+interface Watch { readonly answer: () => void }
+
+/** The platform's read-and-watch service, held in memory. */
+export class PlatformService {
+  /** Requests answered or waiting since the start. */
+  reads = 0
+  private readonly server: Server
+  private readonly entries = new Map<string, Entry>()
+  private readonly watches = new Set<Watch>()
+  private revision = 0
+  private members: readonly Member[] = []
+  private membersVersion = 0
+
+  private constructor () {
+    this.server = createServer((request, response) => {
+      const url = new URL(request.url ?? '/', 'http://platform')
+      this.reads++
+      this.route(url, response)
+    })
+  }
+
+  static async create (port = 0): Promise<PlatformService> {
+    const service = new PlatformService()
+    await new Promise<void>(resolve => { service.server.listen(port, '127.0.0.1', resolve) })
+    return service
+  }
+
+  get port (): number {
+    return (this.server.address() as AddressInfo).port
+  }
+
+  /** Publishes one configuration entry; undefined removes it. */
+  publish (key: string, text: string | undefined): void {
+    this.revision++
+    this.entries.set(key, { key, version: this.revision, text })
+    this.wake()
+  }
+
+  setMembers (members: readonly Member[]): void {
+    this.members = members
+    this.membersVersion++
+    this.wake()
+  }
+
+  async close (): Promise<void> {
+    this.wake()
+    await new Promise<void>(resolve => {
+      this.server.close(() => { resolve() })
+      this.server.closeAllConnections()
+    })
+  }
+
+  private route (url: URL, response: ServerResponse): void {
+    const after = Number(url.searchParams.get('after') ?? 0)
+    const waitMs = Number(url.searchParams.get('waitMs') ?? 0)
+    if (url.pathname === '/v1/configuration') {
+      return this.answerWhen(response, waitMs, () => this.revision > after, () => this.readConfiguration(after))
+    }
+    if (url.pathname === '/v1/members') {
+      return this.answerWhen(response, waitMs, () => this.membersVersion > after, () => ({ version: this.membersVersion, members: this.members }))
+    }
+    response.writeHead(404).end()
+  }
+
+  private readConfiguration (after: number): unknown {
+    const entries = [...this.entries.values()].filter(entry => entry.version > after)
+    return { revision: this.revision, entries: entries.map(entry => ({ ...entry, text: entry.text ?? null })) }
+  }
+
+  private answerWhen (response: ServerResponse, waitMs: number, ready: () => boolean, read: () => unknown): void {
+    const answer = (): void => {
+      clearTimeout(timer)
+      this.watches.delete(watch)
+      if (response.destroyed) return
+      response.writeHead(200, { 'content-type': 'application/json' })
+      response.end(JSON.stringify(read()))
+    }
+    const watch: Watch = { answer }
+    const timer = setTimeout(answer, waitMs)
+    response.on('close', () => {
+      clearTimeout(timer)
+      this.watches.delete(watch)
+    })
+    if (ready() || waitMs === 0) answer()
+    else this.watches.add(watch)
+  }
+
+  private wake (): void {
+    for (const watch of [...this.watches]) watch.answer()
+  }
+}
