Lay down the control plane between nodes and bounded notices

Cause: configuration, tickets and probes all need messages between nodes; one border now keeps their parts from growing three. Change: connect over cleartext HTTP/2 with committed generated code, a control server and kept clients in the supervisor tree, a bounded expiring list of notices. Conclusion: parts add routes and clients without touching each other.

--- /dev/null
+++ b/packages/auburnturn/src/core/control/constants.ts
@@ -0,0 +1,8 @@
+/** Largest control message, in bytes; one configuration value may be a megabyte. */
+export const maxMessageBytes = 2_097_152
+
+/** Time after which an unused connection to a peer is closed, in milliseconds. */
+export const idleConnectionMs = 30_000
+
+/** Longest wait for the answer to a control message, in milliseconds. */
+export const answerMs = 2_000
--- /dev/null
+++ b/packages/auburnturn/src/core/control/index.ts
@@ -0,0 +1,8 @@
+/** Control messages between nodes: connect over cleartext HTTP/2. The code under `gen` comes from `npm run generate`. */
+export { ControlClients } from './clients.js'
+export { ControlServer } from './server.js'
+export type { Routes } from './types.js'
+export { Measuring } from './gen/auburnturn/v1/measuring_pb.js'
+export { Relay } from './gen/auburnturn/v1/relay_pb.js'
+export type { ExchangeRequest, ExchangeResponse } from './gen/auburnturn/v1/relay_pb.js'
+export { Tickets } from './gen/auburnturn/v1/tickets_pb.js'
--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -4,10 +4,13 @@
 import type { RawHeaders } from '../call/types.js'
 import { Clock } from '../clock/index.js'
 import { Store } from '../configuration/index.js'
+import { ControlClients, ControlServer } from '../control/index.js'
+import type { Routes } from '../control/index.js'
 import { Exchange, formatLoad, Listener } from '../http/index.js'
 import { Logger } from '../logger/index.js'
 import { Directory } from '../membership/index.js'
 import { Metrics } from '../metrics/index.js'
+import { Notices } from '../notices/index.js'
 import { Operator } from '../operator/index.js'
 import { Platform } from '../platform/index.js'
 import { Random } from '../random/index.js'
@@ -31,6 +34,10 @@
   readonly incarnation = randomBytes(8).toString('hex')
   readonly store: Store
   readonly directory: Directory
+  readonly notices: Notices
+  private readonly controlClients = ControlClients.create()
+  /** Handlers of control messages, added by each part before the server starts. */
+  private readonly controlRoutes: Routes[] = []
   private readonly settings: NodeSettings
   private readonly clock: Clock
   private readonly logger: Logger
@@ -38,7 +45,7 @@
   private readonly metrics = Metrics.create()
   private readonly supervisor: Supervisor
   private readonly admission: Admission
-  private readonly ports = { callers: 0, peers: 0, operator: 0 }
+  private readonly ports = { callers: 0, peers: 0, control: 0, operator: 0 }
 
   private constructor (settings: NodeSettings, options: NodeOptions) {
     this.settings = settings
@@ -47,6 +54,7 @@
     this.random = options.random ?? Random.create(randomBytes(4).readInt32LE())
     this.store = Store.create({ clock: this.clock, logger: this.logger.label('configuration') })
     this.directory = Directory.create()
+    this.notices = Notices.create({ clock: this.clock })
     this.admission = Admission.create({ clock: this.clock })
     this.supervisor = Supervisor.create({ clock: this.clock, logger: this.logger.label('supervisor') })
   }
@@ -65,6 +73,7 @@
 
   get callersPort (): number { return this.ports.callers }
   get peersPort (): number { return this.ports.peers }
+  get controlPort (): number { return this.ports.control }
   get operatorPort (): number { return this.ports.operator }
 
   /** Refuses new work as not run, lets what is in flight end, then closes every part. */
@@ -78,6 +87,7 @@
       node: { id: this.settings.id, service: this.settings.service, incarnation: this.incarnation },
       configuration: this.store.dump(),
       membership: this.directory.dump(),
+      notices: this.notices.dump(),
       admission: this.admission.dump(),
       metrics: this.metrics.dump(),
       parts: this.supervisor.dump()
@@ -97,6 +107,8 @@
     await this.supervisor.add('upstream', async () => upstream)
     await this.supervisor.add('peers', async () => peers)
     await this.supervisor.add('router', async () => ({ close: async () => {}, dump: () => router.dump() }))
+    await this.supervisor.add('controlClients', async () => this.controlClients)
+    await this.supervisor.add('control', async () => await this.openControl())
     await this.listen('peers', true, router, target)
     await this.listen('callers', false, router, target)
     await this.supervisor.add('operator', async () => await this.openOperator())
@@ -137,6 +149,12 @@
     })
   }
 
+  private async openControl (): Promise<ControlServer> {
+    const control = await ControlServer.create({ ...this.settings.control, routes: this.controlRoutes })
+    this.ports.control = control.port
+    return control
+  }
+
   private async openOperator (): Promise<Operator> {
     const operator = await Operator.create({ ...this.settings.operator, dumpNode: () => this.dump(), metrics: this.metrics })
     this.ports.operator = operator.port
--- /dev/null
+++ b/packages/auburnturn/src/core/notices/types.ts
@@ -0,0 +1,12 @@
+/** What a notice is about. */
+export type NoticeKind =
+  | 'leaving' // subject: MEMBER/INCARNATION
+  | 'suspect' // subject: fingerprint of a request that was in flight at a crash
+
+/** A fact that is forgotten after a while. */
+export interface Notice {
+  readonly kind: NoticeKind
+  readonly subject: string
+  /** Clock time in milliseconds on this node. */
+  readonly expiresAt: number
+}
