Add tickets and the ledger that keeps each to one run

Cause: a caller's own resend of an order ran again at another target. Change: a ticket names one target and incarnation. The target's ledger keeps running, recorded and refused tickets within time and memory, and one bit a serial above a rising floor. Routers send a ticketed call only to its target and follow recorded refusals to their one successor. Speed not measured yet.

--- a/packages/auburnturn/src/core/call/constants.ts
+++ b/packages/auburnturn/src/core/call/constants.ts
@@ -19,5 +19,9 @@
   /** The incarnation that answered, on answers between nodes. */
   incarnation: 'auburnturn-incarnation',
   /** The service a call is for, between nodes. */
-  service: 'auburnturn-service'
+  service: 'auburnturn-service',
+  /** `yes` on an answer that was recorded for an earlier sending of the same ticket. */
+  recorded: 'auburnturn-recorded',
+  /** `wanted` between nodes: a refused ticket is to be replaced, since the sender will follow it. */
+  successor: 'auburnturn-successor'
 } as const
--- a/packages/auburnturn/src/core/http/exchange.ts
+++ b/packages/auburnturn/src/core/http/exchange.ts
@@ -136,11 +136,13 @@
   private finish (verdict: Verdict): void {
     const load = parseLoad(findHeader(this.headers, headerNames.load))
     const incarnation = findHeader(this.headers, headerNames.incarnation)
+    const successor = this.refused === undefined ? undefined : findHeader(this.headers, headerNames.ticket)
     this.resolve({
       verdict,
       ...(this.status === undefined ? {} : { status: this.status }),
       ...(load === undefined ? {} : { load }),
-      ...(incarnation === undefined ? {} : { incarnation })
+      ...(incarnation === undefined ? {} : { incarnation }),
+      ...(successor === undefined ? {} : { successor })
     })
   }
 }
--- a/packages/auburnturn/src/core/http/listener.ts
+++ b/packages/auburnturn/src/core/http/listener.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { headerNames } from '../call/index.js'
 import type { Outcome, RawHeaders } from '../call/types.js'
 import { Fault } from '../errors/index.js'
 import type { Logger } from '../logger/index.js'
@@ -86,6 +87,7 @@
     const verdict = outcome.verdict.kind === 'done' ? mayHaveRun('connection-lost') : outcome.verdict
     const problem = createProblem(verdict)
     problem.headers.push(...this.options.answerHeaders())
+    if (outcome.successor !== undefined) problem.headers.push(headerNames.ticket, outcome.successor)
     writeProblem(response, problem)
   }
 }
--- /dev/null
+++ b/packages/auburnturn/src/core/ledger/ledger.ts
@@ -0,0 +1,130 @@
+import type { Clock } from '../clock/index.js'
+import { maxWaiters } from './constants.js'
+import { EndedCalls } from './ended-calls.js'
+import type { Ending } from './ended-calls.js'
+import { Seal } from './seal.js'
+import { formatTicket, parseTicket } from './ticket.js'
+import type { Claim, LedgerLimits, Presented, Ticket } from './types.js'
+import { UsedSerials } from './used-serials.js'
+
+interface RunningCall {
+  readonly request: string
+  readonly settled: Promise<void>
+  readonly settle: () => void
+  waiters: number
+}
+
+/**
+ * Issues the tickets of one target and incarnation and remembers what became of each.
+ * A serial that ran keeps its bit after its ending is forgotten, so no bound of
+ * memory or time turns a used ticket into an unused one.
+ */
+export class Ledger {
+  private readonly member: string
+  private readonly incarnation: string
+  private readonly clock: Clock
+  private readonly seal = Seal.create()
+  private readonly serials: UsedSerials
+  private readonly running = new Map<number, RunningCall>()
+  private readonly ended = EndedCalls.create()
+
+  private constructor ({ member, incarnation, clock, serials }: LedgerOptions) {
+    this.member = member
+    this.incarnation = incarnation
+    this.clock = clock
+    this.serials = serials ?? UsedSerials.create()
+  }
+
+  static create (options: LedgerOptions): Ledger {
+    return new Ledger(options)
+  }
+
+  /** A fresh ticket for one call; remembers nothing but the count. */
+  issue (): string {
+    const { member, incarnation } = this
+    const serial = this.serials.issue()
+    return formatTicket({ member, incarnation, serial, mac: this.seal.sign(this.textOf(serial)) })
+  }
+
+  /** Looks a ticket up for `request` (method and path) and claims it when it is unused. */
+  present (text: string, request: string, limits: LedgerLimits): Presented {
+    const ticket = parseTicket(text)
+    if (ticket === undefined) return { kind: 'invalid', cause: 'bad-request' }
+    if (ticket.member !== this.member || ticket.incarnation !== this.incarnation) return { kind: 'foreign' }
+    if (!this.wasIssued(ticket)) return { kind: 'invalid', cause: 'ticket-refused' }
+    this.ended.expire(this.clock.now())
+    return this.findRunning(ticket.serial, request) ?? this.findEnded(ticket.serial, request) ?? this.claim(ticket.serial, request, limits)
+  }
+
+  dump (): unknown {
+    return { running: this.running.size, ended: this.ended.size, bytes: this.ended.bytes, floor: this.serials.floor }
+  }
+
+  private findRunning (serial: number, request: string): Presented | undefined {
+    const call = this.running.get(serial)
+    if (call === undefined) return undefined
+    if (call.request !== request) return { kind: 'invalid', cause: 'bad-request' }
+    if (call.waiters >= maxWaiters) return { kind: 'running', settled: undefined }
+    call.waiters++
+    return { kind: 'running', settled: call.settled }
+  }
+
+  private findEnded (serial: number, request: string): Presented | undefined {
+    const call = this.ended.find(serial)
+    if (call === undefined) return undefined
+    if (call.request !== request) return { kind: 'invalid', cause: 'bad-request' }
+    const { ending } = call
+    switch (ending.kind) {
+      case 'done': return { kind: 'recorded', answer: ending.answer }
+      case 'refused': return { kind: 'refused', cause: ending.cause, successor: ending.successor }
+    }
+  }
+
+  private claim (serial: number, request: string, limits: LedgerLimits): Presented {
+    if (this.serials.isUsed(serial)) return { kind: 'spent' }
+    this.serials.set(serial, true)
+    this.running.set(serial, createRunningCall(request))
+    return { kind: 'claimed', claim: this.createClaim(serial, request, limits) }
+  }
+
+  private createClaim (serial: number, request: string, limits: LedgerLimits): Claim {
+    const end = (ending: Ending | undefined): void => {
+      const call = this.running.get(serial)
+      if (call === undefined) throw new Error(`ticket ${serial} was settled twice`)
+      if (ending !== undefined) this.ended.add(serial, request, ending, this.clock.now(), limits)
+      this.running.delete(serial)
+      call.settle()
+    }
+    return {
+      complete: answer => { end(answer === undefined ? undefined : { kind: 'done', answer }) },
+      refuse: (cause, successor) => { end({ kind: 'refused', cause, successor }) },
+      release: () => {
+        this.serials.set(serial, false)
+        end(undefined)
+      }
+    }
+  }
+
+  private wasIssued ({ serial, mac }: Ticket): boolean {
+    return this.serials.wasIssued(serial) && this.seal.verify(this.textOf(serial), mac)
+  }
+
+  private textOf (serial: number): string {
+    return `${this.member}.${this.incarnation}.${serial}`
+  }
+}
+
+function createRunningCall (request: string): RunningCall {
+  let settle = (): void => {}
+  const settled = new Promise<void>(resolve => { settle = resolve })
+  return { request, settled, settle, waiters: 0 }
+}
+
+export interface LedgerOptions {
+  /** Name of the target. */
+  readonly member: string
+  readonly incarnation: string
+  readonly clock: Clock
+  /** Tests give a small one. */
+  readonly serials?: UsedSerials
+}
--- /dev/null
+++ b/packages/auburnturn/src/core/ledger/recorder.ts
@@ -0,0 +1,77 @@
+import type { Answer, RawHeaders } from '../call/types.js'
+import { headerNames } from '../call/index.js'
+import type { RecordedAnswer } from './types.js'
+
+/** Passes an answer on and keeps a copy while it stays within `limitBytes`. */
+export class Recorder implements Answer {
+  started = false
+  private readonly answer: Answer
+  private readonly limitBytes: number
+  private chunks: Uint8Array[] = []
+  private bytes = 0
+  private overflowed = false
+  private status = 0
+  private reason = ''
+  private headers: RawHeaders = []
+  private trailers: RawHeaders | undefined
+
+  private constructor (answer: Answer, limitBytes: number) {
+    this.answer = answer
+    this.limitBytes = limitBytes
+  }
+
+  static create (answer: Answer, limitBytes: number): Recorder {
+    return new Recorder(answer, limitBytes)
+  }
+
+  inform (status: number, headers: RawHeaders): void {
+    this.answer.inform(status, headers)
+  }
+
+  head (status: number, reason: string, headers: RawHeaders): void {
+    this.started = true
+    this.status = status
+    this.reason = reason
+    this.headers = headers
+    this.answer.head(status, reason, headers)
+  }
+
+  data (chunk: Uint8Array): Promise<void> | undefined {
+    this.keep(chunk)
+    return this.answer.data(chunk)
+  }
+
+  end (trailers: RawHeaders): void {
+    this.trailers = trailers
+    this.answer.end(trailers)
+  }
+
+  cut (): void {
+    this.overflowed = true
+    this.answer.cut()
+  }
+
+  /** The whole answer; undefined unless it ended and was kept. */
+  get recorded (): RecordedAnswer | undefined {
+    if (this.overflowed || this.trailers === undefined) return undefined
+    const { status, reason, headers, trailers } = this
+    return { status, reason, headers, trailers, body: Buffer.concat(this.chunks) }
+  }
+
+  private keep (chunk: Uint8Array): void {
+    this.bytes += chunk.length
+    if (this.bytes > this.limitBytes) {
+      this.overflowed = true
+      this.chunks = []
+    }
+    // The reader of the connection may use the chunk's memory again.
+    if (!this.overflowed) this.chunks.push(Uint8Array.from(chunk))
+  }
+}
+
+/** Writes a recorded answer, marked as such. */
+export function replay (recorded: RecordedAnswer, answer: Answer): void {
+  answer.head(recorded.status, recorded.reason, [...recorded.headers, headerNames.recorded, 'yes'])
+  if (recorded.body.length > 0) answer.data(recorded.body)?.catch(() => {})
+  answer.end(recorded.trailers)
+}
--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -21,6 +21,7 @@
 import { identifyCall } from './identify.js'
 import { Peers } from './peers.js'
 import { followConfiguration, followMembers } from './readers.js'
+import { isTicketRequest, TicketOffice } from './tickets.js'
 
 /** What a node is given from outside; all have working defaults. */
 export interface NodeOptions {
@@ -45,6 +46,7 @@
   private readonly metrics = Metrics.create()
   private readonly supervisor: Supervisor
   private readonly admission: Admission
+  private readonly tickets: TicketOffice
   private readonly ports = { callers: 0, peers: 0, control: 0, operator: 0 }
 
   private constructor (settings: NodeSettings, options: NodeOptions) {
@@ -56,6 +58,8 @@
     this.directory = Directory.create()
     this.notices = Notices.create({ clock: this.clock })
     this.admission = Admission.create({ clock: this.clock })
+    const { id, service } = settings
+    this.tickets = TicketOffice.create({ id, service, directory: this.directory, random: this.random, controlClients: this.controlClients })
     this.supervisor = Supervisor.create({ clock: this.clock, logger: this.logger.label('supervisor') })
   }
 
@@ -76,6 +80,11 @@
   get controlPort (): number { return this.ports.control }
   get operatorPort (): number { return this.ports.operator }
 
+  /** Refuses new and queued work as not run from now on; what runs goes on. */
+  drain (): void {
+    this.admission.drain()
+  }
+
   /** Refuses new work as not run, lets what is in flight end, then closes every part. */
   async close (): Promise<void> {
     this.admission.drain()
@@ -99,13 +108,15 @@
     const platform = Platform.create(settings.platform.map(({ ip, port }) => `http://${ip}:${port}`))
     const peers = Peers.create({ clock, connections: settings.limits.connectionsPerTarget })
     const upstream = this.createUpstream()
-    const target = Target.create({ incarnation: this.incarnation, clock, admission: this.admission, run: async (call, body, answer) => await upstream.send(call, body, answer) })
+    const target = this.createTarget(upstream)
+    this.controlRoutes.push(this.tickets.routes(target))
     const router = this.createRouter(peers, target)
     await this.supervisor.add('platform', async () => platform)
     await this.supervisor.add('configuration', async () => followConfiguration({ platform, store, clock, logger }))
     await this.supervisor.add('members', async () => followMembers({ platform, directory, clock, logger }))
     await this.supervisor.add('upstream', async () => upstream)
     await this.supervisor.add('peers', async () => peers)
+    await this.supervisor.add('target', async () => ({ close: async () => {}, dump: () => target.dump() }))
     await this.supervisor.add('router', async () => ({ close: async () => {}, dump: () => router.dump() }))
     await this.supervisor.add('controlClients', async () => this.controlClients)
     await this.supervisor.add('control', async () => await this.openControl())
@@ -120,6 +131,17 @@
     return Exchange.create({ origin: `http://${ip}:${port}`, connections: this.settings.limits.callerConnections, connectMs, clock: this.clock })
   }
 
+  private createTarget (upstream: Exchange): Target {
+    return Target.create({
+      id: this.settings.id,
+      incarnation: this.incarnation,
+      clock: this.clock,
+      admission: this.admission,
+      run: async (call, body, answer) => await upstream.send(call, body, answer),
+      fetchTicket: async (service, withinMs) => await this.tickets.fetchElsewhere(service, withinMs)
+    })
+  }
+
   private createRouter (peers: Peers, target: Target): Router {
     const { id, service } = this.settings
     return Router.create({ clock: this.clock, random: this.random, directory: this.directory, remote: peers.attempt, local: { id, service, target } })
@@ -139,7 +161,9 @@
         logger: logger.label(name),
         identify: (request, signal) => identifyCall(request, signal, { clock, store, directory, forwarded }),
         serve: async (call, body, answer) => {
-          const outcome = await router.run(call, body, answer)
+          const outcome = !forwarded && isTicketRequest(call)
+            ? await this.tickets.answer(call, answer, target, tried => router.choose(call, tried))
+            : await router.run(call, body, answer)
           this.metrics.count(`calls_total{verdict="${outcome.verdict.kind}"}`)
           return outcome
         }
--- a/packages/auburnturn/src/core/router/router.ts
+++ b/packages/auburnturn/src/core/router/router.ts
@@ -6,6 +6,8 @@
 import type { Policy } from '../routing/index.js'
 import type { Target } from '../target/index.js'
 import { isRetryable, notRun } from '../verdict/index.js'
+import { runTicketed } from './ticketed.js'
+import type { TicketedRoute } from './ticketed.js'
 
 /** Routes calls of any service. */
 export class Router {
@@ -23,6 +25,7 @@
   /** Runs `call` to its outcome; the answer is written only by the attempt that succeeds. */
   async run (call: Call, body: Body, answer: Answer): Promise<Outcome> {
     if (call.forwarded) return await this.runHere(call, body, answer)
+    if (call.ticket !== undefined) return await runTicketed(call, call.ticket, body, answer, this.ticketedRoute)
     const tried = new Set<string>()
     let outcome: Outcome = { verdict: notRun('no-target') }
     for (let attempt = 0; attempt < call.profile.retry.attempts; attempt++) {
@@ -39,13 +42,19 @@
     return Object.fromEntries([...this.balancers].map(([service, balancer]) => [service, balancer.dump()]))
   }
 
+  private readonly ticketedRoute: TicketedRoute = {
+    members: service => this.options.directory.members(service),
+    attempt: async (call, member, body, answer) => await this.attempt(call, member, body, answer)
+  }
+
   private async runHere (call: Call, body: Body, answer: Answer): Promise<Outcome> {
     const { local } = this.options
     if (local === undefined || local.service !== call.service) return { verdict: notRun('no-target') }
     return await local.target.execute(call, body, answer)
   }
 
-  private choose (call: Call, tried: ReadonlySet<string>): Member | undefined {
+  /** The target that a call would be sent to now, none of those in `tried`. */
+  choose (call: Call, tried: ReadonlySet<string>): Member | undefined {
     const { local } = this.options
     if (local !== undefined && local.service === call.service && !tried.has(local.id) && local.target.isBelow(call.profile.admission.localBelow)) {
       return this.options.directory.members(call.service).find(member => member.id === local.id) ?? this.balancerOf(call.service).choose(tried)
--- a/packages/auburnturn/src/core/target/target.ts
+++ b/packages/auburnturn/src/core/target/target.ts
@@ -1,7 +1,10 @@
 import type { Admission } from '../admission/index.js'
 import type { Answer, Body, Call, Load, Outcome } from '../call/types.js'
 import type { Clock } from '../clock/index.js'
+import { Ledger } from '../ledger/index.js'
 import { mayHaveRun, notRun } from '../verdict/index.js'
+import { TicketedCalls } from './ticketed.js'
+import type { FetchTicket } from './ticketed.js'
 
 /** Sends an admitted call to the upstream. */
 export type Run = (call: Call, body: Body, answer: Answer) => Promise<Outcome>
@@ -12,26 +15,38 @@
   private readonly clock: Clock
   private readonly admission: Admission
   private readonly run: Run
+  private readonly ledger: Ledger
+  private readonly ticketed: TicketedCalls
 
   private constructor (options: TargetOptions) {
     this.incarnation = options.incarnation
     this.clock = options.clock
     this.admission = options.admission
     this.run = options.run
+    this.ledger = options.ledger ?? Ledger.create({ member: options.id ?? '', incarnation: options.incarnation, clock: options.clock })
+    this.ticketed = TicketedCalls.create({
+      clock: options.clock,
+      ledger: this.ledger,
+      execute: async (call, body, answer) => await this.executeDetached(call, body, answer),
+      fetchTicket: options.fetchTicket ?? (async () => undefined)
+    })
   }
 
   static create (options: TargetOptions): Target {
     return new Target(options)
   }
 
-  /** Admits and runs one call; the outcome carries the load of this moment. */
+  /** Runs one call, or refuses it; the outcome carries the load of this moment. */
   async execute (call: Call, body: Body, answer: Answer): Promise<Outcome> {
-    const admittance = await this.admission.admit(call)
-    if (admittance.kind === 'refused') return this.stamp({ verdict: notRun(admittance.cause) })
-    const start = this.clock.now()
-    const outcome = await this.run(call, body, answer).catch(() => ({ verdict: mayHaveRun('connection-lost') }))
-    admittance.release(outcome.verdict, this.clock.now() - start)
-    return this.stamp(outcome)
+    const outcome = call.ticket === undefined
+      ? await this.admitAndRun(call, call, body, answer)
+      : await this.ticketed.run(call.ticket, call, body, answer)
+    return { ...outcome, load: this.admission.load, incarnation: this.incarnation }
+  }
+
+  /** A ticket for a call that this target alone may run; undefined while it takes no new work. */
+  issueTicket (): string | undefined {
+    return this.admission.load.state === 'serving' ? this.ledger.issue() : undefined
   }
 
   isBelow (share: number): boolean {
@@ -42,14 +57,32 @@
     return this.admission.load
   }
 
-  private stamp (outcome: Outcome): Outcome {
-    return { ...outcome, load: this.admission.load, incarnation: this.incarnation }
+  dump (): unknown {
+    return { tickets: this.ledger.dump() }
+  }
+
+  /** Once admitted, the call goes on when its caller leaves, so that a later sending finds its answer. */
+  private async executeDetached (call: Call, body: Body, answer: Answer): Promise<Outcome> {
+    return await this.admitAndRun(call, { ...call, signal: new AbortController().signal }, body, answer)
+  }
+
+  private async admitAndRun (asked: Call, admitted: Call, body: Body, answer: Answer): Promise<Outcome> {
+    const admittance = await this.admission.admit(asked)
+    if (admittance.kind === 'refused') return { verdict: notRun(admittance.cause) }
+    const start = this.clock.now()
+    const outcome = await this.run(admitted, body, answer).catch(() => ({ verdict: mayHaveRun('connection-lost') }))
+    admittance.release(outcome.verdict, this.clock.now() - start)
+    return outcome
   }
 }
 
-interface TargetOptions {
+export interface TargetOptions {
+  /** Name of the target, which its tickets carry. */
+  readonly id?: string
   readonly incarnation: string
   readonly clock: Clock
   readonly admission: Admission
   readonly run: Run
+  readonly ledger?: Ledger
+  readonly fetchTicket?: FetchTicket
 }
--- /dev/null
+++ b/packages/auburnturn/src/core/target/ticketed.ts
@@ -0,0 +1,115 @@
+import type { Answer, Body, Call, Outcome } from '../call/types.js'
+import { headerNames } from '../call/index.js'
+import type { Clock } from '../clock/index.js'
+import { findHeader } from '../http/headers.js'
+import { Recorder, replay } from '../ledger/index.js'
+import type { Claim, Ledger } from '../ledger/index.js'
+import { done, mayHaveRun, notRun } from '../verdict/index.js'
+import type { NotRunCause } from '../verdict/index.js'
+
+/** Asks another live target of the service for a ticket; undefined when none can be had in `withinMs`. */
+export type FetchTicket = (service: string, withinMs: number) => Promise<string | undefined>
+
+/** Admits a call and runs it on the upstream. */
+export type Execute = (call: Call, body: Body, answer: Answer) => Promise<Outcome>
+
+/** Runs calls that carry a ticket, each at most once. */
+export class TicketedCalls {
+  private readonly options: TicketedCallsOptions
+
+  private constructor (options: TicketedCallsOptions) {
+    this.options = options
+  }
+
+  static create (options: TicketedCallsOptions): TicketedCalls {
+    return new TicketedCalls(options)
+  }
+
+  /** Runs the call, or answers from what the ledger knows of its ticket. */
+  async run (ticket: string, call: Call, body: Body, answer: Answer): Promise<Outcome> {
+    const request = `${call.method} ${call.path}`
+    for (;;) {
+      const presented = this.options.ledger.present(ticket, request, call.profile.tickets)
+      switch (presented.kind) {
+        case 'claimed': return await this.runClaimed(presented.claim, call, body, answer)
+        case 'recorded':
+          replay(presented.answer, answer)
+          return { verdict: done, status: presented.answer.status }
+        case 'refused': return { verdict: notRun(presented.cause), successor: presented.successor }
+        case 'invalid': return { verdict: notRun(presented.cause) }
+        case 'spent':
+        case 'foreign': return { verdict: mayHaveRun('ticket-lost') }
+        case 'running':
+          if (presented.settled === undefined) return { verdict: mayHaveRun('ticket-running') }
+          if (!await this.settlesInTime(presented.settled, call)) return { verdict: mayHaveRun('ticket-running') }
+      }
+    }
+  }
+
+  private async runClaimed (claim: Claim, call: Call, body: Body, answer: Answer): Promise<Outcome> {
+    const recorder = Recorder.create(answer, call.profile.tickets.answerBytes)
+    const outcome = await this.options.execute(call, body, recorder).catch(() => ({ verdict: mayHaveRun('connection-lost') }))
+    switch (outcome.verdict.kind) {
+      case 'done':
+        claim.complete(recorder.recorded)
+        return outcome
+      case 'may-have-run':
+        claim.complete(undefined)
+        return outcome
+      case 'not-run': return await this.refuse(claim, call, outcome, outcome.verdict.cause)
+    }
+  }
+
+  /** The successor is recorded before anyone hears of it, so that concurrent sendings can't fork. */
+  private async refuse (claim: Claim, call: Call, outcome: Outcome, cause: NotRunCause): Promise<Outcome> {
+    const successor = await this.findSuccessor(call, cause).catch(() => undefined)
+    if (successor === undefined) {
+      claim.release()
+      return outcome
+    }
+    claim.refuse(cause, successor)
+    return { ...outcome, successor }
+  }
+
+  private async findSuccessor (call: Call, cause: NotRunCause): Promise<string | undefined> {
+    if (findHeader(call.headers, headerNames.successor) !== 'wanted' || !mayRunElsewhere(cause)) return undefined
+    const remaining = call.deadline - this.options.clock.now()
+    return remaining > 0 ? await this.options.fetchTicket(call.service, remaining) : undefined
+  }
+
+  private async settlesInTime (settled: Promise<void>, call: Call): Promise<boolean> {
+    const ended = new AbortController()
+    const remaining = call.deadline - this.options.clock.now()
+    const signal = AbortSignal.any([ended.signal, call.signal])
+    const expired = this.options.clock.sleep(remaining, signal).then(() => false)
+    const result = await Promise.race([settled.then(() => true), expired])
+    ended.abort()
+    return result
+  }
+}
+
+/** Whether another target could take a call that was refused for this cause. */
+function mayRunElsewhere (cause: NotRunCause): boolean {
+  switch (cause) {
+    case 'admission-closed':
+    case 'overloaded':
+    case 'queue-timeout':
+    case 'connect-failed':
+    case 'no-target':
+      return true
+    case 'deadline-expired':
+    case 'quarantined':
+    case 'unknown-service':
+    case 'bad-request':
+    case 'ticket-refused':
+    case 'caller-gone':
+      return false
+  }
+}
+
+export interface TicketedCallsOptions {
+  readonly clock: Clock
+  readonly ledger: Ledger
+  readonly execute: Execute
+  readonly fetchTicket: FetchTicket
+}
