--- /dev/null
+++ b/packages/auburnturn/src/core/history/rules/true-refusal.ts
@@ -0,0 +1,28 @@
+import type { Execution, IndexedHistory, Rule, Sending, Violation } from '../types.js'
+
+/**
+ * "Not run" means that this sending ran nowhere, before or after it was told. With a ticket it
+ * also means that no sending which had ended before this one began ran the call.
+ */
+export const checkTrueRefusal: Rule = history => {
+  const violations: Violation[] = []
+  for (const sending of history.sendings.values()) {
+    if (sending.refusal?.verdict !== 'not-run') continue
+    for (const execution of history.executions.values()) {
+      if (contradicts(execution, sending, history)) violations.push(describe(sending, execution))
+    }
+  }
+  return violations
+}
+
+function contradicts (execution: Execution, refused: Sending, { sendings }: IndexedHistory): boolean {
+  const { started } = execution
+  if (started.sending === refused.sent.sending) return true
+  if (!refused.sent.ticketed || started.call !== refused.sent.call) return false
+  const other = sendings.get(started.sending)
+  return other?.endedAt !== undefined && other.endedAt < refused.position
+}
+
+function describe ({ sent, refusal }: Sending, { started }: Execution): Violation {
+  return { rule: 'true-refusal', detail: `sending ${sent.sending} was refused as not run (${refusal?.cause ?? ''}), but ${started.execution} of sending ${started.sending} ran at ${started.target}` }
+}
