Judge members by the list, the targets' own word and results

Cause: the list lags or is wrong; taken as it came, an empty list emptied every service. Change: lists are read per service; a list that takes away more than the profile's share of live members is doubted for a minute, or as long as they answer; a leaving or new incarnation tells the others by notice; flapping members are held back unless they are the only ones; a node closes its own admission after the profile's drain time. Conclusion: three sources with a fixed order; the relay has still to spread the notices.

--- a/packages/auburnturn/src/core/admission/admission.ts
+++ b/packages/auburnturn/src/core/admission/admission.ts
@@ -43,6 +43,11 @@
     return { running: this.running, queued: this.waiters.length, limit: this.limit, state: this.state }
   }
 
+  /** Takes new work again. */
+  open (): void {
+    this.state = 'serving'
+  }
+
   /** Refuses new and queued work from now on; what runs goes on. */
   drain (): void {
     this.state = 'draining'
--- a/packages/auburnturn/src/core/clock/index.ts
+++ b/packages/auburnturn/src/core/clock/index.ts
@@ -4,3 +4,5 @@
  */
 export { Clock } from './clock.js'
 export { ManualClock } from './manual-clock.js'
+export { subscribe } from './subscribe.js'
+export type { Cancel } from './clock.js'
--- a/packages/auburnturn/src/core/membership/directory.ts
+++ b/packages/auburnturn/src/core/membership/directory.ts
@@ -1,58 +1,197 @@
 import { createAdapter } from '@most/adapter'
 import type { Stream } from '@most/types'
-import type { Member, MemberList } from './types.js'
+import { subscribe } from '../clock/index.js'
+import type { Cancel, Clock } from '../clock/index.js'
+import type { Logger } from '../logger/index.js'
+import type { Notice, Notices } from '../notices/index.js'
+import { ownWordMs, recheckMs } from './constants.js'
+import { formatOwnWord, parseOwnWord } from './own-word.js'
+import { ServiceMembers } from './service-members.js'
+import type { JudgedMember } from './service-members.js'
+import type { Doubt, Member, MemberList } from './types.js'
 
-/** The members of each service as this node knows them. */
+/** What a directory is made of. */
+export interface DirectoryOptions {
+  readonly clock: Clock
+  readonly logger: Logger
+  /** Where leaving nodes' own word arrives. */
+  readonly notices: Notices
+  /** Share of a service's live members that one list may take away without doubt. */
+  readonly floorOf: (service: string) => number
+}
+
+interface View {
+  readonly members: readonly Member[]
+  readonly live: readonly Member[]
+  readonly doubts: ReadonlyMap<string, Doubt>
+}
+
+const emptyView: View = { members: [], live: [], doubts: new Map() }
+
+/** The members of each service: the platform's list, corrected by the targets' own word and by results. */
 export class Directory {
-  /** Emits the name of a service whose members changed. */
+  /** Emits the name of a service whose members may have changed. */
   readonly changes: Stream<string>
   private readonly emit: (service: string) => void
-  private byService = new Map<string, readonly Member[]>()
-  private version = -1
+  private readonly options: DirectoryOptions
+  private readonly services = new Map<string, ServiceMembers>()
+  private readonly views = new Map<string, View>()
+  private readonly incarnations = new Map<string, string>()
+  private readonly cancels: readonly Cancel[]
 
-  private constructor () {
+  private constructor (options: DirectoryOptions) {
     const [emit, changes] = createAdapter<string>()
     this.emit = emit
     this.changes = changes
+    this.options = options
+    this.cancels = [
+      options.clock.every(recheckMs, () => { this.reviewDoubts() }),
+      subscribe(options.clock, options.notices.changes,
+        notice => { this.takeNotice(notice) },
+        error => { options.logger.error('notice-failed', { error: String(error) }) })
+    ]
   }
 
-  static create (): Directory {
-    return new Directory()
+  static create (options: DirectoryOptions): Directory {
+    return new Directory(options)
   }
 
-  /** Takes the platform's list unless it is older than the one held. */
-  accept (list: MemberList): void {
-    if (list.version <= this.version) return
-    this.version = list.version
-    const before = this.byService
-    this.byService = groupByService(list.members)
-    for (const service of new Set([...before.keys(), ...this.byService.keys()])) this.emit(service)
+  /** Takes the platform's list of one service unless it is older than the one held. */
+  accept (list: MemberList): boolean {
+    const known = this.services.get(list.service) ?? ServiceMembers.create()
+    this.services.set(list.service, known)
+    if (!known.accept(list, this.options.floorOf(list.service), this.options.clock.now())) return false
+    this.review(list.service)
+    return true
   }
 
-  /** Targets of a service that may receive new work. */
+  /** Notes which incarnation of a target answered; results outrank the list and older words. */
+  observe (member: Member, incarnation: string): void {
+    this.services.get(member.service)?.hear(member.id, this.options.clock.now())
+    if (this.incarnations.get(member.id) === incarnation) return
+    this.incarnations.set(member.id, incarnation)
+    this.review(member.service)
+  }
+
+  /** Tells the other nodes that this incarnation of a target takes no more work. */
+  announceLeaving (member: Member, incarnation: string): void {
+    this.announce('leaving', member, incarnation)
+  }
+
+  /** Tells the other nodes that a new incarnation of a target has started. */
+  announceStarted (member: Member, incarnation: string): void {
+    this.announce('started', member, incarnation)
+  }
+
+  /** Computes the view of a service anew, after a notice or a change of doubt. */
+  review (service: string): void {
+    const before = this.views.get(service) ?? emptyView
+    const view = this.judge(service)
+    if (isSameView(before, view)) return
+    this.views.set(service, view)
+    this.logDoubts(service, before, view)
+    this.emit(service)
+  }
+
+  /** Targets of a service that may receive new work. The array stays the same until members change. */
   liveMembers (service: string): readonly Member[] {
-    return this.members(service).filter(member => member.state === 'live')
+    return (this.views.get(service) ?? emptyView).live
   }
 
+  /** Every target of a service that is known, leaving ones included. */
   members (service: string): readonly Member[] {
-    return this.byService.get(service) ?? []
+    return (this.views.get(service) ?? emptyView).members
+  }
+
+  /** The member of that id, whatever its state. */
+  find (service: string, id: string): Member | undefined {
+    return this.members(service).find(member => member.id === id)
+  }
+
+  /** The incarnation that last answered for a target. */
+  incarnationOf (id: string): string | undefined {
+    return this.incarnations.get(id)
   }
 
   hasService (service: string): boolean {
-    return this.byService.has(service)
+    return this.services.has(service)
+  }
+
+  get serviceNames (): string[] {
+    return [...this.services.keys()]
+  }
+
+  async close (): Promise<void> {
+    for (const cancel of this.cancels) cancel()
   }
 
   dump (): unknown {
-    return { version: this.version, services: Object.fromEntries(this.byService) }
+    const services = [...this.services].map(([name, held]) => {
+      const view = this.views.get(name) ?? emptyView
+      return [name, { version: held.version, live: view.live.length, members: view.members.length, doubts: Object.fromEntries(view.doubts) }]
+    })
+    return { services: Object.fromEntries(services) }
+  }
+
+  private announce (kind: 'leaving' | 'started', { service, id }: Member, incarnation: string): void {
+    this.options.notices.add(kind, formatOwnWord({ service, id, incarnation }), ownWordMs)
   }
-}
 
-function groupByService (members: readonly Member[]): Map<string, readonly Member[]> {
-  const groups = new Map<string, Member[]>()
-  for (const member of members) {
-    const group = groups.get(member.service)
-    if (group === undefined) groups.set(member.service, [member])
-    else group.push(member)
+  private takeNotice ({ kind, subject }: Notice): void {
+    const word = parseOwnWord(subject)
+    if (word === undefined || (kind !== 'leaving' && kind !== 'started')) return
+    const known = this.incarnations.get(word.id)
+    // The word of an incarnation that was replaced says nothing about its successor.
+    if (kind === 'leaving' && known !== undefined && known !== word.incarnation) return
+    this.incarnations.set(word.id, word.incarnation)
+    this.review(word.service)
   }
-  return groups
+
+  private reviewDoubts (): void {
+    const now = this.options.clock.now()
+    for (const [service, held] of this.services) {
+      if (held.hasDoubts(now) || (this.views.get(service)?.doubts.size ?? 0) > 0) this.review(service)
+    }
+  }
+
+  private judge (service: string): View {
+    const held = this.services.get(service)
+    if (held === undefined) return emptyView
+    const judged = held.list(this.options.clock.now()).map(one => this.applyOwnWord(one))
+    const live = judged.filter(({ member, doubt }) => member.state === 'live' && doubt !== 'flapping' && doubt !== 'said-leaving')
+    const doubts = judged.filter(({ doubt }) => doubt !== 'none').map(({ member, doubt }): [string, Doubt] => [member.id, doubt])
+    const flapping = judged.filter(({ member, doubt }) => member.state === 'live' && doubt === 'flapping')
+    // Holding back the only targets there are would refuse every call.
+    const usable = live.length > 0 ? live : flapping
+    return { members: judged.map(({ member }) => member), live: usable.map(({ member }) => member), doubts: new Map(doubts) }
+  }
+
+  private applyOwnWord (judged: JudgedMember): JudgedMember {
+    const incarnation = this.incarnations.get(judged.member.id)
+    if (incarnation === undefined) return judged
+    const left = this.options.notices.has('leaving', formatOwnWord({ service: judged.member.service, id: judged.member.id, incarnation }))
+    return left ? { member: { ...judged.member, state: 'leaving' }, doubt: 'said-leaving' } : judged
+  }
+
+  private logDoubts (service: string, before: View, view: View): void {
+    for (const [member, doubt] of view.doubts) {
+      if (before.doubts.get(member) !== doubt) this.options.logger.warn('member-doubted', { service, member, doubt })
+    }
+  }
+}
+
+function isSameView (one: View, other: View): boolean {
+  if (one.members.length !== other.members.length || one.live.length !== other.live.length) return false
+  if (!isSameDoubts(one.doubts, other.doubts)) return false
+  const sameMembers = one.members.every((member, index) => isSameMember(member, other.members[index] as Member))
+  return sameMembers && one.live.every((member, index) => member.id === other.live[index]?.id)
+}
+
+function isSameDoubts (one: ReadonlyMap<string, Doubt>, other: ReadonlyMap<string, Doubt>): boolean {
+  return one.size === other.size && [...one].every(([id, doubt]) => other.get(id) === doubt)
+}
+
+function isSameMember (one: Member, other: Member): boolean {
+  return one.id === other.id && one.state === other.state && one.ip === other.ip &&
+    one.peerPort === other.peerPort && one.controlPort === other.controlPort && one.failureDomain === other.failureDomain
 }
--- a/packages/auburnturn/src/core/membership/types.ts
+++ b/packages/auburnturn/src/core/membership/types.ts
@@ -13,8 +13,16 @@
   readonly state: 'live' | 'leaving'
 }
 
-/** The platform's list, which lags. */
+/** The platform's list of one service, which lags. A higher version is newer. */
 export interface MemberList {
+  readonly service: string
   readonly version: number
   readonly members: readonly Member[]
 }
+
+/** Why a member that the list calls live, or no longer names, is treated otherwise. */
+export type Doubt =
+  | 'none'
+  | 'missing' // the list dropped it together with too many others
+  | 'said-leaving' // its own word, which is newer than the list
+  | 'flapping' // it came and went too often
--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -19,6 +19,7 @@
 import { Supervisor } from '../supervisor/index.js'
 import { Target } from '../target/index.js'
 import { identifyCall } from './identify.js'
+import { OwnMembership } from './own-membership.js'
 import { Peers } from './peers.js'
 import { followConfiguration, followMembers } from './readers.js'
 
@@ -53,8 +54,13 @@
     this.logger = (options.logger ?? Logger.create(settings.log.level)).label('node')
     this.random = options.random ?? Random.create(randomBytes(4).readInt32LE())
     this.store = Store.create({ clock: this.clock, logger: this.logger.label('configuration') })
-    this.directory = Directory.create()
     this.notices = Notices.create({ clock: this.clock })
+    this.directory = Directory.create({
+      clock: this.clock,
+      logger: this.logger.label('membership'),
+      notices: this.notices,
+      floorOf: service => this.store.profileOf(service).membership.floor
+    })
     this.admission = Admission.create({ clock: this.clock })
     this.supervisor = Supervisor.create({ clock: this.clock, logger: this.logger.label('supervisor') })
   }
@@ -79,6 +85,8 @@
   /** Refuses new work as not run, lets what is in flight end, then closes every part. */
   async close (): Promise<void> {
     this.admission.drain()
+    const self = this.directory.find(this.settings.service, this.settings.id)
+    if (self !== undefined) this.directory.announceLeaving(self, this.incarnation)
     await this.supervisor.close()
   }
 
@@ -97,10 +105,11 @@
   private async start (): Promise<void> {
     const { settings, clock, logger, store, directory } = this
     const platform = Platform.create(settings.platform.map(({ ip, port }) => `http://${ip}:${port}`))
-    const peers = Peers.create({ clock, connections: settings.limits.connectionsPerTarget })
+    const peers = Peers.create({ clock, directory, connections: settings.limits.connectionsPerTarget })
     const upstream = this.createUpstream()
     const target = Target.create({ incarnation: this.incarnation, clock, admission: this.admission, run: async (call, body, answer) => await upstream.send(call, body, answer) })
     const router = this.createRouter(peers, target)
+    await this.supervisor.add('membership', async () => this.directory)
     await this.supervisor.add('platform', async () => platform)
     await this.supervisor.add('configuration', async () => followConfiguration({ platform, store, clock, logger }))
     await this.supervisor.add('members', async () => followMembers({ platform, directory, clock, logger }))
@@ -108,6 +117,7 @@
     await this.supervisor.add('peers', async () => peers)
     await this.supervisor.add('router', async () => ({ close: async () => {}, dump: () => router.dump() }))
     await this.supervisor.add('controlClients', async () => this.controlClients)
+    await this.supervisor.add('ownMembership', async () => this.createOwnMembership())
     await this.supervisor.add('control', async () => await this.openControl())
     await this.listen('peers', true, router, target)
     await this.listen('callers', false, router, target)
@@ -149,6 +159,14 @@
     })
   }
 
+  private createOwnMembership (): OwnMembership {
+    const { clock, directory, admission, store, incarnation } = this
+    const { id, service } = this.settings
+    return OwnMembership.create({
+      id, incarnation, service, clock, directory, admission, logger: this.logger.label('membership'), profileOf: name => store.profileOf(name)
+    })
+  }
+
   private async openControl (): Promise<ControlServer> {
     const control = await ControlServer.create({ ...this.settings.control, routes: this.controlRoutes })
     this.ports.control = control.port
--- a/packages/auburnturn/src/core/node/peers.ts
+++ b/packages/auburnturn/src/core/node/peers.ts
@@ -2,26 +2,34 @@
 import type { Answer, Body, Call, Outcome } from '../call/types.js'
 import type { Clock } from '../clock/index.js'
 import { Exchange } from '../http/index.js'
-import type { Member } from '../membership/index.js'
+import type { Directory, Member } from '../membership/index.js'
 
 /** Kept-alive connections to the nodes beside other targets. */
 export class Peers {
   private readonly exchanges = new Map<string, Exchange>()
   private readonly clock: Clock
+  private readonly directory: Directory
   private readonly connections: number
 
-  private constructor (clock: Clock, connections: number) {
+  private constructor (clock: Clock, directory: Directory, connections: number) {
     this.clock = clock
+    this.directory = directory
     this.connections = connections
   }
 
   /** At most `connections` to one target. */
-  static create ({ clock, connections }: { clock: Clock, connections: number }): Peers {
-    return new Peers(clock, connections)
+  static create ({ clock, directory, connections }: { clock: Clock, directory: Directory, connections: number }): Peers {
+    return new Peers(clock, directory, connections)
   }
 
   /** One attempt at a call through the node beside `member`. */
   readonly attempt = async (call: Call, member: Member, body: Body, answer: Answer): Promise<Outcome> => {
+    const outcome = await this.send(call, member, body, answer)
+    if (outcome.incarnation !== undefined) this.directory.observe(member, outcome.incarnation)
+    return outcome
+  }
+
+  private async send (call: Call, member: Member, body: Body, answer: Answer): Promise<Outcome> {
     const timeoutMs = Math.max(1, Math.floor(call.deadline - this.clock.now()))
     return await this.exchangeOf(member, call.profile.timeouts.connectMs).send(call, body, answer, [
       headerNames.service, call.service,
--- a/packages/auburnturn/src/core/node/readers.ts
+++ b/packages/auburnturn/src/core/node/readers.ts
@@ -19,13 +19,13 @@
   })
 }
 
-/** Follows the platform's member list into the directory. */
+/** Follows the platform's member lists into the directory. */
 export function followMembers ({ platform, directory, ...context }: ReaderContext & { directory: Directory }): Part {
-  let version = 0
+  let revision = 0
   return follow('members', context, async signal => {
-    const list = await platform.readMembers(version, watchMs, signal)
-    directory.accept(list)
-    version = list.version
+    const page = await platform.readMembers(revision, watchMs, signal)
+    for (const list of page.lists) directory.accept(list)
+    revision = page.revision
   })
 }
 
--- a/packages/auburnturn/src/core/notices/types.ts
+++ b/packages/auburnturn/src/core/notices/types.ts
@@ -1,6 +1,7 @@
 /** What a notice is about. */
 export type NoticeKind =
-  | 'leaving' // subject: MEMBER/INCARNATION
+  | 'leaving' // subject: SERVICE/MEMBER/INCARNATION
+  | 'started' // subject: SERVICE/MEMBER/INCARNATION
   | 'suspect' // subject: fingerprint of a request that was in flight at a crash
 
 /** A fact that is forgotten after a while. */
--- a/packages/auburnturn/src/core/platform/index.ts
+++ b/packages/auburnturn/src/core/platform/index.ts
@@ -1,3 +1,3 @@
 /** Client of the platform's read-and-watch service. Reads only. */
 export { Platform } from './platform.js'
-export type { ConfigurationPage } from './types.js'
+export type { ConfigurationPage, MemberPage } from './types.js'
--- a/packages/auburnturn/src/core/platform/platform.ts
+++ b/packages/auburnturn/src/core/platform/platform.ts
@@ -1,9 +1,8 @@
 import { Pool } from 'undici'
 import { z } from 'zod'
 import { Fault } from '../errors/index.js'
-import type { MemberList } from '../membership/types.js'
 import { watchGraceMs, watchMs } from './constants.js'
-import type { ConfigurationPage } from './types.js'
+import type { ConfigurationPage, MemberPage } from './types.js'
 
 const pageSchema = z.object({
   revision: z.int().min(0),
@@ -16,17 +15,21 @@
 
 const port = z.int().min(0).max(65_535)
 
-const memberListSchema = z.object({
-  version: z.int().min(0),
-  members: z.array(z.object({
-    id: z.string(),
+const memberPageSchema = z.object({
+  revision: z.int().min(0),
+  lists: z.array(z.object({
     service: z.string(),
-    region: z.string(),
-    failureDomain: z.string(),
-    ip: z.string(),
-    peerPort: port,
-    controlPort: port,
-    state: z.enum(['live', 'leaving'])
+    version: z.int().min(0),
+    members: z.array(z.object({
+      id: z.string(),
+      service: z.string(),
+      region: z.string(),
+      failureDomain: z.string(),
+      ip: z.string(),
+      peerPort: port,
+      controlPort: port,
+      state: z.enum(['live', 'leaving'])
+    }))
   }))
 })
 
@@ -49,9 +52,9 @@
     return await this.read(`/v1/configuration?after=${after}&waitMs=${waitMs}`, pageSchema, signal)
   }
 
-  /** The member list, held open by the platform for up to `waitMs` when it is no newer than `after`. */
-  async readMembers (after: number, waitMs: number, signal?: AbortSignal): Promise<MemberList> {
-    return await this.read(`/v1/members?after=${after}&waitMs=${waitMs}`, memberListSchema, signal)
+  /** Lists that changed after revision `after`; held open by the platform for up to `waitMs` when there are none. */
+  async readMembers (after: number, waitMs: number, signal?: AbortSignal): Promise<MemberPage> {
+    return await this.read(`/v1/members?after=${after}&waitMs=${waitMs}`, memberPageSchema, signal)
   }
 
   async close (): Promise<void> {
--- a/packages/stand-ins/src/platform-service.ts
+++ b/packages/stand-ins/src/platform-service.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http'
 import type { Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import type { Entry, Member } from 'auburnturn'
+import type { Entry, Member, MemberList } from 'auburnturn'
 
 interface Watch { readonly answer: () => void }
 
@@ -13,8 +13,8 @@
   private readonly entries = new Map<string, Entry>()
   private readonly watches = new Set<Watch>()
   private revision = 0
-  private members: readonly Member[] = []
-  private membersVersion = 0
+  private readonly lists = new Map<string, MemberList>()
+  private membersRevision = 0
 
   private constructor () {
     this.server = createServer((request, response) => {
@@ -41,9 +41,11 @@
     this.wake()
   }
 
+  /** Replaces the lists of all services; only lists that differ get a new version. */
   setMembers (members: readonly Member[]): void {
-    this.members = members
-    this.membersVersion++
+    this.membersRevision++
+    const services = new Set([...this.lists.keys(), ...members.map(member => member.service)])
+    for (const service of services) this.setList(service, members.filter(member => member.service === service))
     this.wake()
   }
 
@@ -62,7 +64,7 @@
       return this.answerWhen(response, waitMs, () => this.revision > after, () => this.readConfiguration(after))
     }
     if (url.pathname === '/v1/members') {
-      return this.answerWhen(response, waitMs, () => this.membersVersion > after, () => ({ version: this.membersVersion, members: this.members }))
+      return this.answerWhen(response, waitMs, () => this.membersRevision > after, () => this.readMembers(after))
     }
     response.writeHead(404).end()
   }
@@ -72,6 +74,16 @@
     return { revision: this.revision, entries: entries.map(entry => ({ ...entry, text: entry.text ?? null })) }
   }
 
+  private readMembers (after: number): unknown {
+    return { revision: this.membersRevision, lists: [...this.lists.values()].filter(list => list.version > after) }
+  }
+
+  private setList (service: string, members: readonly Member[]): void {
+    const known = this.lists.get(service)
+    if (known !== undefined && JSON.stringify(known.members) === JSON.stringify(members)) return
+    this.lists.set(service, { service, version: this.membersRevision, members })
+  }
+
   private answerWhen (response: ServerResponse, waitMs: number, ready: () => boolean, read: () => unknown): void {
     const answer = (): void => {
       clearTimeout(timer)
