--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -46,6 +46,7 @@
   private readonly metrics = Metrics.create()
   private readonly supervisor: Supervisor
   private readonly admission: Admission
+  private closing = false
   private readonly ports = { callers: 0, peers: 0, control: 0, operator: 0 }
 
   private constructor (settings: NodeSettings, options: NodeOptions) {
@@ -84,6 +85,7 @@
 
   /** Refuses new work as not run, lets what is in flight end, then closes every part. */
   async close (): Promise<void> {
+    this.closing = true
     this.admission.drain()
     const self = this.directory.find(this.settings.service, this.settings.id)
     if (self !== undefined) this.directory.announceLeaving(self, this.incarnation)
@@ -163,7 +165,15 @@
     const { clock, directory, admission, store, incarnation } = this
     const { id, service } = this.settings
     return OwnMembership.create({
-      id, incarnation, service, clock, directory, admission, logger: this.logger.label('membership'), profileOf: name => store.profileOf(name)
+      id,
+      incarnation,
+      service,
+      clock,
+      directory,
+      logger: this.logger.label('membership'),
+      profileOf: name => store.profileOf(name),
+      drain: () => { admission.drain() },
+      open: () => { if (!this.closing) admission.open() }
     })
   }
 
--- a/packages/auburnturn/src/core/node/own-membership.ts
+++ b/packages/auburnturn/src/core/node/own-membership.ts
@@ -1,4 +1,3 @@
-import type { Admission } from '../admission/index.js'
 import { subscribe } from '../clock/index.js'
 import type { Cancel, Clock } from '../clock/index.js'
 import type { Logger } from '../logger/index.js'
@@ -14,7 +13,10 @@
   readonly clock: Clock
   readonly logger: Logger
   readonly directory: Directory
-  readonly admission: Admission
+  /** Refuses new and queued work from now on. */
+  readonly drain: () => void
+  /** Takes new work again. */
+  readonly open: () => void
   readonly profileOf: (service: string) => Profile
 }
 
@@ -74,13 +76,13 @@
 
   private startDrain (): void {
     if (this.pending !== undefined || this.drained) return
-    const { clock, logger, admission, profileOf, service, id } = this.options
+    const { clock, logger, drain, profileOf, service, id } = this.options
     const { newWorkMs } = profileOf(service).drain
     logger.info('leaving', { target: id, newWorkMs })
     this.pending = clock.after(newWorkMs, () => {
       this.pending = undefined
       this.drained = true
-      admission.drain()
+      drain()
     })
   }
 
@@ -90,6 +92,6 @@
     if (!this.drained) return
     this.drained = false
     this.options.logger.info('live-again', { target: this.options.id })
-    this.options.admission.open()
+    this.options.open()
   }
 }
