--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -19,6 +19,7 @@
 import { Supervisor } from '../supervisor/index.js'
 import { Target } from '../target/index.js'
 import { identifyCall } from './identify.js'
+import { OwnMembership } from './own-membership.js'
 import { Peers } from './peers.js'
 import { followConfiguration, followMembers } from './readers.js'
 import { isTicketRequest, TicketOffice } from './tickets.js'
@@ -47,6 +48,7 @@
   private readonly supervisor: Supervisor
   private readonly admission: Admission
   private readonly tickets: TicketOffice
+  private closing = false
   private readonly ports = { callers: 0, peers: 0, control: 0, operator: 0 }
 
   private constructor (settings: NodeSettings, options: NodeOptions) {
@@ -55,8 +57,13 @@
     this.logger = (options.logger ?? Logger.create(settings.log.level)).label('node')
     this.random = options.random ?? Random.create(randomBytes(4).readInt32LE())
     this.store = Store.create({ clock: this.clock, logger: this.logger.label('configuration') })
-    this.directory = Directory.create()
     this.notices = Notices.create({ clock: this.clock })
+    this.directory = Directory.create({
+      clock: this.clock,
+      logger: this.logger.label('membership'),
+      notices: this.notices,
+      floorOf: service => this.store.profileOf(service).membership.floor
+    })
     this.admission = Admission.create({ clock: this.clock })
     const { id, service } = settings
     this.tickets = TicketOffice.create({ id, service, directory: this.directory, random: this.random, controlClients: this.controlClients })
@@ -87,7 +94,10 @@
 
   /** Refuses new work as not run, lets what is in flight end, then closes every part. */
   async close (): Promise<void> {
+    this.closing = true
     this.admission.drain()
+    const self = this.directory.find(this.settings.service, this.settings.id)
+    if (self !== undefined) this.directory.announceLeaving(self, this.incarnation)
     await this.supervisor.close()
   }
 
@@ -106,11 +116,12 @@
   private async start (): Promise<void> {
     const { settings, clock, logger, store, directory } = this
     const platform = Platform.create(settings.platform.map(({ ip, port }) => `http://${ip}:${port}`))
-    const peers = Peers.create({ clock, connections: settings.limits.connectionsPerTarget })
+    const peers = Peers.create({ clock, directory, connections: settings.limits.connectionsPerTarget })
     const upstream = this.createUpstream()
     const target = this.createTarget(upstream)
     this.controlRoutes.push(this.tickets.routes(target))
     const router = this.createRouter(peers, target)
+    await this.supervisor.add('membership', async () => this.directory)
     await this.supervisor.add('platform', async () => platform)
     await this.supervisor.add('configuration', async () => followConfiguration({ platform, store, clock, logger }))
     await this.supervisor.add('members', async () => followMembers({ platform, directory, clock, logger }))
@@ -119,6 +130,7 @@
     await this.supervisor.add('target', async () => ({ close: async () => {}, dump: () => target.dump() }))
     await this.supervisor.add('router', async () => ({ close: async () => {}, dump: () => router.dump() }))
     await this.supervisor.add('controlClients', async () => this.controlClients)
+    await this.supervisor.add('ownMembership', async () => this.createOwnMembership())
     await this.supervisor.add('control', async () => await this.openControl())
     await this.listen('peers', true, router, target)
     await this.listen('callers', false, router, target)
@@ -173,6 +185,22 @@
     })
   }
 
+  private createOwnMembership (): OwnMembership {
+    const { clock, directory, admission, store, incarnation } = this
+    const { id, service } = this.settings
+    return OwnMembership.create({
+      id,
+      incarnation,
+      service,
+      clock,
+      directory,
+      logger: this.logger.label('membership'),
+      profileOf: name => store.profileOf(name),
+      drain: () => { admission.drain() },
+      open: () => { if (!this.closing) admission.open() }
+    })
+  }
+
   private async openControl (): Promise<ControlServer> {
     const control = await ControlServer.create({ ...this.settings.control, routes: this.controlRoutes })
     this.ports.control = control.port
