Keep an error listener on every control session; first slice of the matrix

Cause: the fault matrix ended its process with an unhandled error event. When a peer closes an idle control session and a message is sent before the session's error event, connect-node has already taken its listener away. The matrix itself (packages/bench/src/matrix) is under way.

--- a/packages/auburnturn/src/core/control/clients.ts
+++ b/packages/auburnturn/src/core/control/clients.ts
@@ -1,14 +1,15 @@
 import type { DescService } from '@bufbuild/protobuf'
 import { createClient } from '@connectrpc/connect'
 import type { Client, Transport } from '@connectrpc/connect'
-import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
+import { createConnectTransport } from '@connectrpc/connect-node'
 import type { Part } from '../supervisor/types.js'
-import { answerMs, idleConnectionMs, maxMessageBytes } from './constants.js'
+import { answerMs, maxMessageBytes } from './constants.js'
+import { GuardedSessions } from './guarded-sessions.js'
 
 /** Where a node listens for control messages. */
 export interface ControlAddress { readonly ip: string, readonly controlPort: number }
 
-interface Connection { readonly sessions: Http2SessionManager, readonly transport: Transport }
+interface Connection { readonly sessions: GuardedSessions, readonly transport: Transport }
 
 /** One kept connection to each node that control messages go to. */
 export class ControlClients implements Part {
@@ -39,7 +40,7 @@
     const baseUrl = `http://${ip.includes(':') ? `[${ip}]` : ip}:${controlPort}`
     const known = this.connections.get(baseUrl)
     if (known !== undefined) return known
-    const sessions = new Http2SessionManager(baseUrl, { idleConnectionTimeoutMs: idleConnectionMs })
+    const sessions = GuardedSessions.create(baseUrl)
     const transport = createConnectTransport({
       baseUrl,
       httpVersion: '2',
--- a/packages/auburnturn/src/core/history/rules/drain-cuts-nothing.ts
+++ b/packages/auburnturn/src/core/history/rules/drain-cuts-nothing.ts
@@ -24,8 +24,11 @@
   return execution.ended?.how === 'whole' && isAnswerCut
 }
 
-/** A failure of the target or of the path to it, or a caller that left, cuts by itself. */
-function isExcused ({ started }: Execution, { events }: IndexedHistory): boolean {
+/** A failure of the target or of the path to it, a caller that left and an expired deadline cut by themselves. */
+function isExcused (execution: Execution, { events, sendings }: IndexedHistory): boolean {
+  const { started, ended } = execution
+  const sent = sendings.get(started.sending)?.sent
+  if (sent !== undefined && ended !== undefined && ended.at >= sent.at + sent.timeoutMs) return true
   return events.some(event =>
     (event.kind === 'target-failed' && event.target === started.target) ||
     (event.kind === 'caller-left' && event.sending === started.sending))
--- a/packages/auburnturn/src/core/history/types.ts
+++ b/packages/auburnturn/src/core/history/types.ts
@@ -21,11 +21,13 @@
   readonly idempotent: boolean
   /** Whether all sendings of the call carry one ticket. */
   readonly ticketed: boolean
+  /** Time after which the call is given up wherever it is, in milliseconds. */
+  readonly timeoutMs: number
 }
 
-/** A router sends one attempt towards a target. */
-export interface AttemptSent extends Timed {
-  readonly kind: 'attempt-sent'
+/** A node hands a call to the upstream of its target. */
+export interface WorkSent extends Timed {
+  readonly kind: 'work-sent'
   readonly sending: string
   readonly target: string
 }
@@ -132,7 +134,7 @@
 
 /** One thing that was observed. */
 export type HistoryEvent =
-  | CallSent | AttemptSent | ExecutionStarted | ExecutionEnded | AnswerHead | AnswerEnded | Refused | CallerLeft
+  | CallSent | WorkSent | ExecutionStarted | ExecutionEnded | AnswerHead | AnswerEnded | Refused | CallerLeft
   | ConfigurationAccepted | ConfigurationInForce | LeaveSeen | ShutdownStarted | TargetFailed | MeasuringSpent | HistoryEnded
 
 /** A promise that a history shows broken. */
--- /dev/null
+++ b/packages/bench/src/matrix/caller.ts
@@ -0,0 +1,100 @@
+import { Agent } from 'undici'
+import type { Dispatcher } from 'undici'
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { Recording } from './recording.js'
+
+/** Pause between the parts of a request body, in milliseconds. */
+const partMs = 6
+
+/** Longest wait of a caller for anything at all, in milliseconds. */
+const patienceMs = 4_000
+
+/** The two parts of a request body. */
+export const bodyParts = ['first-part;', 'second-part'] as const
+
+/** How a call may repeat. */
+export type CallKind = 'idempotent' | 'plain' | 'ticketed'
+
+/** What one sending came to, as its caller sees it. */
+export type Told = 'answered' | 'not-run' | 'may-have-run' | 'cut' | 'lost'
+
+/** What a caller sends. */
+export interface Sending {
+  readonly name: string
+  readonly call: string
+  readonly kind: CallKind
+  /** Port of the node, and the path there. */
+  readonly port: number
+  readonly path: string
+  readonly timeoutMs: number
+  readonly headers?: Readonly<Record<string, string>>
+}
+
+/** A customer's program that sends calls and records what it is told. */
+export class Caller {
+  private readonly agent = new Agent({ connections: 32, pipelining: 1, headersTimeout: patienceMs, bodyTimeout: patienceMs })
+  private readonly recording: Recording
+
+  private constructor (recording: Recording) {
+    this.recording = recording
+  }
+
+  static create (recording: Recording): Caller {
+    return new Caller(recording)
+  }
+
+  /** Sends once and reads the answer to its end. */
+  async send (sending: Sending): Promise<Told> {
+    const { name, call, kind, timeoutMs } = sending
+    this.recording.add({ kind: 'call-sent', sending: name, call, idempotent: kind === 'idempotent', ticketed: kind === 'ticketed', timeoutMs })
+    try {
+      return await this.follow(name, await this.request(sending))
+    } catch {
+      this.recording.add({ kind: 'caller-left', sending: name })
+      return 'lost'
+    }
+  }
+
+  /** A ticket from the node at `port`; undefined when it has none. */
+  async fetchTicket (port: number): Promise<string | undefined> {
+    const answer = await this.agent.request({ origin: originOf(port), method: 'POST', path: '/~orders/.well-known/auburnturn/ticket' }).catch(() => undefined)
+    await answer?.body.dump()
+    const ticket = answer?.headers['auburnturn-ticket']
+    return typeof ticket === 'string' ? ticket : undefined
+  }
+
+  async close (): Promise<void> {
+    await this.agent.destroy()
+  }
+
+  private async request ({ name, call, kind, port, path, headers }: Sending): Promise<Dispatcher.ResponseData> {
+    const words = { 'x-sending': name, 'x-call': call, ...headers }
+    if (kind === 'idempotent') return await this.agent.request({ origin: originOf(port), method: 'GET', path, headers: words })
+    const length = String(bodyParts.join('').length)
+    return await this.agent.request({ origin: originOf(port), method: 'POST', path, headers: { ...words, 'content-length': length }, body: sendParts() as never })
+  }
+
+  private async follow (sending: string, answer: Dispatcher.ResponseData): Promise<Told> {
+    const verdict = answer.headers['auburnturn-verdict']
+    if (verdict === 'not-run' || verdict === 'may-have-run') {
+      await answer.body.dump().catch(() => {})
+      this.recording.add({ kind: 'refused', sending, verdict, cause: String(answer.headers['auburnturn-cause'] ?? '') })
+      return verdict
+    }
+    const execution = String(answer.headers['x-execution'] ?? '')
+    this.recording.add({ kind: 'answer-head', sending, execution })
+    const content = await answer.body.text().catch(() => undefined)
+    this.recording.add({ kind: 'answer-ended', sending, execution, whole: content !== undefined, content: content ?? '' })
+    return content === undefined ? 'cut' : 'answered'
+  }
+}
+
+function originOf (port: number): string {
+  return `http://127.0.0.1:${port}`
+}
+
+async function * sendParts (): AsyncIterable<Buffer> {
+  yield Buffer.from(bodyParts[0])
+  await sleep(partMs)
+  yield Buffer.from(bodyParts[1])
+}
--- /dev/null
+++ b/packages/bench/src/matrix/cells.ts
@@ -0,0 +1,69 @@
+import type { CallKind, Told } from './caller.js'
+import { faults } from './faults.js'
+import type { FaultName } from './faults.js'
+import { steps } from './steps.js'
+import type { StepName } from './steps.js'
+
+/** One fault at one step. */
+export interface Cell {
+  readonly fault: FaultName
+  readonly step: StepName
+  /** Why the cell cannot exist. */
+  readonly impossible?: string
+}
+
+/** Cells that cannot exist, with the reason. */
+const impossible: ReadonlyArray<readonly [FaultName, StepName, string]> = [
+  ['fail-fast', 'answer-head', 'a fast failure is the head of an answer, and this answer\'s head is already out'],
+  ['fail-fast', 'answer-body', 'a fast failure is the head of an answer, and this answer\'s head is already out']
+]
+
+/** Every fault at every step, in the order of the lists. */
+export function listCells (): Cell[] {
+  return faults.flatMap(fault => steps.map(step => {
+    const reason = impossible.find(([otherFault, otherStep]) => otherFault === fault && otherStep === step)?.[2]
+    return reason === undefined ? { fault, step } : { fault, step, impossible: reason }
+  }))
+}
+
+const unharmed: readonly Told[] = ['answered']
+const broken: readonly Told[] = ['answered', 'may-have-run', 'cut', 'lost']
+
+/** What the caller of the struck call may be told, whatever the step. */
+const allowedByFault: Readonly<Record<FaultName, readonly Told[]>> = {
+  straggler: broken,
+  'fail-fast': unharmed,
+  crash: broken,
+  'drain-when-busy': unharmed,
+  'cold-start': broken,
+  'truncated-answer': broken,
+  'late-answer': broken,
+  'configuration-down': unharmed,
+  'configuration-stale': unharmed,
+  'configuration-rolled-back': unharmed,
+  'lagging-list': unharmed,
+  'wrong-list': unharmed,
+  pause: broken,
+  partition: broken,
+  'killing-request': broken
+}
+
+/** What the caller may be told in this cell; anything else is a violation. */
+export function allowedIn ({ fault, step }: Cell, kind: CallKind): readonly Told[] {
+  const allowed = [...allowedByFault[fault]]
+  // The target that a ticket names is gone, and only it could know.
+  if (kind === 'ticketed' && losesTarget(fault, step)) allowed.push('may-have-run')
+  // The only target that still took work is gone.
+  if (step === 'between-attempts' && refusesWork(fault)) allowed.push('not-run')
+  return allowed
+}
+
+function losesTarget (fault: FaultName, step: StepName): boolean {
+  if (fault === 'wrong-list') return true
+  if (fault === 'drain-when-busy' || fault === 'lagging-list') return step === 'connect' || step === 'while-starting' || step === 'between-attempts'
+  return false
+}
+
+function refusesWork (fault: FaultName): boolean {
+  return fault === 'crash' || fault === 'drain-when-busy' || fault === 'lagging-list' || fault === 'cold-start'
+}
--- /dev/null
+++ b/packages/bench/src/matrix/faults.ts
@@ -0,0 +1,120 @@
+import { callMs, newWorkMs } from './world.js'
+import type { World } from './world.js'
+
+/** Everything that fails, as the brief lists it. */
+export const faults = [
+  'straggler', 'fail-fast', 'crash', 'drain-when-busy', 'cold-start', 'truncated-answer', 'late-answer',
+  'configuration-down', 'configuration-stale', 'configuration-rolled-back', 'lagging-list', 'wrong-list',
+  'pause', 'partition', 'killing-request'
+] as const
+
+export type FaultName = typeof faults[number]
+
+/** How long a paused, parted or restarting part stays away, in milliseconds. */
+const awayMs = 60
+
+/** How long a paused node sleeps: past the deadline of what it holds, in milliseconds. */
+const pauseMs = callMs + 60
+
+/** A fault strikes `target` now, while `call` is under way. */
+type Strike = (world: World, target: string, call: string) => void
+
+const strikes: Readonly<Record<FaultName, Strike>> = {
+  straggler: (world, target) => { world.find(target).upstream.misbehaviour.startDelayMs = callMs + 40 },
+  'fail-fast': (world, target) => { world.find(target).upstream.misbehaviour.failsFast = true },
+  crash: (world, target) => {
+    const { upstream, peerLink, controlLink, upstreamLink } = world.find(target)
+    upstream.crash()
+    for (const link of [peerLink, controlLink, upstreamLink]) {
+      link.refuse()
+      link.cut()
+    }
+  },
+  'drain-when-busy': (world, target) => { world.shutDown(target) },
+  'cold-start': (world, target) => {
+    const { upstream, upstreamLink } = world.find(target)
+    upstream.crash()
+    upstreamLink.refuse()
+    upstreamLink.cut()
+    upstream.misbehaviour.answerDelayMs = 20
+    later(awayMs, async () => { await upstreamLink.restore() })
+  },
+  'truncated-answer': (world, target) => { world.find(target).upstream.misbehaviour.truncates = true },
+  'late-answer': (world, target) => { world.find(target).upstream.misbehaviour.answerDelayMs = callMs + 40 },
+  'configuration-down': world => {
+    publishNext(world)
+    world.platformLink.refuse()
+    world.platformLink.cut()
+    later(awayMs, async () => { await world.platformLink.restore() })
+  },
+  'configuration-stale': world => {
+    world.platformLink.hold()
+    publishNext(world)
+    later(awayMs, async () => { world.platformLink.release() })
+  },
+  'configuration-rolled-back': world => {
+    publishNext(world)
+    later(5, async () => {
+      world.platformLink.pointTo(world.olderPlatform.port)
+      world.platformLink.cut()
+      offerOlder(world)
+    })
+  },
+  'lagging-list': (world, target) => {
+    const { node, peerLink } = world.find(target)
+    world.recording.add({ kind: 'leave-seen', target, newWorkMs })
+    node.drain()
+    peerLink.refuse()
+  },
+  'wrong-list': (world, target) => { world.publishMembers(swapAddresses(world, target)) },
+  pause: (world, target) => {
+    world.recording.add({ kind: 'target-failed', target })
+    const { peerLink, controlLink, upstreamLink } = world.find(target)
+    for (const link of [peerLink, controlLink, upstreamLink]) {
+      link.hold()
+      later(pauseMs, async () => { link.release() })
+    }
+  },
+  partition: (world, target) => {
+    world.recording.add({ kind: 'target-failed', target })
+    const { peerLink, controlLink } = world.find(target)
+    for (const link of [peerLink, controlLink]) {
+      link.hold()
+      later(awayMs, async () => {
+        link.cut()
+        link.release()
+      })
+    }
+  },
+  'killing-request': (world, _target, call) => {
+    for (const { upstream } of world.targets) upstream.misbehaviour.killedBy = call
+  }
+}
+
+/** Strikes a target of `world` with a fault; it heals by itself where such faults do. */
+export function strike (fault: FaultName, world: World, target: string, call: string): void {
+  strikes[fault](world, target, call)
+}
+
+function later (milliseconds: number, action: () => Promise<void>): void {
+  setTimeout(() => { action().catch(() => {}) }, milliseconds)
+}
+
+function publishNext (world: World): void {
+  world.publish(`{ "timeouts": { "callMs": ${callMs} }, "retry": { "attempts": 3, "share": 1 }, "admission": { "slots": 3, "queue": 6, "localBelow": 0 }, "drain": { "newWorkMs": ${newWorkMs} } }`)
+}
+
+/** A peer that still holds the older version offers it too. */
+function offerOlder (world: World): void {
+  for (const { node } of world.targets) node.store.accept({ key: 'profile/matrix', version: 1, text: '{}' }, 'peer')
+}
+
+/** Two targets with each other's addresses, and a third one missing. */
+function swapAddresses (world: World, target: string): ReturnType<() => World['members']> {
+  const [one, other] = [world.members.find(({ id }) => id === target), world.members.find(({ id }) => id !== target)]
+  if (one === undefined || other === undefined) return world.members
+  return [
+    { ...one, peerPort: other.peerPort, controlPort: other.controlPort },
+    { ...other, peerPort: one.peerPort, controlPort: one.controlPort }
+  ]
+}
