Keep the doubt of an earlier attempt in what a caller is told

Cause: the matrix and the in-memory histories found idempotent calls told "not run" after a first attempt had run or timed out. Test: verdict/accumulate.test.ts, first case failing before.

--- a/packages/auburnturn/src/core/router/router.ts
+++ b/packages/auburnturn/src/core/router/router.ts
@@ -5,7 +5,7 @@
 import { Balancer } from '../routing/index.js'
 import type { Policy } from '../routing/index.js'
 import type { Target } from '../target/index.js'
-import { isRetryable, notRun } from '../verdict/index.js'
+import { accumulate, isRetryable, notRun } from '../verdict/index.js'
 import { runTicketed } from './ticketed.js'
 import type { TicketedRoute } from './ticketed.js'
 
@@ -32,8 +32,9 @@
       const member = this.choose(call, tried)
       if (member === undefined) return outcome
       tried.add(member.id)
-      outcome = await this.attempt(call, member, body, answer)
-      if (answer.started || !body.replayable || !isRetryable(outcome.verdict, call.idempotent)) return outcome
+      const { verdict, ...rest } = await this.attempt(call, member, body, answer)
+      outcome = { ...rest, verdict: accumulate(outcome.verdict, verdict) }
+      if (answer.started || !body.replayable || !isRetryable(verdict, call.idempotent)) return outcome
     }
     return outcome
   }
--- a/packages/auburnturn/src/core/verdict/verdict.ts
+++ b/packages/auburnturn/src/core/verdict/verdict.ts
@@ -21,3 +21,14 @@
     case 'done': return false
   }
 }
+
+/** What is known of a call after a later attempt at it: only an answer ends the doubt that an earlier one left. */
+export function accumulate (earlier: Verdict, later: Verdict): Verdict {
+  switch (later.kind) {
+    case 'done':
+    case 'may-have-run':
+      return later
+    case 'not-run':
+      return earlier.kind === 'may-have-run' ? earlier : later
+  }
+}
--- /dev/null
+++ b/packages/auburnturn/test/verdict/accumulate.test.ts
@@ -0,0 +1,44 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { accumulate, Directory, done, Logger, ManualClock, mayHaveRun, Notices, notRun, profileSchema, Random, Router } from '../../src/index.js'
+import type { Answer, Body, Call, Verdict } from '../../src/index.js'
+
+const verdicts = suite('verdicts over several attempts')
+
+const body: Body = { replayable: true, empty: true, read: async function * () {} }
+const answer: Answer = { started: false, inform: () => {}, head: () => {}, data: () => undefined, end: () => {}, cut: () => {} }
+
+/** What an idempotent call is told whose attempts end with these verdicts. */
+async function tell (attempts: readonly Verdict[]): Promise<Verdict> {
+  const clock = ManualClock.create()
+  const logger = Logger.createSilent()
+  const directory = Directory.create({ clock, logger, notices: Notices.create({ clock }), floorOf: () => 0.5 })
+  const members = attempts.map((_, index) => ({ id: `orders-${index}`, service: 'orders', region: 'kochi', failureDomain: 'kochi-a', ip: '127.0.0.1', peerPort: 1, controlPort: 1, state: 'live' as const }))
+  directory.accept({ service: 'orders', version: 1, members })
+  const left = [...attempts]
+  const router = Router.create({ clock, directory, random: Random.create(1), remote: async () => ({ verdict: left.shift() ?? done }) })
+  const profile = profileSchema.parse({ retry: { attempts: attempts.length, share: 1 } })
+  const call: Call = { id: '1', service: 'orders', method: 'GET', path: '/', headers: [], profile, idempotent: true, deadline: 5_000, attempt: 0, depth: 1, caller: 'shop', forwarded: false, signal: new AbortController().signal }
+  const outcome = await router.run(call, body, answer)
+  await directory.close()
+  return outcome.verdict
+}
+
+verdicts('a refusal after an attempt that may have run is not told as not run', async () => {
+  assert.equal(await tell([mayHaveRun('connection-lost'), notRun('overloaded')]), mayHaveRun('connection-lost'))
+  assert.equal(await tell([mayHaveRun('timeout'), notRun('deadline-expired'), notRun('no-target')]), mayHaveRun('timeout'))
+})
+
+verdicts('what the last attempt proves is told otherwise', async () => {
+  assert.equal(await tell([notRun('overloaded'), notRun('queue-timeout')]), notRun('queue-timeout'))
+  assert.equal(await tell([notRun('overloaded'), mayHaveRun('answer-cut')]), mayHaveRun('answer-cut'))
+  assert.equal(await tell([mayHaveRun('connection-lost'), done]), done)
+})
+
+verdicts('doubt is kept until an attempt is done', () => {
+  assert.equal(accumulate(mayHaveRun('timeout'), mayHaveRun('answer-cut')), mayHaveRun('answer-cut'))
+  assert.equal(accumulate(notRun('no-target'), notRun('overloaded')), notRun('overloaded'))
+  assert.equal(accumulate(mayHaveRun('timeout'), notRun('overloaded')), mayHaveRun('timeout'))
+})
+
+verdicts.run()
