Check documents with errors that say what was found and allowed

Cause: zod's messages name neither the value found nor the whole range allowed; unknown keys pointed at their parent and repeated keys passed. A trial of 1 MB of '/*' held the parser for 61 s, since every syntax error was located by reading the text from its start.

--- a/packages/auburnturn/src/core/settings/document.ts
+++ b/packages/auburnturn/src/core/settings/document.ts
@@ -1,46 +1,46 @@
-import { findNodeAtLocation, getNodeValue, parseTree, printParseErrorCode } from 'jsonc-parser'
-import type { Node, ParseError } from 'jsonc-parser'
+import { getNodeValue } from 'jsonc-parser'
 import type { z } from 'zod'
-import type { DocumentProblem, ParsedDocument } from './types.js'
+import { maxProblems } from './constants.js'
+import { describeIssue } from './problems.js'
+import type { CheckedDocument } from './problems.js'
+import { locatePath, parseDocumentTree } from './tree.js'
+import type { DocumentProblem, KeyPath, ParsedDocument, Position } from './types.js'
+
+const byteOrderMark = /^\uFEFF/
 
 /** Reads JSON with comments and checks it against `schema`. Never throws. */
-export function parseDocument<Schema extends z.ZodType> (text: string, schema: Schema): ParsedDocument<z.output<Schema>> {
-  const syntaxErrors: ParseError[] = []
-  const tree = parseTree(text, syntaxErrors, { allowTrailingComma: true })
-  if (tree === undefined || syntaxErrors.length > 0) {
-    return { kind: 'invalid', problems: describeSyntax(text, syntaxErrors) }
-  }
-  const checked = schema.safeParse(getNodeValue(tree))
+export function parseDocument<Schema extends z.ZodType> (source: string, schema: Schema): ParsedDocument<z.output<Schema>> {
+  const text = source.replace(byteOrderMark, '')
+  const tree = parseDocumentTree(text)
+  if (tree.kind === 'invalid') return tree
+  const checked = schema.safeParse(getNodeValue(tree.root))
   if (checked.success) return { kind: 'valid', value: checked.data }
-  const problems = checked.error.issues.map(issue => describeIssue(text, tree, issue))
-  return { kind: 'invalid', problems }
+  const document = { text, root: tree.root, schema }
+  return { kind: 'invalid', problems: describeIssues(document, checked.error.issues) }
 }
 
-function describeSyntax (text: string, syntaxErrors: readonly ParseError[]): DocumentProblem[] {
-  if (syntaxErrors.length === 0) return [{ line: 1, column: 1, key: '', message: 'The document is empty.' }]
-  return syntaxErrors.map(({ error, offset }) => ({
-    ...findPosition(text, offset),
-    key: '',
-    message: `Syntax error: ${printParseErrorCode(error)}.`
-  }))
+/** Where the key at `path` stands in a document, or the nearest key above it. */
+export function locateKey (source: string, path: KeyPath): Position {
+  const text = source.replace(byteOrderMark, '')
+  const tree = parseDocumentTree(text)
+  return tree.kind === 'tree' ? locatePath(text, tree.root, path) : { line: 1, column: 1 }
 }
 
-function describeIssue (text: string, tree: Node, issue: z.core.$ZodIssue): DocumentProblem {
-  const path = issue.path.map(part => typeof part === 'symbol' ? String(part) : part)
-  const node = findNearestNode(tree, path)
-  return { ...findPosition(text, node.offset), key: path.join('.'), message: issue.message }
+/** One problem as a line: file, line, column, key, what was found and what is allowed. */
+export function formatProblem (file: string, { line, column, key, message }: DocumentProblem): string {
+  const place = `${file}:${line}:${column}: `
+  return key === '' ? `${place}${message}` : `${place}${key}: ${message}`
 }
 
-function findNearestNode (tree: Node, path: ReadonlyArray<string | number>): Node {
-  for (let length = path.length; length > 0; length--) {
-    const node = findNodeAtLocation(tree, path.slice(0, length))
-    if (node !== undefined) return node
+function describeIssues (document: CheckedDocument, issues: readonly z.core.$ZodIssue[]): DocumentProblem[] {
+  const problems: DocumentProblem[] = []
+  for (const issue of issues) {
+    if (problems.length >= maxProblems) break
+    problems.push(...describeIssue(document, issue))
   }
-  return tree
+  return problems.sort(compareProblems).slice(0, maxProblems)
 }
 
-function findPosition (text: string, offset: number): { line: number, column: number } {
-  const before = text.slice(0, offset).split('\n')
-  const last = before[before.length - 1] ?? ''
-  return { line: before.length, column: last.length + 1 }
+function compareProblems (one: DocumentProblem, other: DocumentProblem): number {
+  return one.line - other.line || one.column - other.column
 }
--- /dev/null
+++ b/packages/auburnturn/src/core/settings/shipped.ts
@@ -0,0 +1,10 @@
+import { readdirSync, readFileSync } from 'node:fs'
+
+const extension = '.jsonc'
+
+/** The ready profiles in the package's folder `profiles`, by name, as JSON with comments. */
+export function readShippedProfiles (): ReadonlyMap<string, string> {
+  const folder = new URL('../../../../profiles/', import.meta.url)
+  const files = readdirSync(folder).filter(file => file.endsWith(extension)).sort()
+  return new Map(files.map(file => [file.slice(0, -extension.length), readFileSync(new URL(file, folder), 'utf8')]))
+}
--- /dev/null
+++ b/packages/auburnturn/src/core/settings/tree.ts
@@ -0,0 +1,116 @@
+import { createScanner, findNodeAtLocation, parseTree, printParseErrorCode } from 'jsonc-parser'
+import type { Node, ParseError, SyntaxKind } from 'jsonc-parser'
+import { maxDocumentDepth, maxDocumentLength, maxProblems } from './constants.js'
+import type { DocumentProblem, KeyPath, Position } from './types.js'
+
+// The library's ambient const enum can't be imported as a value.
+const openingTokens: ReadonlySet<SyntaxKind> = new Set([1, 3])
+const closingTokens: ReadonlySet<SyntaxKind> = new Set([2, 4])
+const endToken = 17
+
+const wordsOfSyntaxError: Readonly<Record<string, string>> = {
+  InvalidSymbol: 'an unknown word; allowed: true, false, null, a number, or text in double quotes',
+  InvalidNumberFormat: 'a malformed number; allowed: a number such as 20 or 0.5',
+  PropertyNameExpected: 'no key; allowed: a key in double quotes',
+  ValueExpected: 'no value; allowed: a value after the colon',
+  ColonExpected: 'no colon; allowed: a colon between a key and its value',
+  CommaExpected: 'no comma; allowed: a comma between two entries',
+  CloseBraceExpected: 'the end of the document; allowed: a closing }',
+  CloseBracketExpected: 'the end of the document; allowed: a closing ]',
+  EndOfFileExpected: 'more text; allowed: nothing after the closing }',
+  InvalidCommentToken: 'a malformed comment; allowed: // to the end of the line, or /* … */',
+  UnexpectedEndOfComment: 'a comment that does not end; allowed: /* … */',
+  UnexpectedEndOfString: 'text that does not end; allowed: text between double quotes on one line',
+  UnexpectedEndOfNumber: 'a number that does not end; allowed: a number such as 20 or 0.5',
+  InvalidUnicode: 'a malformed \\u escape; allowed: \\u and four hexadecimal digits',
+  InvalidEscapeCharacter: 'an unknown escape; allowed: \\" \\\\ \\/ \\b \\f \\n \\r \\t \\u',
+  InvalidCharacter: 'a control character inside text; allowed: its escape, such as \\n or \\t'
+}
+
+/** A syntax tree, or why there is none. */
+export type DocumentTree =
+  | { readonly kind: 'tree', readonly root: Node }
+  | { readonly kind: 'invalid', readonly problems: readonly DocumentProblem[] }
+
+/** Parses JSON with comments. Never throws; lists at most `maxProblems`, since locating each reads the text. */
+export function parseDocumentTree (text: string): DocumentTree {
+  if (text.length > maxDocumentLength) {
+    return refuseWhole(`found ${text.length} characters; allowed: at most ${maxDocumentLength}`)
+  }
+  if (isTooDeep(text)) return refuseWhole(`found deeper nesting; allowed: at most ${maxDocumentDepth} levels`)
+  const syntaxErrors: ParseError[] = []
+  const root = parseTree(text, syntaxErrors, { allowTrailingComma: true })
+  if (syntaxErrors.length > 0) return { kind: 'invalid', problems: syntaxErrors.slice(0, maxProblems).map(error => describeSyntax(text, error)) }
+  if (root === undefined) return refuseWhole('found an empty document; allowed: an object in { }')
+  const badKeys = findBadKeys(root, []).slice(0, maxProblems)
+  if (badKeys.length > 0) return { kind: 'invalid', problems: badKeys.map(finding => describeKey(text, finding)) }
+  return { kind: 'tree', root }
+}
+
+/** Where the key at `path` stands, or the nearest one above it. */
+export function locatePath (text: string, root: Node, path: KeyPath): Position {
+  for (let length = path.length; length > 0; length--) {
+    const node = findNodeAtLocation(root, [...path.slice(0, length)])
+    if (node === undefined) continue
+    const isKey = node.parent?.type === 'property'
+    return findPosition(text, isKey ? node.parent?.offset ?? node.offset : node.offset)
+  }
+  return findPosition(text, root.offset)
+}
+
+/** Line and column of an offset. */
+export function findPosition (text: string, offset: number): Position {
+  const before = text.slice(0, offset).split(/\r\n|\r|\n/)
+  const last = before[before.length - 1] ?? ''
+  return { line: before.length, column: last.length + 1 }
+}
+
+function refuseWhole (message: string): DocumentTree {
+  return { kind: 'invalid', problems: [{ line: 1, column: 1, key: '', message }] }
+}
+
+function describeSyntax (text: string, { error, offset }: ParseError): DocumentProblem {
+  const code = printParseErrorCode(error)
+  return { ...findPosition(text, offset), key: '', message: `found ${wordsOfSyntaxError[code] ?? code}` }
+}
+
+/** Counts brackets with the scanner, which does not recurse as the parser does. */
+function isTooDeep (text: string): boolean {
+  const scanner = createScanner(text, true)
+  let depth = 0
+  for (let token = scanner.scan(); token !== endToken; token = scanner.scan()) {
+    if (openingTokens.has(token)) depth++
+    if (closingTokens.has(token)) depth--
+    if (depth > maxDocumentDepth) return true
+  }
+  return false
+}
+
+interface KeyFinding {
+  readonly node: Node
+  readonly path: KeyPath
+  readonly message: string
+}
+
+function findBadKeys (node: Node, path: KeyPath): KeyFinding[] {
+  if (node.type === 'array') return (node.children ?? []).flatMap((child, index) => findBadKeys(child, [...path, index]))
+  if (node.type !== 'object') return []
+  const seen = new Set<string>()
+  const findings: KeyFinding[] = []
+  for (const property of node.children ?? []) {
+    const [keyNode, valueNode] = property.children ?? []
+    if (keyNode === undefined || valueNode === undefined) continue
+    const key = String(keyNode.value)
+    const here = [...path, key]
+    if (seen.has(key)) findings.push({ node: keyNode, path: here, message: 'found this key a second time; allowed: each key once' })
+    // Assigning it would change the prototype and hide the key from the schema.
+    if (key === '__proto__') findings.push({ node: keyNode, path: here, message: 'found an unknown key; allowed: a documented key' })
+    seen.add(key)
+    findings.push(...findBadKeys(valueNode, here))
+  }
+  return findings
+}
+
+function describeKey (text: string, { node, path, message }: KeyFinding): DocumentProblem {
+  return { ...findPosition(text, node.offset), key: path.join('.'), message }
+}
--- a/packages/auburnturnd/src/daemon.ts
+++ b/packages/auburnturnd/src/daemon.ts
@@ -1,7 +1,7 @@
 /** The daemon: reads its settings, runs one node, and ends on SIGTERM or SIGINT. */
 import { readFileSync } from 'node:fs'
-import { describeFault, Fault, isFault, Node, parseDocument, settingsSchema } from 'auburnturn'
-import type { DocumentProblem, NodeSettings } from 'auburnturn'
+import { describeFault, Fault, formatProblem, isFault, Node, parseDocument, settingsSchema } from 'auburnturn'
+import type { NodeSettings } from 'auburnturn'
 import yargs from 'yargs'
 
 /** Exit codes, documented in docs/OPERATORS.md. */
@@ -43,10 +43,6 @@
   }
 }
 
-function formatProblem (file: string, problem: DocumentProblem): string {
-  return `${file}:${problem.line}:${problem.column}: ${problem.key}: ${problem.message}`
-}
-
 async function runNode (settings: NodeSettings): Promise<void> {
   const node = await Node.create(settings)
   const stop = (): void => {
--- a/packages/stand-ins/src/start.ts
+++ b/packages/stand-ins/src/start.ts
@@ -5,10 +5,10 @@
 import { createRequire } from 'node:module'
 import { tmpdir } from 'node:os'
 import { dirname, join } from 'node:path'
+import { readShippedProfiles } from 'auburnturn'
 import type { Member } from 'auburnturn'
 import { deployments } from './deployments.js'
 import { PlatformService } from './platform-service.js'
-import { shippedProfiles } from './profiles.js'
 import { UpstreamService } from './upstream-service.js'
 
 const ip = '127.0.0.1'
@@ -49,7 +49,7 @@
 }
 
 function publishConfiguration (): void {
-  for (const [name, text] of Object.entries(shippedProfiles)) platform.publish(`profile/${name}`, text)
+  for (const [name, text] of readShippedProfiles()) platform.publish(`profile/${name}`, text)
   for (const { name, profile } of deployments.flatMap(deployment => deployment.services)) {
     platform.publish(`service/${name}`, JSON.stringify({ profile }))
   }
