Give the tool its commands: check, dump, status, call, schema

Cause: the tool had dump alone, which printed a refusal as if it were a dump and ended with a stack for an unknown failure. Change: commands print to a terminal passed in and give an exit code, so that tests run them without a process; misuse, unreachable nodes and bad files are one line and a hint.

--- a/packages/auburnturn-cli/bin/auburnturn.js
+++ b/packages/auburnturn-cli/bin/auburnturn.js
@@ -1,4 +1,6 @@
 #!/usr/bin/env node
 import { runTool } from '../dist/src/cli/index.js'
 
-await runTool(process.argv.slice(2))
+// A reader such as `head` may close the pipe early.
+process.stdout.on('error', () => { process.exit() })
+process.exitCode = await runTool(process.argv.slice(2))
--- a/packages/auburnturn-cli/src/cli/index.ts
+++ b/packages/auburnturn-cli/src/cli/index.ts
@@ -1,27 +1,114 @@
-/** The command-line tool: one folder a command. */
-import { describeFault, isFault } from 'auburnturn'
+/** The command-line tool: one folder a command, each thin over `core`. */
+import { describeFault, Fault, isFault } from 'auburnturn'
 import yargs from 'yargs'
+import type { Argv } from 'yargs'
+import { parseTargetOrigin } from '../core/address/index.js'
+import { documentKinds } from '../core/check/index.js'
+import { exitCodes, processTerminal } from '../core/terminal/index.js'
+import type { Terminal } from '../core/terminal/index.js'
+import { call } from './call/index.js'
+import { check } from './check/index.js'
 import { dump } from './dump/index.js'
+import { schema } from './schema/index.js'
+import { status } from './status/index.js'
+import { readVersion } from './version.js'
 
-/** Exit codes, documented in docs/OPERATORS.md. */
-export const exitCodes = { ok: 0, failed: 1, invalid: 2 } as const
+/** Runs the tool with the words of its command line; resolves with the exit code. Never rejects. */
+export async function runTool (words: readonly string[], terminal: Terminal = processTerminal): Promise<number> {
+  let code: number = exitCodes.ok
+  const finish = (exitCode: number): void => { code = exitCode }
+  try {
+    const parser = addCommands(createParser(), terminal, finish)
+    await parser.parseAsync([...words], {}, (_error: unknown, _options: unknown, output: string) => {
+      if (output !== '') terminal.print(output)
+    })
+    return code
+  } catch (error) {
+    terminal.complain(`auburnturn: ${describeError(error)}`)
+    return isFault(error) && isMisuse(error) ? exitCodes.invalid : exitCodes.failed
+  }
+}
 
-/** Runs the tool with the words of its command line. */
-export async function runTool (words: readonly string[]): Promise<void> {
-  await yargs(words)
+function createParser (): Argv {
+  return yargs()
     .scriptName('auburnturn')
-    .command('dump <address> [part]', 'Print the state of a node', builder => builder
-      .positional('address', { type: 'string', demandOption: true })
-      .positional('part', { type: 'string', default: '' }),
-    async ({ address, part }) => { await dump(address, part) })
-    .demandCommand(1, 'Name a command.')
+    .locale('en')
+    .version(readVersion())
+    .exitProcess(false)
     .strict()
-    .fail(reportFailure)
-    .parse()
+    .demandCommand(1, 'Name a command.')
+    .recommendCommands()
+    .epilogue('Exit codes: 0 well, 1 unreachable, 2 wrong flag or document, 3 not run, 4 may have run, 5 a node needs a look.')
+    .fail((message: string | null, error: unknown) => { throw toFailure(message, error) })
+}
+
+function addCommands (parser: Argv, terminal: Terminal, finish: (code: number) => void): Argv {
+  return parser
+    .command('check <files..>', 'Check settings, profiles and service entries, and warn of risky choices', addCheckOptions, ({ files, kind, strict }) => {
+      finish(check(files, kind, strict, terminal))
+    })
+    .command('dump <address> [part]', 'Print the state of a node', addDumpOptions, async ({ address, part }) => {
+      finish(await dump(address, part, terminal))
+    })
+    .command('status <addresses..>', 'Print the state of nodes side by side', addStatusOptions, async ({ addresses, json }) => {
+      finish(await status(addresses, json, terminal))
+    })
+    .command('call <address> <service> <path>', 'Send one call and print its verdict and way', addCallOptions, async options => {
+      finish(await call({ ...options, origin: parseTargetOrigin(options.address), body: options.body, timeoutMs: options.timeout, idempotent: options.idempotent, ticket: options.ticket }, options.json, terminal))
+    })
+    .command('schema <kind>', 'Print the JSON schema of a document, for editors', addSchemaOptions, ({ kind }) => {
+      finish(schema(kind, terminal))
+    })
+}
+
+function addCheckOptions (builder: Argv) {
+  return builder
+    .positional('files', { type: 'string', array: true, demandOption: true, describe: 'Documents, JSON with comments' })
+    .option('kind', { choices: documentKinds, describe: 'Kind of the documents; guessed from their keys' })
+    .option('strict', { type: 'boolean', default: false, describe: 'Take warnings for errors' })
+}
+
+function addDumpOptions (builder: Argv) {
+  return builder
+    .positional('address', { type: 'string', demandOption: true, describe: 'Operator address of a node, IP:PORT' })
+    .positional('part', { type: 'string', default: '', describe: 'One part, such as configuration' })
+}
+
+function addStatusOptions (builder: Argv) {
+  return builder
+    .positional('addresses', { type: 'string', array: true, demandOption: true, describe: 'Operator addresses of nodes, IP:PORT' })
+    .option('json', { type: 'boolean', default: false, describe: 'Print JSON in place of a table' })
+}
+
+function addCallOptions (builder: Argv) {
+  return builder
+    .positional('address', { type: 'string', demandOption: true, describe: 'Address of a node for callers, IP:PORT or http://IP:PORT' })
+    .positional('service', { type: 'string', demandOption: true, describe: 'Service to call' })
+    .positional('path', { type: 'string', demandOption: true, describe: 'Path and query' })
+    .option('method', { type: 'string', default: 'GET', coerce: (method: string) => method.toUpperCase() })
+    .option('body', { type: 'string', describe: 'Request body' })
+    .option('timeout', { type: 'number', describe: 'Time for the call, in milliseconds' })
+    .option('idempotent', { choices: ['yes', 'no'] as const, describe: 'Whether the call may repeat' })
+    .option('ticket', { type: 'string', describe: 'Ticket that names the one target that may run the call' })
+    .option('json', { type: 'boolean', default: false, describe: 'Print JSON' })
+    .check(({ timeout }) => timeout === undefined || timeout > 0 ? true : 'timeout: allowed: a number of milliseconds above 0')
+}
+
+function addSchemaOptions (builder: Argv) {
+  return builder.positional('kind', { choices: documentKinds, demandOption: true, describe: 'Kind of the document' })
+}
+
+/** yargs gives a message for misuse, and only an error for what a command threw. */
+function toFailure (message: string | null, error: unknown): unknown {
+  if (isFault(error) || message === null) return error
+  return Fault.create('usage-invalid', message.trim().replace(/\s*\n\s*/g, ' '))
+}
+
+function describeError (error: unknown): string {
+  if (isFault(error)) return describeFault(error)
+  return error instanceof Error ? error.message : String(error)
 }
 
-function reportFailure (message: string | undefined, error: unknown): void {
-  const text = isFault(error) ? describeFault(error) : message ?? String(error)
-  process.stderr.write(`auburnturn: ${text}\n`)
-  process.exit(error === undefined ? exitCodes.invalid : exitCodes.failed)
+function isMisuse ({ tag }: Fault): boolean {
+  return tag === 'usage-invalid' || tag === 'address-invalid' || tag === 'document-unreadable' || tag === 'part-unknown'
 }
--- /dev/null
+++ b/packages/auburnturn-cli/src/cli/status/index.ts
@@ -0,0 +1,36 @@
+import { describeFault, isFault } from 'auburnturn'
+import { parseOrigin } from '../../core/address/index.js'
+import { readDump } from '../../core/operator/index.js'
+import { formatStatuses, readStatus, reviewStatuses } from '../../core/status/index.js'
+import type { NodeStatus, ReviewedStatus, Unreachable } from '../../core/status/index.js'
+import { exitCodes } from '../../core/terminal/index.js'
+import type { Terminal } from '../../core/terminal/index.js'
+
+/** Prints the state of nodes side by side, as a table or as JSON. */
+export async function status (addresses: readonly string[], asJson: boolean, terminal: Terminal): Promise<number> {
+  addresses.forEach(parseOrigin)
+  const answers = await Promise.all(addresses.map(readNode))
+  const statuses = reviewStatuses(answers.filter((answer): answer is NodeStatus => !isUnreachable(answer)))
+  const unreachable = answers.filter(isUnreachable)
+  if (asJson) terminal.print(JSON.stringify({ nodes: statuses, unreachable }, null, 2))
+  else if (statuses.length > 0) terminal.print(formatStatuses(statuses))
+  for (const { problem } of unreachable) terminal.complain(`auburnturn: ${problem}`)
+  return chooseExitCode(statuses, unreachable)
+}
+
+async function readNode (address: string): Promise<NodeStatus | Unreachable> {
+  try {
+    return readStatus(address, await readDump(address))
+  } catch (error) {
+    return { address, problem: isFault(error) ? describeFault(error).split('\n')[0] ?? '' : String(error) }
+  }
+}
+
+function isUnreachable (answer: NodeStatus | Unreachable): answer is Unreachable {
+  return 'problem' in answer
+}
+
+function chooseExitCode (statuses: readonly ReviewedStatus[], unreachable: readonly Unreachable[]): number {
+  if (unreachable.length > 0) return exitCodes.failed
+  return statuses.some(({ concerns }) => concerns.length > 0) ? exitCodes.lagging : exitCodes.ok
+}
--- /dev/null
+++ b/packages/auburnturn-cli/src/core/call/format.ts
@@ -0,0 +1,18 @@
+import type { CallReport } from './types.js'
+
+const meanings: Record<CallReport['verdict'], string> = {
+  done: 'the request ran and this is its whole answer',
+  'not-run': 'the request did not run; it is safe to send it again',
+  'may-have-run': 'the request may have run; do not repeat it unless it is idempotent'
+}
+
+/** The report for a person: verdict, cause, status, time and way, then the body. */
+export function formatReport (report: CallReport): string {
+  const lines = [`verdict  ${report.verdict}: ${meanings[report.verdict]}`]
+  if (report.cause !== undefined) lines.push(`cause    ${report.cause}`)
+  lines.push(`status   ${report.status ?? '-'}`)
+  lines.push(`time     ${report.milliseconds.toFixed(1)} ms`)
+  lines.push(`way      ${report.way ?? '-'}`)
+  if (report.body !== '') lines.push('', report.body)
+  return lines.join('\n')
+}
