Supervise each part in its own task; time calls; drain before closing

Cause: a part that failed during its start was lost, a close that hung held up the whole node, backoff never fell back, a log value could hold terminal controls, metrics had neither HELP nor escaped labels, and the operator address closed first, so that a drain could not be watched. Change: a task per part with bounded close and backoff that is reset after a quiet minute; calls are counted and timed in one place, which also lets them end before a close; quantiles of the last minute or two; redacted dumps; health says starting, serving or draining.

--- a/packages/auburnturn/src/core/logger/logger.ts
+++ b/packages/auburnturn/src/core/logger/logger.ts
@@ -1,4 +1,5 @@
 import { Roarr } from 'roarr'
+import { formatEvent } from './format.js'
 import type { Fields, Level } from './types.js'
 
 type Write = (line: string) => void
@@ -41,21 +42,9 @@
     if (rank[level] < rank[this.level]) return
     // roarr's own output stays off unless ROARR_LOG is set, so the line is written here.
     const roarr = Roarr.child(message => {
-      this.write(formatLine(message.time, level, this.subsystem, event, fields))
+      this.write(formatEvent(message.time, level, this.subsystem, event, fields))
       return message
     })
     roarr[level](event)
   }
 }
-
-function formatLine (time: number, level: Level, subsystem: string, event: string, fields: Fields): string {
-  const pairs = [`time=${new Date(time).toISOString()}`, `level=${level}`, `subsystem=${subsystem}`, `event=${event}`]
-  for (const [key, value] of Object.entries(fields)) {
-    if (value !== undefined) pairs.push(`${key}=${quoteValue(String(value))}`)
-  }
-  return pairs.join(' ')
-}
-
-function quoteValue (value: string): string {
-  return /^[\w.:/+@-]+$/.test(value) ? value : JSON.stringify(value)
-}
--- /dev/null
+++ b/packages/auburnturn/src/core/metrics/constants.ts
@@ -0,0 +1,11 @@
+/** Quantiles are of the last one to two windows of this length, in milliseconds. */
+export const windowMs = 60_000
+
+/** Longest duration that a histogram tells apart, in microseconds. */
+export const highestMicroseconds = 3_600_000_000
+
+/** Percentiles that are shown of each duration. */
+export const percentiles: readonly number[] = [50, 99, 99.9]
+
+/** Prefix of every metric's name. */
+export const prefix = 'auburnturn_'
--- a/packages/auburnturn/src/core/metrics/metrics.ts
+++ b/packages/auburnturn/src/core/metrics/metrics.ts
@@ -1,61 +1,93 @@
-import { build } from 'hdr-histogram-js'
-import type { Histogram } from 'hdr-histogram-js'
+import type { Clock } from '../clock/index.js'
+import { percentiles } from './constants.js'
+import { formatSeries, splitSeries } from './labels.js'
+import { formatSummary, formatValues } from './prometheus.js'
+import { Recorder } from './recorder.js'
+import type { Labels, MetricType, ReadValue, Series } from './types.js'
 
-/** Longest duration that a histogram tells apart, in microseconds. */
-const highestMicroseconds = 60_000_000
-
-const quantiles = [50, 99, 99.9]
-
-/** Counters by name, and histograms of durations by name. */
+/** Counters, gauges and durations of one node. */
 export class Metrics {
+  private readonly clock: Clock | undefined
   private readonly counters = new Map<string, number>()
-  private readonly histograms = new Map<string, Histogram>()
+  /** Values that other parts keep, read when they are asked for. */
+  private readonly readings = new Map<string, { readonly type: MetricType, readonly read: ReadValue }>()
+  private readonly recorders = new Map<string, Recorder>()
+
+  private constructor (clock: Clock | undefined) {
+    this.clock = clock
+  }
 
-  private constructor () {}
+  /** Without a clock, quantiles are of everything since the start. */
+  static create ({ clock }: { clock?: Clock } = {}): Metrics {
+    return new Metrics(clock)
+  }
 
-  static create (): Metrics {
-    return new Metrics()
+  /**
+   * Adds to a counter. `name` may carry labels as `formatSeries` writes them.
+   *
+   * @example
+   * metrics.count('calls_total', { verdict: 'done' })
+   */
+  count (name: string, labels: Labels | number = {}, amount = 1): void {
+    const series = typeof labels === 'number' ? name : formatSeries(name, labels)
+    const added = typeof labels === 'number' ? labels : amount
+    this.counters.set(series, (this.counters.get(series) ?? 0) + added)
   }
 
-  /** Adds to a counter; `name` may end in labels such as `{verdict="done"}`. */
-  count (name: string, amount = 1): void {
-    this.counters.set(name, (this.counters.get(name) ?? 0) + amount)
+  /** Shows a value that another part keeps; it is read on each scrape. */
+  show (name: string, type: 'counter' | 'gauge', read: ReadValue, labels: Labels = {}): void {
+    this.readings.set(formatSeries(name, labels), { type, read })
   }
 
-  /** Records a duration in milliseconds. */
+  /** Records a duration in milliseconds under a name that ends in `_seconds`. */
   record (name: string, milliseconds: number): void {
-    const microseconds = Math.min(highestMicroseconds, Math.max(0, Math.round(milliseconds * 1000)))
-    this.histogramOf(name).recordValue(microseconds)
+    this.recorderOf(name).record(milliseconds)
   }
 
   dump (): unknown {
-    const histograms = [...this.histograms].map(([name, histogram]) => [name, summarize(histogram)])
-    return { counters: Object.fromEntries(this.counters), histograms: Object.fromEntries(histograms) }
+    const durations = [...this.recorders].map(([name, recorder]) => [name, describeDurations(recorder)])
+    return {
+      counters: Object.fromEntries([...this.counters, ...this.read('counter').map(toEntry)]),
+      gauges: Object.fromEntries(this.read('gauge').map(toEntry)),
+      durations: Object.fromEntries(durations)
+    }
   }
 
   /** The Prometheus text format; durations are in seconds. */
   format (): string {
-    const lines = [...this.counters].map(([name, value]) => `auburnturn_${name} ${value}`)
-    for (const [name, histogram] of this.histograms) {
-      for (const quantile of quantiles) {
-        const seconds = histogram.getValueAtPercentile(quantile) / 1e6
-        lines.push(`auburnturn_${name}_seconds{quantile="${quantile / 100}"} ${seconds}`)
-      }
-      lines.push(`auburnturn_${name}_seconds_count ${histogram.totalCount}`)
-    }
+    const counted = [...this.counters].map(([series, value]): Series => ({ ...splitSeries(series), value }))
+    const lines = [
+      ...formatValues('counter', [...counted, ...this.read('counter')]),
+      ...formatValues('gauge', this.read('gauge')),
+      ...[...this.recorders].flatMap(([name, recorder]) => formatSummary(name, recorder.summarize()))
+    ]
     return `${lines.join('\n')}\n`
   }
 
-  private histogramOf (name: string): Histogram {
-    const known = this.histograms.get(name)
+  private read (type: MetricType): Series[] {
+    return [...this.readings].flatMap(([series, reading]) => {
+      if (reading.type !== type) return []
+      const value = reading.read()
+      return Number.isFinite(value) ? [{ ...splitSeries(series), value }] : []
+    })
+  }
+
+  private recorderOf (name: string): Recorder {
+    const known = this.recorders.get(name)
     if (known !== undefined) return known
-    const fresh = build({ bitBucketSize: 32, autoResize: true, numberOfSignificantValueDigits: 2 })
-    this.histograms.set(name, fresh)
+    const { clock } = this
+    const fresh = Recorder.create(clock === undefined ? () => 0 : () => clock.now())
+    this.recorders.set(name, fresh)
     return fresh
   }
 }
 
-function summarize (histogram: Histogram): Record<string, number> {
-  const rows = quantiles.map(quantile => [`p${quantile}Ms`, histogram.getValueAtPercentile(quantile) / 1000])
-  return { count: histogram.totalCount, ...Object.fromEntries(rows) as Record<string, number> }
+function toEntry ({ name, labels, value }: Series): [string, number] {
+  return [`${name}${labels}`, value]
+}
+
+function describeDurations (recorder: Recorder): Record<string, number> {
+  const { count, sumSeconds, seconds } = recorder.summarize()
+  const rows = percentiles.map((percentile, index) => [`p${percentile}Ms`, (seconds[index] ?? 0) * 1000])
+  return { count, sumSeconds, ...Object.fromEntries(rows) as Record<string, number> }
 }
--- /dev/null
+++ b/packages/auburnturn/src/core/node/call-tracker.ts
@@ -0,0 +1,109 @@
+import type { Call, Outcome } from '../call/types.js'
+import type { Clock } from '../clock/index.js'
+import type { Serve } from '../http/index.js'
+import type { Metrics } from '../metrics/index.js'
+import { notRun } from '../verdict/index.js'
+
+/** Time after the last deadline until calls in flight count as stuck, in milliseconds. */
+const graceMs = 1_000
+
+/** Where an attempt goes: to the own upstream, or to the node beside another target. */
+export type Destination = 'upstream' | 'peer'
+
+/** What became of the time of one call. Times are clock milliseconds. */
+interface Times {
+  /** When the node last got hold of the call: its start, or the end of its last attempt. */
+  heldSince: number
+  queuedMs: number
+  outsideMs: number
+  attempts: number
+}
+
+/** Knows every call in flight on this node: counts and times them, and lets them end before a close. */
+export class CallTracker {
+  private readonly clock: Clock
+  private readonly metrics: Metrics
+  private readonly calls = new Map<string, Times>()
+  private closing = false
+  private latestDeadline = 0
+  private emptied: () => void = () => {}
+
+  private constructor (clock: Clock, metrics: Metrics) {
+    this.clock = clock
+    this.metrics = metrics
+    metrics.show('in_flight', 'gauge', () => this.calls.size)
+  }
+
+  static create ({ clock, metrics }: { clock: Clock, metrics: Metrics }): CallTracker {
+    return new CallTracker(clock, metrics)
+  }
+
+  /** Counts and times every call that `serve` takes; refuses it as not run after `refuse`. */
+  track (serve: Serve): Serve {
+    return async (call, body, answer) => {
+      if (this.closing) return this.count({ verdict: notRun('admission-closed') })
+      const start = this.clock.now()
+      const times: Times = { heldSince: start, queuedMs: 0, outsideMs: 0, attempts: 0 }
+      this.calls.set(call.id, times)
+      this.latestDeadline = Math.max(this.latestDeadline, call.deadline)
+      try {
+        return this.count(await serve(call, body, answer))
+      } finally {
+        this.finish(call, times, this.clock.now() - start)
+      }
+    }
+  }
+
+  /** Times the attempts that `attempt` makes. */
+  trackAttempt<Rest extends unknown[]> (destination: Destination, attempt: (call: Call, ...rest: Rest) => Promise<Outcome>): (call: Call, ...rest: Rest) => Promise<Outcome> {
+    return async (call, ...rest) => {
+      const times = this.calls.get(call.id)
+      const start = this.clock.now()
+      this.metrics.count('attempts_total', { destination })
+      if (times !== undefined) times.attempts++
+      if (times !== undefined && destination === 'upstream') times.queuedMs += start - times.heldSince
+      try {
+        return await attempt(call, ...rest)
+      } finally {
+        if (times !== undefined) {
+          times.heldSince = this.clock.now()
+          times.outsideMs += times.heldSince - start
+        }
+      }
+    }
+  }
+
+  /** Refuses every new call from now on. */
+  refuse (): void {
+    this.closing = true
+  }
+
+  /** Resolves when no call is in flight, or when the last deadline has passed. */
+  async settle (): Promise<void> {
+    if (this.calls.size === 0) return
+    const settled = new AbortController()
+    const emptied = new Promise<void>(resolve => { this.emptied = resolve })
+    const late = this.clock.sleep(this.latestDeadline - this.clock.now() + graceMs, settled.signal)
+    await Promise.race([emptied, late])
+    settled.abort()
+  }
+
+  dump (): unknown {
+    return { inFlight: this.calls.size, refusing: this.closing }
+  }
+
+  private count (outcome: Outcome): Outcome {
+    const { verdict } = outcome
+    this.metrics.count('calls_total', verdict.kind === 'done' ? { verdict: verdict.kind } : { verdict: verdict.kind, cause: verdict.cause })
+    return outcome
+  }
+
+  private finish (call: Call, { queuedMs, outsideMs, attempts }: Times, totalMs: number): void {
+    this.calls.delete(call.id)
+    this.metrics.record('call_seconds', totalMs)
+    this.metrics.record('call_queue_seconds', queuedMs)
+    this.metrics.record('call_added_seconds', totalMs - outsideMs - queuedMs)
+    if (attempts > 1) this.metrics.count('retries_total', {}, attempts - 1)
+    if (this.calls.size === 0) this.emptied()
+  }
+}
--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto'
 import { Admission } from '../admission/index.js'
 import { headerNames } from '../call/index.js'
-import type { RawHeaders } from '../call/types.js'
+import type { Answer, Body, RawHeaders } from '../call/types.js'
 import { Clock } from '../clock/index.js'
 import { Store } from '../configuration/index.js'
 import { ControlClients, ControlServer } from '../control/index.js'
@@ -12,16 +12,19 @@
 import { Metrics } from '../metrics/index.js'
 import { Notices } from '../notices/index.js'
 import { Operator } from '../operator/index.js'
+import type { NodeState } from '../operator/index.js'
 import { Platform } from '../platform/index.js'
 import { Random } from '../random/index.js'
 import { Router } from '../router/index.js'
 import type { NodeSettings } from '../settings/index.js'
 import { Supervisor } from '../supervisor/index.js'
 import { Target } from '../target/index.js'
+import { CallTracker } from './call-tracker.js'
 import { identifyCall } from './identify.js'
 import { OwnMembership } from './own-membership.js'
 import { Peers } from './peers.js'
 import { followConfiguration, followMembers } from './readers.js'
+import { showNode } from './show-node.js'
 
 /** What a node is given from outside; all have working defaults. */
 export interface NodeOptions {
@@ -43,10 +46,12 @@
   private readonly clock: Clock
   private readonly logger: Logger
   private readonly random: Random
-  private readonly metrics = Metrics.create()
+  private readonly metrics: Metrics
+  private readonly tracker: CallTracker
   private readonly supervisor: Supervisor
   private readonly admission: Admission
   private closing = false
+  private started = false
   private readonly ports = { callers: 0, peers: 0, control: 0, operator: 0 }
 
   private constructor (settings: NodeSettings, options: NodeOptions) {
@@ -62,6 +67,8 @@
       notices: this.notices,
       floorOf: service => this.store.profileOf(service).membership.floor
     })
+    this.metrics = Metrics.create({ clock: this.clock })
+    this.tracker = CallTracker.create({ clock: this.clock, metrics: this.metrics })
     this.admission = Admission.create({ clock: this.clock })
     this.supervisor = Supervisor.create({ clock: this.clock, logger: this.logger.label('supervisor') })
   }
@@ -83,18 +90,30 @@
   get controlPort (): number { return this.ports.control }
   get operatorPort (): number { return this.ports.operator }
 
+  /** Whether the node takes calls. */
+  get state (): NodeState {
+    if (this.closing) return 'draining'
+    return this.started ? 'serving' : 'starting'
+  }
+
+  /** Refuses new work as not run, and resolves when other nodes had time to hear of it and nothing is in flight. */
+  async drain (): Promise<void> {
+    this.leave()
+    await this.clock.sleep(this.store.profileOf(this.settings.service).drain.newWorkMs)
+    await this.tracker.settle()
+  }
+
   /** Refuses new work as not run, lets what is in flight end, then closes every part. */
   async close (): Promise<void> {
-    this.closing = true
-    this.admission.drain()
-    const self = this.directory.find(this.settings.service, this.settings.id)
-    if (self !== undefined) this.directory.announceLeaving(self, this.incarnation)
+    this.leave()
+    await this.tracker.settle()
     await this.supervisor.close()
   }
 
   dump (): Record<string, unknown> {
     return {
-      node: { id: this.settings.id, service: this.settings.service, incarnation: this.incarnation },
+      node: { id: this.settings.id, service: this.settings.service, incarnation: this.incarnation, state: this.state },
+      calls: this.tracker.dump(),
       configuration: this.store.dump(),
       membership: this.directory.dump(),
       notices: this.notices.dump(),
@@ -104,13 +123,24 @@
     }
   }
 
+  private leave (): void {
+    if (this.closing) return
+    this.closing = true
+    this.tracker.refuse()
+    this.admission.drain()
+    const self = this.directory.find(this.settings.service, this.settings.id)
+    if (self !== undefined) this.directory.announceLeaving(self, this.incarnation)
+  }
+
   private async start (): Promise<void> {
     const { settings, clock, logger, store, directory } = this
     const platform = Platform.create(settings.platform.map(({ ip, port }) => `http://${ip}:${port}`))
     const peers = Peers.create({ clock, directory, connections: settings.limits.connectionsPerTarget })
     const upstream = this.createUpstream()
-    const target = Target.create({ incarnation: this.incarnation, clock, admission: this.admission, run: async (call, body, answer) => await upstream.send(call, body, answer) })
+    const target = Target.create({ incarnation: this.incarnation, clock, admission: this.admission, run: this.tracker.trackAttempt('upstream', async (call, body: Body, answer: Answer) => await upstream.send(call, body, answer)) })
     const router = this.createRouter(peers, target)
+    // First, so that it closes last: the drain can be watched.
+    await this.supervisor.add('operator', async () => await this.openOperator())
     await this.supervisor.add('membership', async () => this.directory)
     await this.supervisor.add('platform', async () => platform)
     await this.supervisor.add('configuration', async () => followConfiguration({ platform, store, clock, logger }))
@@ -123,7 +153,8 @@
     await this.supervisor.add('control', async () => await this.openControl())
     await this.listen('peers', true, router, target)
     await this.listen('callers', false, router, target)
-    await this.supervisor.add('operator', async () => await this.openOperator())
+    showNode(this.metrics, { admission: this.admission, store: this.store, supervisor: this.supervisor })
+    this.started = true
   }
 
   private createUpstream (): Exchange {
@@ -134,7 +165,7 @@
 
   private createRouter (peers: Peers, target: Target): Router {
     const { id, service } = this.settings
-    return Router.create({ clock: this.clock, random: this.random, directory: this.directory, remote: peers.attempt, local: { id, service, target } })
+    return Router.create({ clock: this.clock, random: this.random, directory: this.directory, remote: this.tracker.trackAttempt('peer', peers.attempt), local: { id, service, target } })
   }
 
   private async listen (name: 'callers' | 'peers', forwarded: boolean, router: Router, target: Target): Promise<void> {
@@ -150,11 +181,7 @@
         answerHeaders,
         logger: logger.label(name),
         identify: (request, signal) => identifyCall(request, signal, { clock, store, directory, forwarded }),
-        serve: async (call, body, answer) => {
-          const outcome = await router.run(call, body, answer)
-          this.metrics.count(`calls_total{verdict="${outcome.verdict.kind}"}`)
-          return outcome
-        }
+        serve: this.tracker.track(async (call, body, answer) => await router.run(call, body, answer))
       })
       this.ports[name] = listener.port
       return listener
@@ -184,7 +211,7 @@
   }
 
   private async openOperator (): Promise<Operator> {
-    const operator = await Operator.create({ ...this.settings.operator, dumpNode: () => this.dump(), metrics: this.metrics })
+    const operator = await Operator.create({ ...this.settings.operator, dumpNode: () => this.dump(), readState: () => this.state, metrics: this.metrics })
     this.ports.operator = operator.port
     return operator
   }
--- /dev/null
+++ b/packages/auburnturn/src/core/node/show-node.ts
@@ -0,0 +1,12 @@
+import type { Admission } from '../admission/index.js'
+import type { Store } from '../configuration/index.js'
+import type { Metrics } from '../metrics/index.js'
+import type { Supervisor } from '../supervisor/index.js'
+
+/** Shows what the parts of a node keep themselves among its metrics. */
+export function showNode (metrics: Metrics, { admission, store, supervisor }: { admission: Admission, store: Store, supervisor: Supervisor }): void {
+  metrics.show('admission_running', 'gauge', () => admission.load.running)
+  metrics.show('admission_queued', 'gauge', () => admission.load.queued)
+  metrics.show('configuration_version', 'gauge', () => store.version)
+  metrics.show('restarts_total', 'counter', () => supervisor.restarts)
+}
--- /dev/null
+++ b/packages/auburnturn/src/core/operator/constants.ts
@@ -0,0 +1,5 @@
+/** Connections that the operator address holds at once. */
+export const maxConnections = 32
+
+/** Longest wait for the head of an operator's request, in milliseconds. */
+export const headTimeoutMs = 5_000
--- a/packages/auburnturn/src/core/operator/operator.ts
+++ b/packages/auburnturn/src/core/operator/operator.ts
@@ -1,24 +1,32 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { isIP } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { Fault } from '../errors/index.js'
 import type { Metrics } from '../metrics/index.js'
 import type { Part } from '../supervisor/types.js'
+import { headTimeoutMs, maxConnections } from './constants.js'
+import { formatState } from './redact.js'
+import type { NodeState } from './types.js'
+
+const plainText = 'text/plain; charset=utf-8'
+const prometheusText = 'text/plain; version=0.0.4; charset=utf-8'
 
 /** Answers `GET /dump[/PART]`, `/metrics` and `/health`. */
 export class Operator implements Part {
   private readonly server: Server
-  private readonly dumpNode: () => Record<string, unknown>
-  private readonly metrics: Metrics
+  private readonly options: OperatorOptions
 
-  private constructor (dumpNode: () => Record<string, unknown>, metrics: Metrics) {
-    this.dumpNode = dumpNode
-    this.metrics = metrics
-    this.server = createServer((request, response) => { this.serve(request, response) })
+  private constructor (options: OperatorOptions) {
+    this.options = options
+    this.server = createServer({ headersTimeout: headTimeoutMs, requestTimeout: headTimeoutMs }, (request, response) => { this.serve(request, response) })
+    this.server.maxConnections = maxConnections
   }
 
-  static async create ({ ip, port, dumpNode, metrics }: { ip: string, port: number, dumpNode: () => Record<string, unknown>, metrics: Metrics }): Promise<Operator> {
-    const operator = new Operator(dumpNode, metrics)
+  /** Resolves when the address is bound; rejects with `address-in-use`. */
+  static async create (options: OperatorOptions): Promise<Operator> {
+    const operator = new Operator(options)
+    const { ip, port } = options
     await new Promise<void>((resolve, reject) => {
       operator.server.once('error', error => { reject(Fault.create('address-in-use', `${ip}:${port}`, error)) })
       operator.server.listen(port, ip, resolve)
@@ -38,23 +46,51 @@
   }
 
   private serve (request: IncomingMessage, response: ServerResponse): void {
-    const path = (request.url ?? '/').split('?')[0] as string
-    if (request.method !== 'GET') return send(response, 405, 'text/plain', 'Only GET is allowed.\n')
-    if (path === '/health') return send(response, 200, 'text/plain', 'ok\n')
-    if (path === '/metrics') return send(response, 200, 'text/plain; version=0.0.4', this.metrics.format())
+    request.resume()
+    if (!namesNumber(request.headers.host)) return send(response, 403, plainText, 'Name this address by its IP number.\n')
+    if (request.method !== 'GET') return send(response, 405, plainText, 'Only GET is allowed.\n', ['allow', 'GET'])
+    try {
+      this.answer((request.url ?? '/').split('?')[0] as string, response)
+    } catch (error) {
+      send(response, 500, plainText, `The state can't be read: ${String(error)}\n`)
+    }
+  }
+
+  private answer (path: string, response: ServerResponse): void {
+    if (path === '/health') return this.sendHealth(response)
+    if (path === '/metrics') return send(response, 200, prometheusText, this.options.metrics.format())
     if (path === '/dump' || path.startsWith('/dump/')) return this.sendDump(response, path.slice('/dump/'.length))
-    send(response, 404, 'text/plain', 'Known paths: /health /metrics /dump /dump/PART\n')
+    send(response, 404, plainText, 'Known paths: /health /metrics /dump /dump/PART\n')
+  }
+
+  private sendHealth (response: ServerResponse): void {
+    const state = this.options.readState()
+    send(response, state === 'serving' ? 200 : 503, plainText, `${state}\n`)
   }
 
   private sendDump (response: ServerResponse, part: string): void {
-    const whole = this.dumpNode()
-    if (part === '') return send(response, 200, 'application/json', JSON.stringify(whole))
-    if (!Object.hasOwn(whole, part)) return send(response, 404, 'text/plain', `Known parts: ${Object.keys(whole).join(' ')}\n`)
-    send(response, 200, 'application/json', JSON.stringify(whole[part]))
+    const whole = this.options.dumpNode()
+    if (part === '') return send(response, 200, 'application/json', formatState(whole))
+    if (!Object.hasOwn(whole, part)) return send(response, 404, plainText, `Known parts: ${Object.keys(whole).join(' ')}\n`)
+    send(response, 200, 'application/json', formatState(whole[part]))
   }
 }
 
-function send (response: ServerResponse, status: number, type: string, body: string): void {
-  response.writeHead(status, { 'content-type': type, 'content-length': Buffer.byteLength(body) })
+interface OperatorOptions {
+  readonly ip: string
+  readonly port: number
+  readonly dumpNode: () => Record<string, unknown>
+  readonly readState: () => NodeState
+  readonly metrics: Metrics
+}
+
+/** A page of another origin reaches a loopback address only by a host name of its own. */
+function namesNumber (host: string | undefined): boolean {
+  const name = (host ?? '').replace(/:\d+$/, '').replace(/^\[(.*)\]$/, '$1')
+  return name === '' || name === 'localhost' || isIP(name) !== 0
+}
+
+function send (response: ServerResponse, status: number, type: string, body: string, headers: readonly string[] = []): void {
+  response.writeHead(status, ['content-type', type, 'content-length', String(Buffer.byteLength(body)), ...headers])
   response.end(body)
 }
--- /dev/null
+++ b/packages/auburnturn/src/core/operator/types.ts
@@ -0,0 +1,2 @@
+/** Whether a node takes calls. */
+export type NodeState = 'starting' | 'serving' | 'draining'
--- a/packages/auburnturn/src/core/supervisor/constants.ts
+++ b/packages/auburnturn/src/core/supervisor/constants.ts
@@ -3,3 +3,9 @@
 
 /** Longest pause before a failed part starts again, in milliseconds. */
 export const maxBackoffMs = 10_000
+
+/** A part that ran this long without failing starts again after the first pause, in milliseconds. */
+export const quietMs = 60_000
+
+/** Longest wait for a part to close before the next one is closed, in milliseconds. */
+export const maxCloseMs = 5_000
--- /dev/null
+++ b/packages/auburnturn/src/core/supervisor/supervised-part.ts
@@ -0,0 +1,136 @@
+import type { Clock } from '../clock/index.js'
+import type { Logger } from '../logger/index.js'
+import { closeWithin } from './close-within.js'
+import { firstBackoffMs, maxBackoffMs, maxCloseMs, quietMs } from './constants.js'
+import type { Part, Start } from './types.js'
+
+/** A part between its start and its failure. */
+interface Run {
+  readonly part: Part
+  /** Resolves with the error that the part can't go on with. */
+  readonly failure: Promise<unknown>
+  readonly startedAt: number
+}
+
+/** Keeps one part running: closes it when it fails and starts it again with backoff. */
+export class SupervisedPart {
+  private readonly options: SupervisedPartOptions
+  private readonly closing = new AbortController()
+  private readonly closed: Promise<void>
+  private run: Run | undefined
+  private task: Promise<void> = Promise.resolve()
+  private restartCount = 0
+  /** Failures since the part last ran for `quietMs`. */
+  private failures = 0
+  private lastError: string | undefined
+
+  private constructor (options: SupervisedPartOptions) {
+    this.options = options
+    this.closed = new Promise(resolve => {
+      this.closing.signal.addEventListener('abort', () => { resolve() }, { once: true })
+    })
+  }
+
+  /** Starts the part; rejects when its first start fails. */
+  static async create (options: SupervisedPartOptions): Promise<SupervisedPart> {
+    const supervised = new SupervisedPart(options)
+    supervised.run = await supervised.start()
+    supervised.task = supervised.keepRunning()
+    return supervised
+  }
+
+  get name (): string {
+    return this.options.name
+  }
+
+  /** Restarts since the first start. */
+  get restarts (): number {
+    return this.restartCount
+  }
+
+  /** Stops restarting and closes the part; waits for it no longer than `maxCloseMs`. */
+  async close (): Promise<void> {
+    this.closing.abort()
+    await this.task
+    await this.closeRun()
+  }
+
+  dump (): Record<string, unknown> {
+    return {
+      running: this.run !== undefined,
+      restarts: this.restartCount,
+      ...(this.lastError === undefined ? {} : { lastError: this.lastError }),
+      state: this.dumpPart()
+    }
+  }
+
+  private dumpPart (): unknown {
+    try {
+      return this.run?.part.dump?.()
+    } catch (error) {
+      return { error: String(error) }
+    }
+  }
+
+  private async keepRunning (): Promise<void> {
+    while (!this.closing.signal.aborted) {
+      if (this.run === undefined) await this.startAgain()
+      else await this.waitForFailure(this.run)
+    }
+  }
+
+  private async waitForFailure (run: Run): Promise<void> {
+    const error = await Promise.race([run.failure, this.closed])
+    if (this.closing.signal.aborted) return
+    if (this.options.clock.now() - run.startedAt >= quietMs) this.failures = 0
+    this.reportFailure(error)
+    await this.closeRun()
+  }
+
+  private async startAgain (): Promise<void> {
+    const { clock } = this.options
+    const backoff = Math.min(maxBackoffMs, firstBackoffMs * 2 ** this.failures)
+    this.failures++
+    await clock.sleep(backoff, this.closing.signal)
+    if (this.closing.signal.aborted) return
+    this.restartCount++
+    const starting = this.start()
+    try {
+      this.run = await Promise.race([starting, this.closed]) ?? undefined
+    } catch (error) {
+      this.reportFailure(error)
+    }
+    // A start that is overtaken by close may still bring up a part.
+    if (this.run === undefined) starting.then(late => { late.part.close().catch(() => {}) }, () => {})
+  }
+
+  private async start (): Promise<Run> {
+    let fail: (error: unknown) => void = () => {}
+    const failure = new Promise<unknown>(resolve => { fail = resolve })
+    const part = await this.options.start(fail)
+    return { part, failure, startedAt: this.options.clock.now() }
+  }
+
+  private async closeRun (): Promise<void> {
+    const part = this.run?.part
+    this.run = undefined
+    if (part === undefined) return
+    const { name, clock, logger } = this.options
+    const outcome = await closeWithin(part, maxCloseMs, clock)
+    if (outcome.kind === 'failed') logger.error('part-close-failed', { part: name, error: String(outcome.error) })
+    if (outcome.kind === 'late') logger.error('part-close-late', { part: name, waitedMs: maxCloseMs })
+  }
+
+  private reportFailure (error: unknown): void {
+    const { name, logger } = this.options
+    this.lastError = String(error)
+    logger.error('part-failed', { part: name, error: this.lastError, restarts: this.restartCount })
+  }
+}
+
+interface SupervisedPartOptions {
+  readonly name: string
+  readonly start: Start
+  readonly clock: Clock
+  readonly logger: Logger
+}
--- a/packages/auburnturn/src/core/supervisor/supervisor.ts
+++ b/packages/auburnturn/src/core/supervisor/supervisor.ts
@@ -1,21 +1,14 @@
 import type { Clock } from '../clock/index.js'
 import type { Logger } from '../logger/index.js'
-import { firstBackoffMs, maxBackoffMs } from './constants.js'
+import { SupervisedPart } from './supervised-part.js'
 import type { Part, Start } from './types.js'
 
-interface Child {
-  readonly name: string
-  readonly start: Start
-  part: Part | undefined
-  restarts: number
-}
-
 /** One level of the tree; a supervisor is itself a part. */
 export class Supervisor implements Part {
   private readonly clock: Clock
   private readonly logger: Logger
-  private readonly children: Child[] = []
-  private readonly closing = new AbortController()
+  private readonly parts: SupervisedPart[] = []
+  private closing: Promise<void> | undefined
 
   private constructor (clock: Clock, logger: Logger) {
     this.clock = clock
@@ -26,45 +19,37 @@
     return new Supervisor(clock, logger)
   }
 
-  /** Starts a part and keeps it running; rejects when its first start fails. */
+  /** Starts a part and keeps it running. When its first start fails, closes all parts and rejects with the cause. */
   async add (name: string, start: Start): Promise<void> {
-    const child: Child = { name, start, part: undefined, restarts: 0 }
-    child.part = await this.run(child)
-    this.children.push(child)
+    const { clock, logger } = this
+    try {
+      if (this.closing !== undefined) throw new Error(`part ${name} was added to a closed supervisor`)
+      const part = await SupervisedPart.create({ name, start, clock, logger })
+      this.parts.push(part)
+    } catch (error) {
+      await this.close()
+      throw error
+    }
+    // Closed meanwhile: nobody else will close this part.
+    if (this.closing !== undefined) await this.parts.pop()?.close()
   }
 
+  /** Closes the parts, the last started first; one that hangs or fails does not keep the others open. */
   async close (): Promise<void> {
-    this.closing.abort()
-    for (const child of [...this.children].reverse()) await child.part?.close()
+    this.closing ??= this.closeParts()
+    await this.closing
   }
 
-  dump (): Record<string, unknown> {
-    return Object.fromEntries(this.children.map(child => [child.name, { restarts: child.restarts, state: child.part?.dump?.() }]))
+  /** Restarts of all parts since the start. */
+  get restarts (): number {
+    return this.parts.reduce((sum, part) => sum + part.restarts, 0)
   }
 
-  private async run (child: Child): Promise<Part> {
-    let failed = false
-    return await child.start(error => {
-      if (failed) return
-      failed = true
-      this.restart(child, error).catch(cause => this.logger.error('restart-failed', { part: child.name, error: String(cause) }))
-    })
+  dump (): Record<string, unknown> {
+    return Object.fromEntries(this.parts.map(part => [part.name, part.dump()]))
   }
 
-  private async restart (child: Child, error: unknown): Promise<void> {
-    this.logger.error('part-failed', { part: child.name, error: String(error) })
-    const broken = child.part
-    child.part = undefined
-    await broken?.close()
-    while (!this.closing.signal.aborted && child.part === undefined) {
-      const backoff = Math.min(maxBackoffMs, firstBackoffMs * 2 ** child.restarts)
-      child.restarts++
-      await this.clock.sleep(backoff, this.closing.signal)
-      if (this.closing.signal.aborted) return
-      child.part = await this.run(child).catch(cause => {
-        this.logger.error('part-failed', { part: child.name, error: String(cause) })
-        return undefined
-      })
-    }
+  private async closeParts (): Promise<void> {
+    for (const part of [...this.parts].reverse()) await part.close()
   }
 }
