--- a/packages/auburnturn/src/core/call/constants.ts
+++ b/packages/auburnturn/src/core/call/constants.ts
@@ -19,5 +19,12 @@
   /** The incarnation that answered, on answers between nodes. */
   incarnation: 'auburnturn-incarnation',
   /** The service a call is for, between nodes. */
-  service: 'auburnturn-service'
+  service: 'auburnturn-service',
+  /** The call's name in logs and histories, between nodes. */
+  callId: 'auburnturn-call-id',
+  /** Who made the call, between nodes. */
+  caller: 'auburnturn-caller'
 } as const
+
+/** Prefix of every header above. No other header with it passes a node. */
+export const headerPrefix = 'auburnturn-'
--- a/packages/auburnturn/src/core/call/types.ts
+++ b/packages/auburnturn/src/core/call/types.ts
@@ -12,6 +12,7 @@
   readonly method: string
   /** Path and query as sent to the upstream. */
   readonly path: string
+  /** End-to-end headers as the caller sent them; none of them begins with `headerPrefix`. */
   readonly headers: RawHeaders
   /** The configuration in force when the call arrived; it stays the same to the call's end. */
   readonly profile: Profile
@@ -31,13 +32,20 @@
   readonly signal: AbortSignal
 }
 
+/** Why a caller's request body can't be read to its end. */
+export type BodyFault = 'caller-gone' | 'caller-idle' | 'body-too-large' | 'bad-request'
+
 /** The request body; it can be read again only while all of it is retained. */
 export interface Body {
+  /** All bytes, once they are held in one piece; `read` need not be used then. */
+  readonly whole?: Uint8Array | undefined
+  /** Set when reading failed on the caller's side. */
+  readonly fault?: BodyFault | undefined
   /** False once bytes were read that are no longer held. */
   readonly replayable: boolean
   /** True when the request has no body. */
   readonly empty: boolean
-  /** A fresh reading from the first byte; throws when not replayable. */
+  /** A fresh reading from the first byte, which ends any earlier one; throws when not replayable. */
   read (): AsyncIterable<Uint8Array>
 }
 
--- a/packages/auburnturn/src/core/clock/clock.ts
+++ b/packages/auburnturn/src/core/clock/clock.ts
@@ -1,5 +1,6 @@
 import { asap, cancelTask, delay, newDefaultScheduler, periodic } from '@most/scheduler'
 import type { ScheduledTask, Scheduler, Task, Time } from '@most/types'
+import { TimerWheel } from './timer-wheel.js'
 
 /** Stops what was scheduled; calling it again does nothing. */
 export type Cancel = () => void
@@ -7,6 +8,8 @@
 /** Monotonic time and timers over a most scheduler. All durations are milliseconds. */
 export class Clock {
   readonly scheduler: Scheduler
+  /** For timeouts that are set for every call and mostly cancelled. */
+  readonly wheel: TimerWheel = TimerWheel.create(this)
 
   protected constructor (scheduler: Scheduler) {
     this.scheduler = scheduler
--- a/packages/auburnturn/src/core/clock/index.ts
+++ b/packages/auburnturn/src/core/clock/index.ts
@@ -4,3 +4,5 @@
  */
 export { Clock } from './clock.js'
 export { ManualClock } from './manual-clock.js'
+export { TimerWheel } from './timer-wheel.js'
+export type { Timeout } from './timer-wheel.js'
--- a/packages/auburnturn/src/core/http/exchange.ts
+++ b/packages/auburnturn/src/core/http/exchange.ts
@@ -1,159 +1,59 @@
-import { Pool } from 'undici'
-import type { Dispatcher } from 'undici'
-import { headerNames } from '../call/index.js'
 import type { Answer, Body, Call, Outcome, RawHeaders } from '../call/types.js'
 import type { Clock } from '../clock/index.js'
-import { done, mayHaveRun, notRun } from '../verdict/index.js'
-import type { Verdict } from '../verdict/index.js'
-import { findHeader, forwardHeaders } from './headers.js'
-import { parseLoad } from './load.js'
-
-/** Errors of undici that are raised before a connection exists, so that nothing was sent. */
-const beforeSending = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+import { notRun } from '../verdict/index.js'
+import { Attempt } from './attempt.js'
+import { Connections } from './connections.js'
 
 /** Sends calls to one address over kept-alive HTTP/1.1 connections. */
 export class Exchange {
-  private readonly pool: Pool
+  private readonly connections: Connections
   private readonly clock: Clock
+  private readonly trusted: boolean
 
-  private constructor (pool: Pool, clock: Clock) {
-    this.pool = pool
+  private constructor (connections: Connections, clock: Clock, trusted: boolean) {
+    this.connections = connections
     this.clock = clock
+    this.trusted = trusted
+  }
+
+  /** Connections are opened when calls need them. */
+  static create ({ origin, connections, clock, trusted = false, headerBytes = 65_536 }: ExchangeOptions): Exchange {
+    return new Exchange(Connections.create({ origin, limit: connections, headerBytes }), clock, trusted)
   }
 
-  /** `origin` is such as `http://127.0.0.1:8080`. */
-  static create ({ origin, connections, connectMs, clock }: ExchangeOptions): Exchange {
-    const pool = new Pool(origin, { connections, connectTimeout: connectMs, headersTimeout: 0, bodyTimeout: 0, pipelining: 1 })
-    return new Exchange(pool, clock)
+  /** Whether any call is on its way. */
+  get busy (): boolean {
+    return this.connections.busy
   }
 
-  /** One attempt: `extra` headers are added to the call's own. */
+  /** One attempt: `extra` headers are added to the call's own. Never rejects. */
   async send (call: Call, body: Body, answer: Answer, extra: RawHeaders = []): Promise<Outcome> {
-    const remaining = call.deadline - this.clock.now()
-    if (remaining <= 0) return { verdict: notRun('deadline-expired') }
-    const abort = new AbortController()
-    const cancel = this.clock.after(remaining, () => { abort.abort('timeout') })
-    const leave = (): void => { abort.abort('caller-gone') }
-    call.signal.addEventListener('abort', leave, { once: true })
-    try {
-      return await this.dispatch(call, body, answer, extra, abort.signal)
-    } finally {
-      cancel()
-      call.signal.removeEventListener('abort', leave)
-    }
+    if (this.clock.now() >= call.deadline) return { verdict: notRun('deadline-expired') }
+    if (call.signal.aborted) return { verdict: notRun('caller-gone') }
+    const { connections, clock, trusted } = this
+    const headers = extra.length === 0 ? call.headers : [...call.headers, ...extra]
+    return await new Promise<Outcome>(resolve => {
+      Attempt.start({ call, body, answer, headers, connections, clock, trusted, resolve })
+    })
   }
 
+  /** Breaks off what is in flight and closes every connection. */
   async close (): Promise<void> {
-    await this.pool.destroy()
+    await this.connections.close()
   }
 
-  private async dispatch (call: Call, body: Body, answer: Answer, extra: RawHeaders, signal: AbortSignal): Promise<Outcome> {
-    return await new Promise<Outcome>(resolve => {
-      const handler = new AttemptHandler(answer, signal, resolve)
-      this.pool.dispatch({
-        method: call.method as Dispatcher.HttpMethod,
-        path: call.path,
-        headers: [...forwardHeaders(call.headers, name => name === 'expect'), ...extra],
-        body: body.empty ? null : body.read() as unknown as Dispatcher.DispatchOptions['body']
-      }, handler as Dispatcher.DispatchHandler)
-    })
+  dump (): unknown {
+    return this.connections.dump()
   }
 }
 
 interface ExchangeOptions {
+  /** Such as `http://127.0.0.1:8080`. */
   readonly origin: string
   readonly connections: number
-  readonly connectMs: number
   readonly clock: Clock
-}
-
-/** Follows one attempt from its first byte sent to its last byte received. */
-class AttemptHandler {
-  private readonly answer: Answer
-  private readonly signal: AbortSignal
-  private readonly resolve: (outcome: Outcome) => void
-  private sent = false
-  private status: number | undefined
-  private refused: Verdict | undefined
-  private headers: RawHeaders = []
-
-  constructor (answer: Answer, signal: AbortSignal, resolve: (outcome: Outcome) => void) {
-    this.answer = answer
-    this.signal = signal
-    this.resolve = resolve
-  }
-
-  onConnect (abort: (error: Error) => void): void {
-    if (this.signal.aborted) {
-      abort(new Error('aborted'))
-      return
-    }
-    this.sent = true
-    this.signal.addEventListener('abort', () => { abort(new Error('aborted')) }, { once: true })
-  }
-
-  onHeaders (status: number, rawHeaders: Buffer[], resume: () => void, reason: string): boolean {
-    const headers = rawHeaders.map(part => part.toString('latin1'))
-    if (status < 200) {
-      this.answer.inform(status, headers)
-      return true
-    }
-    this.resume = resume
-    this.status = status
-    this.headers = headers
-    this.refused = readRefusal(headers)
-    if (this.refused === undefined) this.answer.head(status, reason, forwardHeaders(headers, isInternal))
-    return true
-  }
-
-  onData (chunk: Buffer): boolean {
-    if (this.refused !== undefined) return true
-    const ready = this.answer.data(chunk)
-    if (ready === undefined) return true
-    ready.then(() => { this.resume() }, () => {})
-    return false
-  }
-
-  onComplete (rawTrailers: Buffer[] | null): void {
-    if (this.refused === undefined) this.answer.end((rawTrailers ?? []).map(part => part.toString('latin1')))
-    this.finish(this.refused ?? done)
-  }
-
-  onError (error: Error): void {
-    if (this.answer.started) this.answer.cut()
-    this.finish(this.judge(error))
-  }
-
-  private resume: () => void = () => {}
-
-  private judge (error: Error): Verdict {
-    const code = (error as NodeJS.ErrnoException).code ?? ''
-    if (!this.sent) return notRun(beforeSending.has(code) ? 'connect-failed' : 'no-target')
-    if (this.signal.aborted) return mayHaveRun(this.signal.reason === 'timeout' ? 'timeout' : 'caller-gone')
-    return mayHaveRun(this.status === undefined ? 'connection-lost' : 'answer-cut')
-  }
-
-  private finish (verdict: Verdict): void {
-    const load = parseLoad(findHeader(this.headers, headerNames.load))
-    const incarnation = findHeader(this.headers, headerNames.incarnation)
-    this.resolve({
-      verdict,
-      ...(this.status === undefined ? {} : { status: this.status }),
-      ...(load === undefined ? {} : { load }),
-      ...(incarnation === undefined ? {} : { incarnation })
-    })
-  }
-}
-
-function isInternal (name: string): boolean {
-  return name === headerNames.load || name === headerNames.incarnation
-}
-
-/** A refusal by the other node's admission; an upstream's own answer has no verdict header. */
-function readRefusal (headers: RawHeaders): Verdict | undefined {
-  const kind = findHeader(headers, headerNames.verdict)
-  const cause = findHeader(headers, headerNames.cause)
-  if (kind === 'not-run') return { kind, cause: (cause ?? 'overloaded') as never }
-  if (kind === 'may-have-run') return { kind, cause: (cause ?? 'connection-lost') as never }
-  return undefined
+  /** Whether another node listens there: only then is what the answer says of verdict and load believed. */
+  readonly trusted?: boolean
+  /** Longest head of an answer, in bytes. */
+  readonly headerBytes?: number
 }
--- a/packages/auburnturn/src/core/http/index.ts
+++ b/packages/auburnturn/src/core/http/index.ts
@@ -1,7 +1,8 @@
 /** HTTP/1.1 towards callers, other nodes and upstreams. */
+export { viaValue } from './constants.js'
 export { Exchange } from './exchange.js'
 export { findHeader, forwardHeaders } from './headers.js'
 export { Listener } from './listener.js'
 export { formatLoad, parseLoad } from './load.js'
 export { createProblem } from './problem.js'
-export type { Identified, Identify, Serve } from './types.js'
+export type { HeadRefusal, Identified, Identify, Serve } from './types.js'
--- a/packages/auburnturn/src/core/http/listener.ts
+++ b/packages/auburnturn/src/core/http/listener.ts
@@ -1,28 +1,55 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import type { Outcome, RawHeaders } from '../call/types.js'
+import type { Duplex } from 'node:stream'
+import type { Call, Outcome, RawHeaders } from '../call/types.js'
+import type { Clock } from '../clock/index.js'
 import { Fault } from '../errors/index.js'
 import type { Logger } from '../logger/index.js'
 import type { Part } from '../supervisor/types.js'
 import { mayHaveRun, notRun } from '../verdict/index.js'
+import { answerAndClose, describeBrokenInput } from './broken-input.js'
+import { headCheckMs, headTimeoutMs, idleConnectionMs } from './constants.js'
+import { checkHead } from './head.js'
+import { discardRest } from './linger.js'
 import { createProblem } from './problem.js'
 import type { Problem } from './problem.js'
 import { RequestBody } from './request-body.js'
 import { ResponseAnswer } from './response-answer.js'
-import type { Identify, Serve } from './types.js'
+import type { HeadRefusal, Identify, Serve } from './types.js'
 
 /** Accepts calls on one address and hands each to `serve`. */
 export class Listener implements Part {
   private readonly server: Server
   private readonly options: ListenerOptions
+  /** Bodies of the calls in flight, by connection. */
+  private readonly active = new Map<Duplex, Set<RequestBody>>()
+  private readonly broken = new WeakSet<Duplex>()
   private inFlight = 0
+  private dropped = 0
+  private closing = false
 
   private constructor (options: ListenerOptions) {
     this.options = options
-    this.server = createServer({ maxHeaderSize: options.headerBytes, keepAliveTimeout: 60_000 })
+    this.server = createServer({
+      maxHeaderSize: options.headerBytes,
+      keepAliveTimeout: idleConnectionMs,
+      headersTimeout: headTimeoutMs,
+      connectionsCheckingInterval: headCheckMs,
+      // Bodies have their own timeouts, of the profile.
+      requestTimeout: 0,
+      // Refused in `checkHead`, with a reason.
+      requireHostHeader: false
+    })
     this.server.maxConnections = options.connections
-    this.server.on('request', (request, response) => { this.accept(request, response) })
+    // The head is bounded in bytes; a bound in lines would drop headers silently.
+    this.server.maxHeadersCount = 0
+    this.server.on('request', (request, response) => { this.accept(request, response, false) })
+    this.server.on('checkContinue', (request, response) => { this.accept(request, response, true) })
+    this.server.on('checkExpectation', (request, response) => { this.refuseExpectation(request, response) })
+    this.server.on('connect', (_request, socket) => { this.refuseConnect(socket) })
+    this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => { this.handleBrokenInput(error, socket) })
+    this.server.on('drop', () => { this.dropped++ })
   }
 
   /** Resolves when the address is bound; rejects with `address-in-use`. */
@@ -38,13 +65,14 @@
 
   /** Stops accepting, and resolves when every call in flight has ended. */
   async close (): Promise<void> {
+    this.closing = true
     const closed = new Promise<void>(resolve => { this.server.close(() => { resolve() }) })
     this.server.closeIdleConnections()
     await closed
   }
 
   dump (): unknown {
-    return { port: this.port, inFlight: this.inFlight }
+    return { port: this.server.listening ? this.port : 0, inFlight: this.inFlight, connections: this.active.size, droppedConnections: this.dropped }
   }
 
   private async listen (): Promise<void> {
@@ -55,44 +83,133 @@
     })
   }
 
-  private accept (request: IncomingMessage, response: ServerResponse): void {
+  private accept (request: IncomingMessage, response: ServerResponse, expectsContinue: boolean): void {
     this.inFlight++
-    this.handle(request, response)
+    response.on('error', () => {})
+    response.on('close', () => { this.closeIdle() })
+    this.handle(request, response, expectsContinue)
       .catch(error => {
         this.options.logger.error('call-failed', { error: String(error) })
         response.destroy()
       })
-      .finally(() => { this.inFlight-- })
+      .finally(() => { this.finish(request) })
   }
 
-  private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  private async handle (request: IncomingMessage, response: ServerResponse, expectsContinue: boolean): Promise<void> {
     const gone = new AbortController()
     response.on('close', () => { if (!response.writableFinished) gone.abort() })
-    response.on('error', () => {})
-    const identified = this.options.identify(request, gone.signal)
+    const identified = checkHead(request) ?? this.options.identify(request, gone.signal)
     if (identified.kind === 'refused') {
-      const problem = createProblem(notRun(identified.cause), identified.detail)
-      writeProblem(response, { ...problem, status: identified.status })
+      this.refuseHead(request, response, identified)
       return
     }
     const { call } = identified
-    const answer = ResponseAnswer.create(response, this.options.answerHeaders)
-    const body = RequestBody.create(request, call.profile.body.replayBytes)
-    const outcome = await this.options.serve(call, body, answer)
-    if (!answer.started) this.refuse(response, outcome)
+    const body = this.createBody(request, response, call, expectsContinue)
+    this.follow(request, body)
+    try {
+      await this.serve(call, body, request, response, expectsContinue)
+    } finally {
+      body.close()
+      this.unfollow(request, body)
+    }
   }
 
-  private refuse (response: ServerResponse, outcome: Outcome): void {
+  private async serve (call: Call, body: RequestBody, request: IncomingMessage, response: ServerResponse, expectsContinue: boolean): Promise<void> {
+    const { clock, serve } = this.options
+    const { maxBytes, replayBytes } = call.profile.body
+    if (body.announcedBytes !== undefined && body.announcedBytes > maxBytes) {
+      this.refuseHead(request, response, { kind: 'refused', cause: 'body-too-large', detail: `The longest body is ${maxBytes} bytes.` })
+      return
+    }
+    const short = body.announcedBytes !== undefined && body.announcedBytes <= replayBytes
+    if (short && !body.empty && !expectsContinue) await body.collect(call.deadline - clock.now())
+    if (body.fault !== undefined) {
+      this.refuseHead(request, response, { kind: 'refused', cause: body.fault, detail: 'The request body did not arrive whole.' })
+      return
+    }
+    const answer = ResponseAnswer.create(response, { clock, idleMs: call.profile.timeouts.callerIdleMs, headers: () => this.answerHeaders() })
+    const outcome = await serve(call, body, answer)
+    if (answer.started) return
     const verdict = outcome.verdict.kind === 'done' ? mayHaveRun('connection-lost') : outcome.verdict
     const problem = createProblem(verdict)
-    problem.headers.push(...this.options.answerHeaders())
-    writeProblem(response, problem)
+    problem.headers.push(...this.options.refusalHeaders(outcome))
+    this.writeProblem(request, response, problem)
+  }
+
+  private createBody (request: IncomingMessage, response: ServerResponse, call: Call, expectsContinue: boolean): RequestBody {
+    const { maxBytes, replayBytes } = call.profile.body
+    return RequestBody.create(request, {
+      clock: this.options.clock,
+      maxBytes,
+      replayBytes,
+      idleMs: call.profile.timeouts.callerIdleMs,
+      beforeRead: () => { if (expectsContinue && !response.headersSent) response.writeContinue() }
+    })
+  }
+
+  private answerHeaders (): RawHeaders {
+    const headers = this.options.answerHeaders()
+    return this.closing ? [...headers, 'connection', 'close'] : headers
+  }
+
+  private refuseHead (request: IncomingMessage, response: ServerResponse, { cause, detail, status }: HeadRefusal): void {
+    const problem = createProblem(notRun(cause), { detail, ...(status === undefined ? {} : { status }) })
+    this.writeProblem(request, response, problem)
   }
-}
 
-function writeProblem (response: ServerResponse, problem: Problem): void {
-  response.writeHead(problem.status, problem.headers)
-  response.end(problem.body)
+  private refuseExpectation (request: IncomingMessage, response: ServerResponse): void {
+    this.inFlight++
+    this.refuseHead(request, response, { kind: 'refused', cause: 'bad-request', status: 417, detail: 'The only expectation that is met is 100-continue.' })
+    this.finish(request)
+  }
+
+  private refuseConnect (socket: Duplex): void {
+    this.broken.add(socket)
+    answerAndClose(socket, createProblem(notRun('bad-request'), { status: 501, detail: 'CONNECT is not offered.' }), this.options.clock)
+  }
+
+  private writeProblem (request: IncomingMessage, response: ServerResponse, problem: Problem): void {
+    // A caller that waits for 100 may send its body or not: the connection can't be used again.
+    const mustClose = this.closing || this.broken.has(request.socket) || (request.headers.expect !== undefined && !request.complete)
+    if (mustClose) problem.headers.push('connection', 'close')
+    response.writeHead(problem.status, problem.headers)
+    response.end(problem.body)
+  }
+
+  private follow (request: IncomingMessage, body: RequestBody): void {
+    const bodies = this.active.get(request.socket)
+    if (bodies === undefined) this.active.set(request.socket, new Set([body]))
+    else bodies.add(body)
+  }
+
+  private unfollow (request: IncomingMessage, body: RequestBody): void {
+    const bodies = this.active.get(request.socket)
+    bodies?.delete(body)
+    if (bodies?.size !== 0) return
+    this.active.delete(request.socket)
+    if (this.broken.has(request.socket)) request.socket.destroySoon()
+  }
+
+  private finish (request: IncomingMessage): void {
+    this.inFlight--
+    discardRest(request, this.options.clock)
+  }
+
+  /** While the listener closes, connections are closed as they fall idle. */
+  private closeIdle (): void {
+    if (this.closing) setImmediate(() => { this.server.closeIdleConnections() })
+  }
+
+  /** Fails the calls in flight whose bodies broke; without any, answers on the connection itself. */
+  private handleBrokenInput (error: NodeJS.ErrnoException, socket: Duplex): void {
+    if (this.broken.has(socket)) return
+    this.broken.add(socket)
+    const bodies = this.active.get(socket)
+    const problem = describeBrokenInput(error.code)
+    if (problem === undefined || !socket.writable) socket.destroy()
+    else if (bodies === undefined) answerAndClose(socket, problem, this.options.clock)
+    else for (const body of bodies) body.fail('bad-request')
+  }
 }
 
 interface ListenerOptions {
@@ -100,8 +217,11 @@
   readonly port: number
   readonly connections: number
   readonly headerBytes: number
-  /** Headers added to every answer and refusal, asked when its head is written. */
+  readonly clock: Clock
+  /** Headers added to every answer of an upstream, asked when its head is written. */
   readonly answerHeaders: () => RawHeaders
+  /** Headers added to every refusal of a call. */
+  readonly refusalHeaders: (outcome: Outcome) => RawHeaders
   readonly identify: Identify
   readonly serve: Serve
   readonly logger: Logger
--- /dev/null
+++ b/packages/auburnturn/src/core/http/peer-answer.ts
@@ -0,0 +1,38 @@
+import { headerNames } from '../call/index.js'
+import type { Load, RawHeaders } from '../call/types.js'
+import { mayHaveRun, notRun } from '../verdict/index.js'
+import type { MayHaveRun, MayHaveRunCause, NotRun, NotRunCause } from '../verdict/index.js'
+import { findHeader } from './headers.js'
+import { parseLoad } from './load.js'
+import { mayHaveRunStatus, notRunStatus } from './problem.js'
+
+/** What another node says with the head of its answer. */
+export interface PeerAnswer {
+  /** Present when the node refuses; absent when the answer is the upstream's. */
+  readonly refusal?: NotRun | MayHaveRun
+  readonly load?: Load
+  readonly incarnation?: string
+  readonly successor?: string
+}
+
+/** Reads a node's head; undefined when it is not a node that answers. */
+export function readPeerAnswer (headers: RawHeaders): PeerAnswer | undefined {
+  const kind = findHeader(headers, headerNames.verdict)
+  if (kind !== 'done' && kind !== 'not-run' && kind !== 'may-have-run') return undefined
+  const refusal = kind === 'done' ? undefined : readRefusal(kind, findHeader(headers, headerNames.cause))
+  const load = parseLoad(findHeader(headers, headerNames.load))
+  const incarnation = findHeader(headers, headerNames.incarnation)
+  const successor = refusal === undefined ? undefined : findHeader(headers, headerNames.ticket)
+  return {
+    ...(refusal === undefined ? {} : { refusal }),
+    ...(load === undefined ? {} : { load }),
+    ...(incarnation === undefined ? {} : { incarnation }),
+    ...(successor === undefined ? {} : { successor })
+  }
+}
+
+/** A cause of a newer version of the system is not known here; the kind alone decides then. */
+function readRefusal (kind: 'not-run' | 'may-have-run', cause = ''): NotRun | MayHaveRun {
+  if (kind === 'not-run') return notRun(Object.hasOwn(notRunStatus, cause) ? cause as NotRunCause : 'admission-closed')
+  return mayHaveRun(Object.hasOwn(mayHaveRunStatus, cause) ? cause as MayHaveRunCause : 'connection-lost')
+}
--- a/packages/auburnturn/src/core/http/problem.ts
+++ b/packages/auburnturn/src/core/http/problem.ts
@@ -1,5 +1,5 @@
 import { headerNames } from '../call/index.js'
-import type { MayHaveRun, NotRun } from '../verdict/index.js'
+import type { MayHaveRun, MayHaveRunCause, NotRun, NotRunCause } from '../verdict/index.js'
 
 /** A refusal as RFC 9457 problem details. */
 export interface Problem {
@@ -8,27 +8,50 @@
   readonly body: Buffer
 }
 
-const statusOfCause: Record<string, number> = {
-  'bad-request': 400,
+/** Status of a refusal of a request that did not run; docs/INTERFACE.md lists them. */
+export const notRunStatus: Readonly<Record<NotRunCause, number>> = {
+  'admission-closed': 503,
+  overloaded: 503,
+  'queue-timeout': 503,
+  'deadline-expired': 504,
+  quarantined: 503,
   'unknown-service': 404,
-  'ticket-running': 409,
+  'no-target': 503,
+  'connect-failed': 503,
+  'connection-unavailable': 503,
+  'bad-request': 400,
   'ticket-refused': 409,
-  timeout: 504,
-  'deadline-expired': 504,
-  'answer-cut': 502,
+  'caller-gone': 499,
+  'caller-idle': 408,
+  'body-too-large': 413
+}
+
+/** Status of an answer to a request that may have run; docs/INTERFACE.md lists them. */
+export const mayHaveRunStatus: Readonly<Record<MayHaveRunCause, number>> = {
   'connection-lost': 502,
+  'answer-cut': 502,
+  'answer-invalid': 502,
+  timeout: 504,
+  'caller-gone': 499,
+  'ticket-running': 409,
+  'ticket-lost': 502,
   'upstream-crashed': 502,
-  'ticket-lost': 502
+  'caller-idle': 408,
+  'body-too-large': 413,
+  'bad-request': 400
 }
 
+/** Refusals that pass by themselves; a caller may ask again after a second. */
+const passing = new Set<string>(['admission-closed', 'overloaded', 'queue-timeout', 'connection-unavailable'])
+
 /** The refusal of a call that has no answer of an upstream. */
-export function createProblem (verdict: NotRun | MayHaveRun, detail?: string): Problem {
-  const status = statusOfCause[verdict.cause] ?? 503
+export function createProblem (verdict: NotRun | MayHaveRun, { detail, status = statusOf(verdict) }: ProblemOptions = {}): Problem {
   const body = Buffer.from(JSON.stringify({
     type: `urn:auburnturn:${verdict.cause}`,
     title: verdict.kind === 'not-run' ? 'The request did not run' : 'The request may have run',
     status,
     verdict: verdict.kind,
+    cause: verdict.cause,
     ...(detail === undefined ? {} : { detail })
   }))
   const headers = [
@@ -37,5 +60,17 @@
     headerNames.verdict, verdict.kind,
     headerNames.cause, verdict.cause
   ]
+  if (verdict.kind === 'not-run' && passing.has(verdict.cause)) headers.push('retry-after', '1')
   return { status, headers, body }
 }
+
+function statusOf (verdict: NotRun | MayHaveRun): number {
+  return verdict.kind === 'not-run' ? notRunStatus[verdict.cause] : mayHaveRunStatus[verdict.cause]
+}
+
+interface ProblemOptions {
+  /** What a person can do about it. */
+  readonly detail?: string
+  /** Where the status says more than the cause does. */
+  readonly status?: number
+}
--- a/packages/auburnturn/src/core/node/identify.ts
+++ b/packages/auburnturn/src/core/node/identify.ts
@@ -1,90 +1,136 @@
-import { randomUUID } from 'node:crypto'
 import type { IncomingMessage } from 'node:http'
+import { isIPv6 } from 'node:net'
 import { headerNames } from '../call/index.js'
-import type { Call } from '../call/types.js'
+import type { Call, RawHeaders } from '../call/types.js'
 import type { Clock } from '../clock/index.js'
 import type { Store } from '../configuration/index.js'
-import { findHeader } from '../http/index.js'
-import type { Identified } from '../http/index.js'
+import { findHeader, forwardHeaders, viaValue } from '../http/index.js'
+import type { HeadRefusal, Identified } from '../http/index.js'
 import type { Directory } from '../membership/index.js'
 import type { Profile } from '../settings/index.js'
 
 /** Path prefix that names the service: `/~orders/…`. */
 const servicePath = /^\/~([a-z][a-z0-9-]{0,62})(\/.*|\?.*)?$/
 
+/** Scheme and authority of a target in absolute form (RFC 9112, 3.2.2). */
+const absoluteTarget = /^https?:\/\/([^/?#]+)(.*)$/i
+
 /** Makes a call of a request head, with the configuration in force at this moment. */
 export function identifyCall (request: IncomingMessage, signal: AbortSignal, context: IdentifyContext): Identified {
-  const { clock, store, directory, forwarded } = context
-  const headers = request.rawHeaders
-  const route = forwarded ? routeOfPeer(request) : routeOfCaller(request, name => store.hasService(name) || directory.hasService(name))
-  if (route === undefined) {
-    return { kind: 'refused', status: 404, cause: 'unknown-service', detail: 'Name a known service by host or by a path that starts with /~SERVICE/.' }
+  const fault = findHeaderFault(request.rawHeaders)
+  if (fault !== undefined) return { kind: 'refused', cause: 'bad-request', detail: fault }
+  return context.forwarded ? identifyForwarded(request, signal, context) : identifyFresh(request, signal, context)
+}
+
+/** Whether a call may repeat: the caller's word that it may not, then the profile's rules, then its methods. */
+export function isIdempotent (method: string, path: string, word: string | undefined, profile: Profile): boolean {
+  if (word === 'no') return false
+  const { rules, methods } = profile.idempotency
+  if (rules.length > 0) {
+    const plain = path.split('?')[0] as string
+    const rule = rules.find(candidate => candidate.method === method && matchesPath(candidate.path, plain))
+    if (rule !== undefined) return rule.idempotent
   }
-  const profile = store.profileOf(route.service)
-  const ticket = findHeader(headers, headerNames.ticket)
-  const call: Call = {
-    id: randomUUID(),
-    service: route.service,
-    method: request.method ?? 'GET',
-    path: route.path,
-    headers,
+  return word === 'yes' || methods.includes(method)
+}
+
+function identifyFresh (request: IncomingMessage, signal: AbortSignal, context: IdentifyContext): Identified {
+  const { clock, store, directory, nextId } = context
+  const route = findRoute(request)
+  if (!store.hasService(route.service) && !directory.hasService(route.service)) return unknownService
+  const caller = request.socket.remoteAddress ?? ''
+  const headers = forwardHeaders(request.rawHeaders)
+  headers.push('forwarded', formatForwarded(caller, findHeader(headers, 'host')), 'via', viaValue)
+  const call = createCall(request, route, signal, clock, store.profileOf(route.service))
+  return { kind: 'call', call: { ...call, id: nextId(), headers, caller, forwarded: false } }
+}
+
+function identifyForwarded (request: IncomingMessage, signal: AbortSignal, context: IdentifyContext): Identified {
+  const raw = request.rawHeaders
+  const service = findHeader(raw, headerNames.service)
+  if (service === undefined) return unknownService
+  const route = { service, path: request.url ?? '/' }
+  const call = createCall(request, route, signal, context.clock, context.store.profileOf(service))
+  const id = findHeader(raw, headerNames.callId) ?? context.nextId()
+  const caller = findHeader(raw, headerNames.caller) ?? ''
+  return { kind: 'call', call: { ...call, id, headers: forwardHeaders(raw), caller, forwarded: true } }
+}
+
+/** The parts of a call that callers and other nodes state alike. */
+function createCall (request: IncomingMessage, route: Route, signal: AbortSignal, clock: Clock, profile: Profile): Omit<Call, 'id' | 'headers' | 'caller' | 'forwarded'> {
+  const raw = request.rawHeaders
+  const method = request.method ?? 'GET'
+  const ticket = findHeader(raw, headerNames.ticket)
+  return {
+    ...route,
+    method,
     profile,
-    idempotent: isIdempotent(request.method ?? 'GET', route.path, findHeader(headers, headerNames.idempotent), profile),
-    deadline: clock.now() + readTimeout(findHeader(headers, headerNames.timeout), profile),
-    attempt: readCount(findHeader(headers, headerNames.attempt)),
-    depth: readCount(findHeader(headers, headerNames.depth)) + 1,
-    caller: request.socket.remoteAddress ?? '',
-    forwarded,
+    idempotent: isIdempotent(method, route.path, findHeader(raw, headerNames.idempotent), profile),
+    deadline: clock.now() + readTimeout(findHeader(raw, headerNames.timeout), profile),
+    attempt: readCount(findHeader(raw, headerNames.attempt)),
+    depth: readCount(findHeader(raw, headerNames.depth)) + 1,
     ...(ticket === undefined ? {} : { ticket }),
     signal
   }
-  return { kind: 'call', call }
 }
 
-/** Whether a call may repeat: the caller's word that it may not, then the profile's rules, then its methods. */
-export function isIdempotent (method: string, path: string, word: string | undefined, profile: Profile): boolean {
-  if (word === 'no') return false
-  const plain = path.split('?')[0] as string
-  const rule = profile.idempotency.rules.find(candidate => candidate.method === method && matchesPath(candidate.path, plain))
-  if (rule !== undefined) return rule.idempotent
-  return word === 'yes' || profile.idempotency.methods.includes(method)
+const unknownService: HeadRefusal = {
+  kind: 'refused',
+  cause: 'unknown-service',
+  detail: 'Name a known service by host or by a path that starts with /~SERVICE/.'
+}
+
+interface Route { readonly service: string, readonly path: string }
+
+function findRoute (request: IncomingMessage): Route {
+  const target = request.url ?? '/'
+  const absolute = target.startsWith('/') ? null : absoluteTarget.exec(target)
+  const path = absolute === null ? target : toPath(absolute[2] as string)
+  const match = servicePath.exec(path)
+  if (match !== null) return { service: match[1] as string, path: toPath(match[2] ?? '') }
+  const host = absolute?.[1] ?? findHeader(request.rawHeaders, 'host') ?? ''
+  return { service: host.split(/[.:]/)[0] as string, path }
+}
+
+function toPath (rest: string): string {
+  return rest.startsWith('/') ? rest : `/${rest}`
 }
 
 function matchesPath (pattern: string, path: string): boolean {
   return pattern.endsWith('*') ? path.startsWith(pattern.slice(0, -1)) : path === pattern
 }
 
-interface Route { readonly service: string, readonly path: string }
-
-function routeOfPeer (request: IncomingMessage): Route | undefined {
-  const service = request.headers[headerNames.service]
-  return typeof service === 'string' ? { service, path: request.url ?? '/' } : undefined
+/** One element of `Forwarded` (RFC 7239); a name that needs quotes gets them. */
+function formatForwarded (address: string, host: string | undefined): string {
+  const node = isIPv6(address) ? `"[${address}]"` : address
+  const element = `for=${node === '' ? 'unknown' : node};proto=http`
+  return host === undefined || /["\\]/.test(host) ? element : `${element};host="${host}"`
 }
 
-function routeOfCaller (request: IncomingMessage, isKnown: (service: string) => boolean): Route | undefined {
-  const url = request.url ?? '/'
-  const match = servicePath.exec(url)
-  if (match !== null) {
-    const service = match[1] as string
-    const rest = match[2] ?? '/'
-    return isKnown(service) ? { service, path: rest.startsWith('/') ? rest : `/${rest}` } : undefined
-  }
-  const service = (request.headers.host ?? '').split(/[.:]/)[0] as string
-  return isKnown(service) ? { service, path: url } : undefined
+/** A header of the callers' interface whose value can't be meant as it stands; refused rather than ignored. */
+function findHeaderFault (headers: RawHeaders): string | undefined {
+  const timeout = findHeader(headers, headerNames.timeout)
+  if (timeout !== undefined && !/^\d{1,9}$/.test(timeout)) return `${headerNames.timeout} must be a whole number of milliseconds.`
+  const word = findHeader(headers, headerNames.idempotent)
+  if (word !== undefined && word !== 'yes' && word !== 'no') return `${headerNames.idempotent} must be yes or no.`
+  return undefined
 }
 
 function readTimeout (value: string | undefined, profile: Profile): number {
-  const asked = Number(value ?? Number.NaN)
-  return asked > 0 ? Math.min(asked, profile.timeouts.callMs) : profile.timeouts.callMs
+  const { callMs } = profile.timeouts
+  return value === undefined ? callMs : Math.min(Number(value), callMs)
 }
 
 function readCount (value: string | undefined): number {
-  return /^\d{1,3}$/.test(value ?? '') ? Number(value) : 0
+  return value !== undefined && /^\d{1,3}$/.test(value) ? Number(value) : 0
 }
 
 interface IdentifyContext {
   readonly clock: Clock
   readonly store: Store
   readonly directory: Directory
+  /** Whether calls come from other nodes, whose internal headers count. */
   readonly forwarded: boolean
+  /** Names the next call. */
+  readonly nextId: () => string
 }
--- a/packages/auburnturn/src/core/node/peers.ts
+++ b/packages/auburnturn/src/core/node/peers.ts
@@ -1,51 +1,100 @@
 import { headerNames } from '../call/index.js'
-import type { Answer, Body, Call, Outcome } from '../call/types.js'
+import type { Answer, Body, Call, Outcome, RawHeaders } from '../call/types.js'
 import type { Clock } from '../clock/index.js'
 import { Exchange } from '../http/index.js'
 import type { Member } from '../membership/index.js'
 
+/** Connections to a node that carried no call for this long are closed, in milliseconds. */
+const unusedMs = 600_000
+
+interface Peer { readonly exchange: Exchange, usedAt: number }
+
 /** Kept-alive connections to the nodes beside other targets. */
 export class Peers {
-  private readonly exchanges = new Map<string, Exchange>()
+  private readonly peers = new Map<string, Peer>()
   private readonly clock: Clock
   private readonly connections: number
+  private readonly headerBytes: number
 
-  private constructor (clock: Clock, connections: number) {
+  private constructor ({ clock, connections, headerBytes }: PeersOptions) {
     this.clock = clock
     this.connections = connections
+    this.headerBytes = headerBytes
   }
 
   /** At most `connections` to one target. */
-  static create ({ clock, connections }: { clock: Clock, connections: number }): Peers {
-    return new Peers(clock, connections)
+  static create (options: PeersOptions): Peers {
+    return new Peers(options)
   }
 
   /** One attempt at a call through the node beside `member`. */
   readonly attempt = async (call: Call, member: Member, body: Body, answer: Answer): Promise<Outcome> => {
-    const timeoutMs = Math.max(1, Math.floor(call.deadline - this.clock.now()))
-    return await this.exchangeOf(member, call.profile.timeouts.connectMs).send(call, body, answer, [
+    return await this.exchangeOf(member).send(call, body, answer, this.describe(call))
+  }
+
+  async close (): Promise<void> {
+    await Promise.all([...this.peers.values()].map(async ({ exchange }) => { await exchange.close() }))
+  }
+
+  dump (): unknown {
+    return { nodes: [...this.peers.values()].map(({ exchange }) => exchange.dump()) }
+  }
+
+  /** What the other node must know of the call besides its own head. */
+  private describe (call: Call): RawHeaders {
+    const headers = [
       headerNames.service, call.service,
-      headerNames.timeout, String(timeoutMs),
+      headerNames.callId, call.id,
+      headerNames.caller, call.caller,
+      headerNames.timeout, formatRemaining(call, this.clock),
       headerNames.attempt, String(call.attempt + 1),
       headerNames.depth, String(call.depth - 1),
       headerNames.idempotent, call.idempotent ? 'yes' : 'no'
-    ])
+    ]
+    if (call.ticket !== undefined) headers.push(headerNames.ticket, call.ticket)
+    return headers
   }
 
-  async close (): Promise<void> {
-    await Promise.all([...this.exchanges.values()].map(async exchange => { await exchange.close() }))
+  private exchangeOf (member: Member): Exchange {
+    const origin = `http://${member.ip.includes(':') ? `[${member.ip}]` : member.ip}:${member.peerPort}`
+    const now = this.clock.now()
+    const known = this.peers.get(origin)
+    if (known !== undefined) {
+      known.usedAt = now
+      return known.exchange
+    }
+    this.dropUnused(now)
+    const exchange = Exchange.create({ origin, connections: this.connections, clock: this.clock, trusted: true, headerBytes: this.headerBytes })
+    this.peers.set(origin, { exchange, usedAt: now })
+    return exchange
   }
 
-  dump (): unknown {
-    return { addresses: [...this.exchanges.keys()] }
+  /** Members come and go for as long as the process runs; what it holds for the gone ones must not grow. */
+  private dropUnused (now: number): void {
+    for (const [origin, { exchange, usedAt }] of this.peers) {
+      if (now - usedAt < unusedMs || exchange.busy) continue
+      this.peers.delete(origin)
+      exchange.close().catch(() => {})
+    }
   }
+}
 
-  private exchangeOf (member: Member, connectMs: number): Exchange {
-    const origin = `http://${member.ip}:${member.peerPort}`
-    const known = this.exchanges.get(origin)
-    if (known !== undefined) return known
-    const fresh = Exchange.create({ origin, connections: this.connections, connectMs, clock: this.clock })
-    this.exchanges.set(origin, fresh)
-    return fresh
-  }
+/** What the upstream is told of a call: its time remaining, its depth, and the attempts before. */
+export function describeToUpstream (call: Call, clock: Clock): RawHeaders {
+  return [
+    headerNames.timeout, formatRemaining(call, clock),
+    headerNames.depth, String(call.depth),
+    headerNames.attempt, String(call.attempt)
+  ]
+}
+
+function formatRemaining (call: Call, clock: Clock): string {
+  return String(Math.max(1, Math.floor(call.deadline - clock.now())))
+}
+
+interface PeersOptions {
+  readonly clock: Clock
+  readonly connections: number
+  /** Longest head of an answer, in bytes. */
+  readonly headerBytes: number
 }
--- a/packages/auburnturn/src/core/verdict/types.ts
+++ b/packages/auburnturn/src/core/verdict/types.ts
@@ -11,6 +11,9 @@
   | 'bad-request'
   | 'ticket-refused'
   | 'caller-gone'
+  | 'caller-idle' // the caller stopped sending its request
+  | 'body-too-large'
+  | 'connection-unavailable' // no connection to the target was free in time
 
 /** Why it cannot be known whether a request ran. */
 export type MayHaveRunCause =
@@ -21,6 +24,10 @@
   | 'ticket-running'
   | 'ticket-lost' // the incarnation or the record that knew is gone
   | 'upstream-crashed'
+  | 'answer-invalid' // not HTTP/1.1, or without a framing that shows where it ends
+  | 'caller-idle'
+  | 'body-too-large'
+  | 'bad-request' // the request body broke after its head had been sent on
 
 /** Said only with proof that nothing of the request ran. */
 export interface NotRun { readonly kind: 'not-run', readonly cause: NotRunCause }
