--- a/packages/auburnturn/src/core/http/attempt.ts
+++ b/packages/auburnturn/src/core/http/attempt.ts
@@ -186,7 +186,7 @@
 
 function decodeHeaders (rawHeaders: Buffer[]): string[] {
   const headers = new Array<string>(rawHeaders.length)
-  for (let index = 0; index < rawHeaders.length; index++) headers[index] = (rawHeaders[index] as Buffer).latin1Slice()
+  for (let index = 0; index < rawHeaders.length; index++) headers[index] = (rawHeaders[index] as Buffer).toString('latin1')
   return headers
 }
 
--- a/packages/auburnturn/src/core/http/connections.ts
+++ b/packages/auburnturn/src/core/http/connections.ts
@@ -76,11 +76,10 @@
   }
 
   private nextWaiter (): Waiter | undefined {
-    for (const waiter of this.waiters) {
-      this.waiters.delete(waiter)
-      return waiter
-    }
-    return undefined
+    const first = this.waiters.values().next()
+    if (first.done === true) return undefined
+    this.waiters.delete(first.value)
+    return first.value
   }
 
   private grow (): Connection | undefined {
@@ -110,4 +109,3 @@
   /** Longest head of an answer. */
   readonly headerBytes: number
 }
-
--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -1,12 +1,10 @@
 import { randomBytes } from 'node:crypto'
 import { Admission } from '../admission/index.js'
-import { headerNames } from '../call/index.js'
-import type { RawHeaders } from '../call/types.js'
 import { Clock } from '../clock/index.js'
 import { Store } from '../configuration/index.js'
 import { ControlClients, ControlServer } from '../control/index.js'
 import type { Routes } from '../control/index.js'
-import { Exchange, formatLoad, Listener } from '../http/index.js'
+import { Exchange, Listener } from '../http/index.js'
 import { Logger } from '../logger/index.js'
 import { Directory } from '../membership/index.js'
 import { Metrics } from '../metrics/index.js'
@@ -18,8 +16,11 @@
 import type { NodeSettings } from '../settings/index.js'
 import { Supervisor } from '../supervisor/index.js'
 import { Target } from '../target/index.js'
+import { createAnswerHeaders } from './answer-headers.js'
+import { createCallIds } from './call-ids.js'
 import { identifyCall } from './identify.js'
-import { Peers } from './peers.js'
+import { OwnMembership } from './own-membership.js'
+import { describeToUpstream, Peers } from './peers.js'
 import { followConfiguration, followMembers } from './readers.js'
 
 /** What a node is given from outside; all have working defaults. */
@@ -32,6 +33,7 @@
 /** The process beside one upstream. */
 export class Node {
   readonly incarnation = randomBytes(8).toString('hex')
+  private readonly nextId = createCallIds(this.incarnation)
   readonly store: Store
   readonly directory: Directory
   readonly notices: Notices
@@ -45,6 +47,7 @@
   private readonly metrics = Metrics.create()
   private readonly supervisor: Supervisor
   private readonly admission: Admission
+  private closing = false
   private readonly ports = { callers: 0, peers: 0, control: 0, operator: 0 }
 
   private constructor (settings: NodeSettings, options: NodeOptions) {
@@ -53,8 +56,13 @@
     this.logger = (options.logger ?? Logger.create(settings.log.level)).label('node')
     this.random = options.random ?? Random.create(randomBytes(4).readInt32LE())
     this.store = Store.create({ clock: this.clock, logger: this.logger.label('configuration') })
-    this.directory = Directory.create()
     this.notices = Notices.create({ clock: this.clock })
+    this.directory = Directory.create({
+      clock: this.clock,
+      logger: this.logger.label('membership'),
+      notices: this.notices,
+      floorOf: service => this.store.profileOf(service).membership.floor
+    })
     this.admission = Admission.create({ clock: this.clock })
     this.supervisor = Supervisor.create({ clock: this.clock, logger: this.logger.label('supervisor') })
   }
@@ -78,7 +86,10 @@
 
   /** Refuses new work as not run, lets what is in flight end, then closes every part. */
   async close (): Promise<void> {
+    this.closing = true
     this.admission.drain()
+    const self = this.directory.find(this.settings.service, this.settings.id)
+    if (self !== undefined) this.directory.announceLeaving(self, this.incarnation)
     await this.supervisor.close()
   }
 
@@ -97,10 +108,11 @@
   private async start (): Promise<void> {
     const { settings, clock, logger, store, directory } = this
     const platform = Platform.create(settings.platform.map(({ ip, port }) => `http://${ip}:${port}`))
-    const peers = Peers.create({ clock, connections: settings.limits.connectionsPerTarget })
+    const peers = Peers.create({ clock, directory, connections: settings.limits.connectionsPerTarget, headerBytes: settings.limits.headerBytes })
     const upstream = this.createUpstream()
-    const target = Target.create({ incarnation: this.incarnation, clock, admission: this.admission, run: async (call, body, answer) => await upstream.send(call, body, answer) })
+    const target = Target.create({ incarnation: this.incarnation, clock, admission: this.admission, run: async (call, body, answer) => await upstream.send(call, body, answer, describeToUpstream(call, clock)) })
     const router = this.createRouter(peers, target)
+    await this.supervisor.add('membership', async () => this.directory)
     await this.supervisor.add('platform', async () => platform)
     await this.supervisor.add('configuration', async () => followConfiguration({ platform, store, clock, logger }))
     await this.supervisor.add('members', async () => followMembers({ platform, directory, clock, logger }))
@@ -108,6 +120,7 @@
     await this.supervisor.add('peers', async () => peers)
     await this.supervisor.add('router', async () => ({ close: async () => {}, dump: () => router.dump() }))
     await this.supervisor.add('controlClients', async () => this.controlClients)
+    await this.supervisor.add('ownMembership', async () => this.createOwnMembership())
     await this.supervisor.add('control', async () => await this.openControl())
     await this.listen('peers', true, router, target)
     await this.listen('callers', false, router, target)
@@ -116,8 +129,7 @@
 
   private createUpstream (): Exchange {
     const { ip, port } = this.settings.upstream
-    const { connectMs } = this.store.profileOf(this.settings.service).timeouts
-    return Exchange.create({ origin: `http://${ip}:${port}`, connections: this.settings.limits.callerConnections, connectMs, clock: this.clock })
+    return Exchange.create({ origin: `http://${ip}:${port}`, connections: this.settings.limits.callerConnections, clock: this.clock })
   }
 
   private createRouter (peers: Peers, target: Target): Router {
@@ -127,17 +139,16 @@
 
   private async listen (name: 'callers' | 'peers', forwarded: boolean, router: Router, target: Target): Promise<void> {
     const { clock, store, directory, settings, logger, incarnation } = this
-    const answerHeaders = (): RawHeaders => forwarded
-      ? [headerNames.load, formatLoad(target.load), headerNames.incarnation, incarnation]
-      : []
+    const headers = createAnswerHeaders({ target, incarnation, forwarded })
     await this.supervisor.add(name, async () => {
       const listener = await Listener.create({
         ...settings[name],
         connections: settings.limits.callerConnections,
         headerBytes: settings.limits.headerBytes,
-        answerHeaders,
+        clock,
+        ...headers,
         logger: logger.label(name),
-        identify: (request, signal) => identifyCall(request, signal, { clock, store, directory, forwarded }),
+        identify: (request, signal) => identifyCall(request, signal, { clock, store, directory, forwarded, nextId: this.nextId }),
         serve: async (call, body, answer) => {
           const outcome = await router.run(call, body, answer)
           this.metrics.count(`calls_total{verdict="${outcome.verdict.kind}"}`)
@@ -149,6 +160,22 @@
     })
   }
 
+  private createOwnMembership (): OwnMembership {
+    const { clock, directory, admission, store, incarnation } = this
+    const { id, service } = this.settings
+    return OwnMembership.create({
+      id,
+      incarnation,
+      service,
+      clock,
+      directory,
+      logger: this.logger.label('membership'),
+      profileOf: name => store.profileOf(name),
+      drain: () => { admission.drain() },
+      open: () => { if (!this.closing) admission.open() }
+    })
+  }
+
   private async openControl (): Promise<ControlServer> {
     const control = await ControlServer.create({ ...this.settings.control, routes: this.controlRoutes })
     this.ports.control = control.port
--- a/packages/auburnturn/src/core/node/peers.ts
+++ b/packages/auburnturn/src/core/node/peers.ts
@@ -2,7 +2,7 @@
 import type { Answer, Body, Call, Outcome, RawHeaders } from '../call/types.js'
 import type { Clock } from '../clock/index.js'
 import { Exchange } from '../http/index.js'
-import type { Member } from '../membership/index.js'
+import type { Directory, Member } from '../membership/index.js'
 
 /** Connections to a node that carried no call for this long are closed, in milliseconds. */
 const unusedMs = 600_000
@@ -13,11 +13,13 @@
 export class Peers {
   private readonly peers = new Map<string, Peer>()
   private readonly clock: Clock
+  private readonly directory: Directory
   private readonly connections: number
   private readonly headerBytes: number
 
-  private constructor ({ clock, connections, headerBytes }: PeersOptions) {
+  private constructor ({ clock, directory, connections, headerBytes }: PeersOptions) {
     this.clock = clock
+    this.directory = directory
     this.connections = connections
     this.headerBytes = headerBytes
   }
@@ -29,7 +31,9 @@
 
   /** One attempt at a call through the node beside `member`. */
   readonly attempt = async (call: Call, member: Member, body: Body, answer: Answer): Promise<Outcome> => {
-    return await this.exchangeOf(member).send(call, body, answer, this.describe(call))
+    const outcome = await this.exchangeOf(member).send(call, body, answer, this.describe(call))
+    if (outcome.incarnation !== undefined) this.directory.observe(member, outcome.incarnation)
+    return outcome
   }
 
   async close (): Promise<void> {
@@ -94,6 +98,8 @@
 
 interface PeersOptions {
   readonly clock: Clock
+  /** Told which incarnation answered. */
+  readonly directory: Directory
   readonly connections: number
   /** Longest head of an answer, in bytes. */
   readonly headerBytes: number
