--- a/packages/auburnturn/src/core/http/attempt.ts
+++ b/packages/auburnturn/src/core/http/attempt.ts
@@ -8,6 +8,9 @@
 import { readPeerAnswer } from './peer-answer.js'
 import type { PeerAnswer } from './peer-answer.js'
 
+/** Names of undici's errors for a head that can't be an answer. */
+const invalidHeads = new Set(['HTTPParserError', 'ResponseContentLengthMismatchError', 'HeadersOverflowError'])
+
 /** How far an attempt has come. From `sent` on, bytes of the request may have been written. */
 type Stage = 'waiting' | 'connecting' | 'sent' | 'ended'
 
@@ -156,8 +159,8 @@
     if (this.stopCause !== undefined) return mayHaveRun(this.stopCause)
     if (body.fault !== undefined) return mayHaveRun(body.fault)
     if (this.fault !== undefined) return mayHaveRun(this.fault)
-    if (code?.startsWith('HPE_') === true && this.status === undefined) return mayHaveRun('answer-invalid')
-    return mayHaveRun(this.status === undefined ? 'connection-lost' : 'answer-cut')
+    if (this.status !== undefined) return mayHaveRun('answer-cut')
+    return mayHaveRun(invalidHeads.has(error.name) ? 'answer-invalid' : 'connection-lost')
   }
 
   private finish (verdict: Verdict): void {
--- a/packages/auburnturn/src/core/http/connections.ts
+++ b/packages/auburnturn/src/core/http/connections.ts
@@ -1,4 +1,5 @@
 import { Client } from 'undici'
+import type { buildConnector } from 'undici'
 import { keepAliveMs } from './constants.js'
 
 /** One kept-alive connection that carries one call at a time; undici opens it again after a loss. */
@@ -17,13 +18,15 @@
   private readonly origin: string
   private readonly limit: number
   private readonly headerBytes: number
+  private readonly connect: buildConnector.connector | undefined
   private readonly all = new Set<Connection>()
   private readonly idle: Connection[] = []
   private readonly waiters = new Set<Waiter>()
   private closed = false
 
-  private constructor ({ origin, limit, headerBytes }: ConnectionsOptions) {
+  private constructor ({ origin, limit, headerBytes, connect }: ConnectionsOptions) {
     this.origin = origin
+    this.connect = connect
     this.limit = limit
     this.headerBytes = headerBytes
   }
@@ -92,7 +95,8 @@
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: keepAliveMs,
-      maxHeaderSize: this.headerBytes
+      maxHeaderSize: this.headerBytes,
+      ...(this.connect === undefined ? {} : { connect: this.connect })
     })
     const connection: Connection = { client, open: false }
     client.on('connect', () => { connection.open = true })
@@ -108,4 +112,6 @@
   readonly limit: number
   /** Longest head of an answer. */
   readonly headerBytes: number
+  /** Opens a connection in undici's place. */
+  readonly connect?: buildConnector.connector | undefined
 }
--- a/packages/auburnturn/src/core/http/exchange.ts
+++ b/packages/auburnturn/src/core/http/exchange.ts
@@ -1,3 +1,4 @@
+import type { buildConnector } from 'undici'
 import type { Answer, Body, Call, Outcome, RawHeaders } from '../call/types.js'
 import type { Clock } from '../clock/index.js'
 import { notRun } from '../verdict/index.js'
@@ -17,8 +18,8 @@
   }
 
   /** Connections are opened when calls need them. */
-  static create ({ origin, connections, clock, trusted = false, headerBytes = 65_536 }: ExchangeOptions): Exchange {
-    return new Exchange(Connections.create({ origin, limit: connections, headerBytes }), clock, trusted)
+  static create ({ origin, connections, clock, trusted = false, headerBytes = 65_536, connect }: ExchangeOptions): Exchange {
+    return new Exchange(Connections.create({ origin, limit: connections, headerBytes, connect }), clock, trusted)
   }
 
   /** Whether any call is on its way. */
@@ -56,4 +57,6 @@
   readonly trusted?: boolean
   /** Longest head of an answer, in bytes. */
   readonly headerBytes?: number
+  /** Opens a connection in undici's place. */
+  readonly connect?: buildConnector.connector
 }
