Test the callers' interface through one node and two

Cause: early hints were lost, as Node.js takes the name link in lower case only. Change: hint names are written in lower case; tests name a service in every way, forge internal headers, and pass bodies, trailers and hints. Tests: packages/auburnturn/test/http/interface.test.ts. Speed not measured.

--- a/packages/auburnturn/src/core/http/response-answer.ts
+++ b/packages/auburnturn/src/core/http/response-answer.ts
@@ -63,8 +63,10 @@
   }
 
   private sendHints (headers: RawHeaders): void {
+    const hints: Record<string, string[]> = {}
+    for (const [name, value] of pairHeaders(headers)) (hints[name.toLowerCase()] ??= []).push(value)
     try {
-      this.response.writeEarlyHints(Object.fromEntries(pairHeaders(headers)))
+      this.response.writeEarlyHints(hints)
     } catch {
       // Hints are optional, and Node.js refuses some that are allowed.
     }
--- /dev/null
+++ b/packages/auburnturn/test/http/interface.test.ts
@@ -0,0 +1,164 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { Cluster } from '../fixtures/cluster.js'
+import { RawCaller, sendRaw } from '../fixtures/raw.js'
+
+const callers = suite('callers\' interface')
+
+/** Answers with the head that it received, as JSON. */
+function mirror (request: IncomingMessage, response: ServerResponse): void {
+  response.setHeader('auburnturn-verdict', 'not-run')
+  response.setHeader('auburnturn-load', '9;9;9;serving')
+  response.end(JSON.stringify({ url: request.url, method: request.method, headers: request.headers }))
+}
+
+interface Mirrored { readonly url: string, readonly method: string, readonly headers: Record<string, string> }
+
+function parseMirrored (answer: string): Mirrored {
+  return JSON.parse(answer.slice(answer.indexOf('{'), answer.lastIndexOf('}') + 1)) as Mirrored
+}
+
+async function withCluster (size: number, test: (cluster: Cluster, port: number) => Promise<void>, serve = mirror): Promise<void> {
+  const cluster = await Cluster.create(size, () => serve)
+  try {
+    await test(cluster, cluster.nodes[0]?.callersPort ?? 0)
+  } finally {
+    await cluster.close()
+  }
+}
+
+/** Makes every call pass from the first node to another one. */
+function forwardAll (cluster: Cluster): void {
+  cluster.publish({ key: 'profile/far', version: 1, text: '{ "admission": { "localBelow": 0 } }' }, { key: 'service/orders', version: 2, text: '{ "profile": "far" }' })
+}
+
+const targets: Array<[string, string, string]> = [
+  ['by path', '/~orders/list?page=2', '/list?page=2'],
+  ['by path without more', '/~orders', '/'],
+  ['by path with a query only', '/~orders?page=2', '/?page=2'],
+  ['by an absolute target', 'http://orders.internal:80/list', '/list'],
+  ['by an absolute target without a path', 'http://orders', '/']
+]
+for (const [how, target, path] of targets) {
+  callers(`a service is named ${how}`, async () => {
+    await withCluster(1, async (_cluster, port) => {
+      const answer = await sendRaw(port, `GET ${target} HTTP/1.1\r\nhost: elsewhere\r\nconnection: close\r\n\r\n`)
+      assert.is(parseMirrored(answer).url, path)
+    })
+  })
+}
+
+callers('a service is named by the first label of the host', async () => {
+  await withCluster(1, async (_cluster, port) => {
+    const answer = await sendRaw(port, 'GET /list HTTP/1.1\r\nhost: orders.internal:8080\r\nconnection: close\r\n\r\n')
+    assert.is(parseMirrored(answer).url, '/list')
+    assert.is(parseMirrored(answer).headers.host, 'orders.internal:8080')
+  })
+})
+
+for (const size of [1, 3]) {
+  callers(`what callers and upstreams say of the system's own matters is dropped, with ${size} nodes`, async () => {
+    await withCluster(size, async (cluster, port) => {
+      if (size > 1) forwardAll(cluster)
+      const answer = await sendRaw(port, 'GET /~orders/ HTTP/1.1\r\nhost: a\r\nauburnturn-caller: admin\r\nAuburnturn-Service: stock\r\nauburnturn-call-id: x\r\nauburnturn-load: 0\r\nauburnturn-timeout-ms: 800\r\nconnection: close\r\n\r\n')
+      const { headers } = parseMirrored(answer)
+      const own = Object.keys(headers).filter(name => name.startsWith('auburnturn-')).sort()
+      assert.equal(own, ['auburnturn-attempt', 'auburnturn-depth', 'auburnturn-timeout-ms'])
+      assert.ok(Number(headers['auburnturn-timeout-ms']) <= 800)
+      assert.is(headers['auburnturn-depth'], '1')
+      const answered = answer.toLowerCase().match(/^auburnturn-[^\r]*/gm)
+      assert.equal(answered, ['auburnturn-verdict: done'])
+    })
+  })
+
+  callers(`hop-by-hop headers stay on their hop, and Forwarded and Via are set once, with ${size} nodes`, async () => {
+    await withCluster(size, async (cluster, port) => {
+      if (size > 1) forwardAll(cluster)
+      const answer = await sendRaw(port, 'GET /~orders/ HTTP/1.1\r\nhost: shop\r\nforwarded: for=10.1.1.1\r\nconnection: close, x-mine\r\nx-mine: 1\r\nte: trailers\r\nproxy-authorization: secret\r\nkeep-alive: 5\r\n\r\n')
+      const { headers } = parseMirrored(answer)
+      for (const name of ['x-mine', 'te', 'proxy-authorization', 'keep-alive']) assert.is(headers[name], undefined)
+      assert.is(headers.forwarded, 'for=10.1.1.1, for=127.0.0.1;proto=http;host="shop"')
+      assert.is(headers.via, '1.1 auburnturn')
+      assert.is(answer.toLowerCase().match(/^via: 1\.1 auburnturn/gm)?.length, 1)
+    })
+  })
+
+  callers(`bodies, trailers and hints pass both ways, with ${size} nodes`, async () => {
+    const big = 'x'.repeat(300_000)
+    await withCluster(size, async (cluster, port) => {
+      if (size > 1) forwardAll(cluster)
+      const chunked = `${big.length.toString(16)}\r\n${big}\r\n0\r\n\r\n`
+      const answer = await sendRaw(port, `POST /~orders/ HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\nconnection: close\r\n\r\n${chunked}`)
+      assert.match(answer, 'HTTP/1.1 103 Early Hints')
+      assert.match(answer, '\r\n0\r\nsum: 300000\r\n')
+      assert.ok(answer.length > big.length)
+    }, (request, response) => {
+      response.writeEarlyHints({ link: '</style.css>; rel=preload' })
+      response.writeHead(200, { trailer: 'sum' })
+      let bytes = 0
+      request.on('data', chunk => { bytes += chunk.length }).pipe(response, { end: false })
+      request.on('end', () => {
+        response.addTrailers({ sum: String(bytes) })
+        response.end()
+      })
+    })
+  })
+}
+
+callers('HEAD, 204 and 304 come without a body and leave the connection usable', async () => {
+  await withCluster(1, async (_cluster, port) => {
+    const caller = RawCaller.create(port)
+    for (const [method, path, status] of [['HEAD', '/200', 200], ['GET', '/204', 204], ['GET', '/304', 304], ['HEAD', '/304', 304]] as const) {
+      caller.text = ''
+      const answer = await caller.write(`${method} /~orders${path} HTTP/1.1\r\nhost: a\r\n\r\n`).read(text => text.endsWith('\r\n\r\n'))
+      assert.match(answer, new RegExp(`^HTTP/1.1 ${status} `))
+    }
+    caller.close()
+  }, (request, response) => {
+    response.writeHead(Number(request.url?.slice(1)), request.url === '/204' ? {} : { 'content-length': '5' })
+    response.end()
+  })
+})
+
+for (const header of ['auburnturn-timeout-ms: soon', 'auburnturn-timeout-ms: -1', 'auburnturn-idempotent: maybe']) {
+  callers(`"${header}" is refused, not ignored`, async () => {
+    await withCluster(1, async (_cluster, port) => {
+      const answer = await sendRaw(port, `GET /~orders/ HTTP/1.1\r\nhost: a\r\n${header}\r\nconnection: close\r\n\r\n`)
+      assert.match(answer, /^HTTP\/1\.1 400/)
+      assert.match(answer, 'auburnturn-verdict: not-run')
+    })
+  })
+}
+
+callers('no time remaining is refused as not run', async () => {
+  await withCluster(1, async (_cluster, port) => {
+    const answer = await sendRaw(port, 'GET /~orders/ HTTP/1.1\r\nhost: a\r\nauburnturn-timeout-ms: 0\r\nconnection: close\r\n\r\n')
+    assert.match(answer, /^HTTP\/1\.1 504/)
+    assert.match(answer, 'auburnturn-cause: deadline-expired')
+  })
+})
+
+callers('large heads pass both ways up to the limit', async () => {
+  const large = 'y'.repeat(12_000)
+  await withCluster(1, async (_cluster, port) => {
+    const answer = await sendRaw(port, `GET /~orders/ HTTP/1.1\r\nhost: a\r\nx-large: ${large}\r\nconnection: close\r\n\r\n`)
+    assert.match(answer, `x-large-back: ${large}`)
+  }, (request, response) => { response.writeHead(200, { 'x-large-back': request.headers['x-large'] as string }).end() })
+})
+
+callers('an upstream that breaks off is never passed on as whole, through one node or two', async () => {
+  for (const size of [1, 3]) {
+    await withCluster(size, async (cluster, port) => {
+      if (size > 1) forwardAll(cluster)
+      const answer = await sendRaw(port, 'GET /~orders/ HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n')
+      assert.match(answer, 'half')
+      assert.not.match(answer, '\r\n0\r\n\r\n')
+    }, (_request, response) => {
+      response.write('half')
+      setTimeout(() => { response.destroy() }, 5)
+    })
+  }
+})
+
+callers.run()
