--- a/packages/auburnturn/src/core/target/ticketed.ts
+++ b/packages/auburnturn/src/core/target/ticketed.ts
@@ -95,6 +95,7 @@
     case 'overloaded':
     case 'queue-timeout':
     case 'connect-failed':
+    case 'connection-unavailable':
     case 'no-target':
       return true
     case 'deadline-expired':
@@ -103,6 +104,8 @@
     case 'bad-request':
     case 'ticket-refused':
     case 'caller-gone':
+    case 'caller-idle':
+    case 'body-too-large':
       return false
   }
 }
