--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -1,27 +1,31 @@
 import { randomBytes } from 'node:crypto'
 import { Admission } from '../admission/index.js'
-import { headerNames } from '../call/index.js'
-import type { RawHeaders } from '../call/types.js'
+import type { Answer, Body } from '../call/types.js'
 import { Clock } from '../clock/index.js'
 import { Store } from '../configuration/index.js'
 import { ControlClients, ControlServer } from '../control/index.js'
 import type { Routes } from '../control/index.js'
-import { Exchange, formatLoad, Listener } from '../http/index.js'
+import { Exchange, Listener } from '../http/index.js'
 import { Logger } from '../logger/index.js'
 import { Directory } from '../membership/index.js'
 import { Metrics } from '../metrics/index.js'
 import { Notices } from '../notices/index.js'
 import { Operator } from '../operator/index.js'
+import type { NodeState } from '../operator/index.js'
 import { Platform } from '../platform/index.js'
 import { Random } from '../random/index.js'
 import { Router } from '../router/index.js'
 import type { NodeSettings } from '../settings/index.js'
 import { Supervisor } from '../supervisor/index.js'
 import { Target } from '../target/index.js'
+import { CallTracker } from './call-tracker.js'
+import { createAnswerHeaders } from './answer-headers.js'
+import { createCallIds } from './call-ids.js'
 import { identifyCall } from './identify.js'
 import { OwnMembership } from './own-membership.js'
-import { Peers } from './peers.js'
+import { describeToUpstream, Peers } from './peers.js'
 import { followConfiguration, followMembers } from './readers.js'
+import { showNode } from './show-node.js'
 import { isTicketRequest, TicketOffice } from './tickets.js'
 
 /** What a node is given from outside; all have working defaults. */
@@ -34,6 +38,7 @@
 /** The process beside one upstream. */
 export class Node {
   readonly incarnation = randomBytes(8).toString('hex')
+  private readonly nextId = createCallIds(this.incarnation)
   readonly store: Store
   readonly directory: Directory
   readonly notices: Notices
@@ -44,11 +49,13 @@
   private readonly clock: Clock
   private readonly logger: Logger
   private readonly random: Random
-  private readonly metrics = Metrics.create()
+  private readonly metrics: Metrics
+  private readonly tracker: CallTracker
   private readonly supervisor: Supervisor
   private readonly admission: Admission
   private readonly tickets: TicketOffice
   private closing = false
+  private started = false
   private readonly ports = { callers: 0, peers: 0, control: 0, operator: 0 }
 
   private constructor (settings: NodeSettings, options: NodeOptions) {
@@ -64,6 +71,8 @@
       notices: this.notices,
       floorOf: service => this.store.profileOf(service).membership.floor
     })
+    this.metrics = Metrics.create({ clock: this.clock })
+    this.tracker = CallTracker.create({ clock: this.clock, metrics: this.metrics })
     this.admission = Admission.create({ clock: this.clock })
     const { id, service } = settings
     this.tickets = TicketOffice.create({ id, service, directory: this.directory, random: this.random, controlClients: this.controlClients })
@@ -87,23 +96,35 @@
   get controlPort (): number { return this.ports.control }
   get operatorPort (): number { return this.ports.operator }
 
-  /** Refuses new and queued work as not run from now on; what runs goes on. */
-  drain (): void {
-    this.admission.drain()
+  /** Whether the node takes calls. */
+  get state (): NodeState {
+    if (this.closing) return 'draining'
+    return this.started ? 'serving' : 'starting'
+  }
+
+  /**
+   * Refuses new work for the own upstream as not run, and resolves when other nodes had time to hear of it
+   * and nothing runs there. Calls to other targets still pass: what runs on the upstream may need them.
+   */
+  async drain (): Promise<void> {
+    this.leave()
+    await this.clock.sleep(this.store.profileOf(this.settings.service).drain.newWorkMs)
+    await this.tracker.settleUpstream()
   }
 
   /** Refuses new work as not run, lets what is in flight end, then closes every part. */
   async close (): Promise<void> {
-    this.closing = true
-    this.admission.drain()
-    const self = this.directory.find(this.settings.service, this.settings.id)
-    if (self !== undefined) this.directory.announceLeaving(self, this.incarnation)
+    this.leave()
+    await this.tracker.settleUpstream()
+    this.tracker.refuse()
+    await this.tracker.settle()
     await this.supervisor.close()
   }
 
   dump (): Record<string, unknown> {
     return {
-      node: { id: this.settings.id, service: this.settings.service, incarnation: this.incarnation },
+      node: { id: this.settings.id, service: this.settings.service, incarnation: this.incarnation, state: this.state },
+      calls: this.tracker.dump(),
       configuration: this.store.dump(),
       membership: this.directory.dump(),
       notices: this.notices.dump(),
@@ -113,14 +134,24 @@
     }
   }
 
+  private leave (): void {
+    if (this.closing) return
+    this.closing = true
+    this.admission.drain()
+    const self = this.directory.find(this.settings.service, this.settings.id)
+    if (self !== undefined) this.directory.announceLeaving(self, this.incarnation)
+  }
+
   private async start (): Promise<void> {
     const { settings, clock, logger, store, directory } = this
     const platform = Platform.create(settings.platform.map(({ ip, port }) => `http://${ip}:${port}`))
-    const peers = Peers.create({ clock, directory, connections: settings.limits.connectionsPerTarget })
+    const peers = Peers.create({ clock, directory, connections: settings.limits.connectionsPerTarget, headerBytes: settings.limits.headerBytes })
     const upstream = this.createUpstream()
     const target = this.createTarget(upstream)
     this.controlRoutes.push(this.tickets.routes(target))
     const router = this.createRouter(peers, target)
+    // First, so that it closes last: the drain can be watched.
+    await this.supervisor.add('operator', async () => await this.openOperator())
     await this.supervisor.add('membership', async () => this.directory)
     await this.supervisor.add('platform', async () => platform)
     await this.supervisor.add('configuration', async () => followConfiguration({ platform, store, clock, logger }))
@@ -134,13 +165,13 @@
     await this.supervisor.add('control', async () => await this.openControl())
     await this.listen('peers', true, router, target)
     await this.listen('callers', false, router, target)
-    await this.supervisor.add('operator', async () => await this.openOperator())
+    showNode(this.metrics, { admission: this.admission, store: this.store, supervisor: this.supervisor })
+    this.started = true
   }
 
   private createUpstream (): Exchange {
     const { ip, port } = this.settings.upstream
-    const { connectMs } = this.store.profileOf(this.settings.service).timeouts
-    return Exchange.create({ origin: `http://${ip}:${port}`, connections: this.settings.limits.callerConnections, connectMs, clock: this.clock })
+    return Exchange.create({ origin: `http://${ip}:${port}`, connections: this.settings.limits.callerConnections, clock: this.clock })
   }
 
   private createTarget (upstream: Exchange): Target {
@@ -149,36 +180,31 @@
       incarnation: this.incarnation,
       clock: this.clock,
       admission: this.admission,
-      run: async (call, body, answer) => await upstream.send(call, body, answer),
+      run: this.tracker.trackAttempt('upstream', async (call, body: Body, answer: Answer) => await upstream.send(call, body, answer, describeToUpstream(call, this.clock))),
       fetchTicket: async (service, withinMs) => await this.tickets.fetchElsewhere(service, withinMs)
     })
   }
 
   private createRouter (peers: Peers, target: Target): Router {
     const { id, service } = this.settings
-    return Router.create({ clock: this.clock, random: this.random, directory: this.directory, remote: peers.attempt, local: { id, service, target } })
+    return Router.create({ clock: this.clock, random: this.random, directory: this.directory, remote: this.tracker.trackAttempt('peer', peers.attempt), local: { id, service, target } })
   }
 
   private async listen (name: 'callers' | 'peers', forwarded: boolean, router: Router, target: Target): Promise<void> {
     const { clock, store, directory, settings, logger, incarnation } = this
-    const answerHeaders = (): RawHeaders => forwarded
-      ? [headerNames.load, formatLoad(target.load), headerNames.incarnation, incarnation]
-      : []
+    const headers = createAnswerHeaders({ target, incarnation, forwarded })
     await this.supervisor.add(name, async () => {
       const listener = await Listener.create({
         ...settings[name],
         connections: settings.limits.callerConnections,
         headerBytes: settings.limits.headerBytes,
-        answerHeaders,
+        clock,
+        ...headers,
         logger: logger.label(name),
-        identify: (request, signal) => identifyCall(request, signal, { clock, store, directory, forwarded }),
-        serve: async (call, body, answer) => {
-          const outcome = !forwarded && isTicketRequest(call)
-            ? await this.tickets.answer(call, answer, target, tried => router.choose(call, tried))
-            : await router.run(call, body, answer)
-          this.metrics.count(`calls_total{verdict="${outcome.verdict.kind}"}`)
-          return outcome
-        }
+        identify: (request, signal) => identifyCall(request, signal, { clock, store, directory, forwarded, nextId: this.nextId }),
+        serve: this.tracker.track(async (call, body, answer) => !forwarded && isTicketRequest(call)
+          ? await this.tickets.answer(call, answer, target, tried => router.choose(call, tried))
+          : await router.run(call, body, answer))
       })
       this.ports[name] = listener.port
       return listener
@@ -208,7 +234,7 @@
   }
 
   private async openOperator (): Promise<Operator> {
-    const operator = await Operator.create({ ...this.settings.operator, dumpNode: () => this.dump(), metrics: this.metrics })
+    const operator = await Operator.create({ ...this.settings.operator, dumpNode: () => this.dump(), readState: () => this.state, metrics: this.metrics })
     this.ports.operator = operator.port
     return operator
   }
