Give each world of the matrix a loopback address of its own

Cause: with twelve worlds at once a port that one world gave up was bound by another, whose calls then strayed between worlds and looked like breaches.

--- a/packages/bench/src/matrix/faults.ts
+++ b/packages/bench/src/matrix/faults.ts
@@ -19,13 +19,17 @@
 /** Faults that last beyond the deadline of a call. */
 const lasting: readonly FaultName[] = ['straggler', 'late-answer', 'pause']
 
+export function isLasting (fault: FaultName): boolean {
+  return lasting.includes(fault)
+}
+
 /** Deadline of calls that run into it, and of all others, in milliseconds. */
 const shortCallMs = 250
 const longCallMs = 3_000
 
 /** The deadline of calls under these faults, in milliseconds. */
 export function chooseDeadline (planned: readonly FaultName[]): number {
-  return planned.some(fault => lasting.includes(fault)) ? shortCallMs : longCallMs
+  return planned.some(isLasting) ? shortCallMs : longCallMs
 }
 
 /** A fault strikes `target` now, while `call` is under way. */
--- a/packages/bench/src/matrix/run.ts
+++ b/packages/bench/src/matrix/run.ts
@@ -61,7 +61,7 @@
 async function fetchTicket (world: World, seed: number): Promise<string | undefined> {
   for (let turn = 0; turn < maxTries; turn++) {
     const node = world.targets[(seed + turn) % world.targets.length]?.node
-    const ticket = await world.caller.fetchTicket(node?.callersPort ?? 0)
+    const ticket = await world.caller.fetchTicket(world.ip, node?.callersPort ?? 0)
     if (ticket !== undefined) return ticket
   }
   return undefined
--- a/packages/bench/src/matrix/scene.ts
+++ b/packages/bench/src/matrix/scene.ts
@@ -95,7 +95,7 @@
     for (const { id, node } of targets) {
       for (let count = 0; count < slots; count++) {
         const call = `blocker-of-${this.call}-${id}-${count}`
-        caller.send({ name: `${call}/1`, call, kind: 'plain', port: node.peersPort, path: '/', timeoutMs: this.world.callMs, headers: { 'auburnturn-service': 'orders', 'x-work-ms': String(blockerMs) } }).catch(() => {})
+        caller.send({ name: `${call}/1`, call, kind: 'plain', ip: this.world.ip, port: node.peersPort, path: '/', timeoutMs: this.world.callMs, headers: { 'auburnturn-service': 'orders', 'x-work-ms': String(blockerMs) } }).catch(() => {})
       }
     }
     const areRunning = (): boolean => recording.events.filter(({ kind }) => kind === 'execution-started').length >= targets.length * slots
@@ -136,6 +136,7 @@
     name: `${call}/${number}`,
     call,
     kind,
+    ip: world.ip,
     port: node?.callersPort ?? 0,
     path: '/~orders/place',
     timeoutMs: world.callMs,
