--- a/packages/auburnturn/src/core/ledger/constants.ts
+++ b/packages/auburnturn/src/core/ledger/constants.ts
@@ -8,7 +8,7 @@
 export const maxTicketLength = 400
 
 /** Memory of one remembered call besides its texts and body, in bytes. */
-export const recordOverheadBytes = 512
+export const recordOverheadBytes = 768
 
 /** Sendings of one ticket that may wait for its running call. */
 export const maxWaiters = 16
--- a/packages/bench/src/matrix/upstream.ts
+++ b/packages/bench/src/matrix/upstream.ts
@@ -83,7 +83,9 @@
 
   private async answer (response: ServerResponse, execution: string, sending: string, content: string): Promise<void> {
     if (this.misbehaviour.answerDelayMs > 0) await sleep(this.misbehaviour.answerDelayMs)
-    response.writeHead(this.misbehaviour.failsFast ? 503 : 201, { 'x-execution': execution, 'content-length': content.length })
+    // Every other answer has no length, so that only the end of the chunks tells that it is whole.
+    const length = this.runs % 2 === 0 ? {} : { 'content-length': content.length }
+    response.writeHead(this.misbehaviour.failsFast ? 503 : 201, { 'x-execution': execution, ...length })
     response.flushHeaders()
     await sleep(partMs)
     this.listener('answer-head', sending, this.target)
--- /dev/null
+++ b/packages/bench/test/mutants/index.ts
@@ -0,0 +1,85 @@
+/** Applies each mutant to a temporary copy, builds it and runs the matrix on it: `npm run mutants -- [NAME]`. */
+import { spawnSync } from 'node:child_process'
+import { cpSync, mkdirSync, mkdtempSync, readdirSync, readFileSync, rmSync, symlinkSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join, resolve } from 'node:path'
+import { mutants } from './mutants.js'
+import type { Edit, Mutant } from './mutants.js'
+
+/** Longest run of the matrix on one mutant, in milliseconds. */
+const matrixMs = 180_000
+
+const root = resolve(import.meta.dirname, '../../../../..')
+const workspaces = ['auburnturn', '@auburnturn']
+
+/** What became of one mutant. */
+type Result = { readonly kind: 'caught', readonly by: string } | { readonly kind: 'not-caught' } | { readonly kind: 'not-built', readonly why: string }
+
+function copyTree (): string {
+  const copy = mkdtempSync(join(tmpdir(), 'auburnturn-mutants-'))
+  for (const name of ['package.json', 'tsconfig.json', 'tsconfig.base.json']) cpSync(join(root, name), join(copy, name))
+  cpSync(join(root, 'packages'), join(copy, 'packages'), { recursive: true, preserveTimestamps: true, filter: path => !path.includes('node_modules') })
+  linkPackages(copy)
+  return copy
+}
+
+/** Links the installed packages, but the workspaces to those of the copy. */
+function linkPackages (copy: string): void {
+  mkdirSync(join(copy, 'node_modules', '@auburnturn'), { recursive: true })
+  for (const name of readdirSync(join(root, 'node_modules'))) {
+    if (!workspaces.includes(name) && name !== '.bin') symlinkSync(join(root, 'node_modules', name), join(copy, 'node_modules', name))
+  }
+  symlinkSync(join(copy, 'packages/auburnturn'), join(copy, 'node_modules/auburnturn'))
+  for (const name of ['bench', 'stand-ins']) symlinkSync(join(copy, 'packages', name), join(copy, 'node_modules/@auburnturn', name))
+}
+
+function applyEdit (copy: string, { file, find, replace }: Edit): string | undefined {
+  const path = join(copy, 'packages/auburnturn/src/core', file)
+  const text = readFileSync(path, 'utf8')
+  if (text.split(find).length !== 2) return `${file} does not hold exactly once: ${find}`
+  writeFileSync(path, text.replace(find, () => replace))
+  return undefined
+}
+
+function tryMutant (copy: string, { edits, promise }: Mutant): Result {
+  const saved = edits.map(({ file }) => [file, readFileSync(join(root, 'packages/auburnturn/src/core', file), 'utf8')] as const)
+  const misfits = edits.map(edit => applyEdit(copy, edit)).filter(misfit => misfit !== undefined)
+  const result = misfits.length > 0 ? { kind: 'not-built' as const, why: misfits.join('; ') } : judge(copy, promise)
+  for (const [file, text] of saved) writeFileSync(join(copy, 'packages/auburnturn/src/core', file), text)
+  return result
+}
+
+function judge (copy: string, promise: Mutant['promise']): Result {
+  const build = spawnSync(process.execPath, ['node_modules/typescript/bin/tsc', '-b', 'packages/bench'], { cwd: copy, encoding: 'utf8' })
+  if (build.status !== 0) return { kind: 'not-built', why: build.stdout }
+  const matrix = ['packages/bench/dist/src/matrix/index.js', '--pairs', '60', '--histories', '3000']
+  const run = spawnSync(process.execPath, matrix, { cwd: copy, encoding: 'utf8', timeout: matrixMs })
+  if (run.status === 0) return { kind: 'not-caught' }
+  const findings = run.stdout.split('\n').filter(line => /^[a-z-]+ \(.*seed \d+\): /.test(line))
+  const finding = findings.find(line => line.startsWith(promise)) ?? findings[0]
+  return { kind: 'caught', by: (finding ?? run.stderr.slice(0, 300)).slice(0, 200) }
+}
+
+function report (mutant: Mutant, result: Result): string {
+  switch (result.kind) {
+    case 'caught': return `caught      ${mutant.promise}: ${mutant.name}\n            ${result.by}`
+    case 'not-caught': return `NOT CAUGHT  ${mutant.promise}: ${mutant.name}`
+    case 'not-built': return `NOT BUILT   ${mutant.promise}: ${mutant.name}\n${result.why}`
+  }
+}
+
+const wanted = process.argv[2]
+const chosen = mutants.filter(({ name }) => wanted === undefined || name.includes(wanted))
+const copy = copyTree()
+try {
+  const results = chosen.map(mutant => {
+    const result = tryMutant(copy, mutant)
+    process.stdout.write(`${report(mutant, result)}\n`)
+    return result
+  })
+  const caught = results.filter(({ kind }) => kind === 'caught').length
+  process.stdout.write(`${caught} of ${results.length} mutants caught\n`)
+  process.exitCode = caught === results.length ? 0 : 1
+} finally {
+  rmSync(copy, { recursive: true, force: true })
+}
--- /dev/null
+++ b/packages/bench/test/mutants/mutants.ts
@@ -0,0 +1,86 @@
+import type { RuleName } from 'auburnturn'
+
+/** One place in the code and what to put there instead. */
+export interface Edit {
+  /** Relative to `packages/auburnturn/src/core`. */
+  readonly file: string
+  readonly find: string
+  readonly replace: string
+}
+
+/** A deliberate break of one promise, which the matrix has to catch. */
+export interface Mutant {
+  readonly name: string
+  readonly promise: RuleName
+  readonly edits: readonly Edit[]
+}
+
+/** At least one break for each promise. */
+export const mutants: readonly Mutant[] = [
+  {
+    name: 'retry a non-idempotent call after "may have run"',
+    promise: 'at-most-once',
+    edits: [{ file: 'verdict/verdict.ts', find: "case 'may-have-run': return idempotent", replace: "case 'may-have-run': return idempotent || true" }]
+  },
+  {
+    name: 'forget the ticket on refusal',
+    promise: 'at-most-once',
+    edits: [{
+      file: 'ledger/ledger.ts',
+      find: "refuse: (cause, successor) => { end({ kind: 'refused', cause, successor }) }",
+      replace: 'refuse: () => { this.serials.set(serial, false); end(undefined) }'
+    }]
+  },
+  {
+    name: 'tell a successor that is not recorded',
+    promise: 'at-most-once',
+    edits: [{ file: 'target/ticketed.ts', find: 'claim.refuse(cause, successor)', replace: 'claim.release()' }]
+  },
+  {
+    name: 'forget that a ticket was used once its call has ended',
+    promise: 'at-most-once',
+    edits: [{ file: 'ledger/ledger.ts', find: "complete: answer => { end(answer === undefined ? undefined : { kind: 'done', answer }) }", replace: 'complete: () => { this.serials.set(serial, false); end(undefined) }' }]
+  },
+  {
+    name: 'say "not run" of a connection that was lost after the request was sent',
+    promise: 'true-refusal',
+    edits: [{ file: 'http/attempt.ts', find: "return mayHaveRun(invalidHeads.has(error.name) ? 'answer-invalid' : 'connection-lost')", replace: "return notRun('connect-failed')" }]
+  },
+  {
+    name: 'let a later refusal hide an attempt that may have run',
+    promise: 'true-refusal',
+    edits: [{ file: 'verdict/verdict.ts', find: "return earlier.kind === 'may-have-run' ? earlier : later", replace: 'return later' }]
+  },
+  {
+    name: 'believe a ticket of another incarnation to be unused',
+    promise: 'true-refusal',
+    edits: [
+      { file: 'ledger/ledger.ts', find: "return { kind: 'foreign' }", replace: "return { kind: 'invalid', cause: 'ticket-refused' }" },
+      { file: 'router/ticketed.ts', find: 'incarnation === ticket.incarnation && successor === undefined', replace: 'incarnation !== undefined && successor === undefined' }
+    ]
+  },
+  {
+    name: 'pass on a cut answer as complete',
+    promise: 'whole-answer',
+    edits: [{ file: 'http/attempt.ts', find: 'if (this.options.answer.started) this.options.answer.cut()', replace: 'if (this.options.answer.started) this.options.answer.end([])' }]
+  },
+  {
+    name: 'accept an older version of a configuration entry',
+    promise: 'configuration-forward',
+    edits: [{ file: 'configuration/store.ts', find: 'entry.version < before.entry.version', replace: 'entry.version < 0' }]
+  },
+  {
+    name: 'keep giving work to a target that is leaving',
+    promise: 'no-work-after-leave',
+    edits: [{ file: 'admission/admission.ts', find: "this.state = 'draining'", replace: "this.state = 'serving'" }]
+  },
+  {
+    name: 'cut what is in flight on shutdown',
+    promise: 'drain-cuts-nothing',
+    edits: [
+      { file: 'node/node.ts', find: 'if (this.started) await this.clock.sleep(closeLingerMs)\n    await this.tracker.settle()', replace: '' },
+      { file: 'node/node.ts', find: 'await this.tracker.settleUpstream()\n    this.tracker.refuse()', replace: 'this.tracker.refuse()' },
+      { file: 'http/listener.ts', find: 'this.server.closeIdleConnections()\n    await closed', replace: 'this.server.closeAllConnections()\n    await closed' }
+    ]
+  }
+]
