--- /dev/null
+++ b/packages/bench/src/path/constants.ts
@@ -0,0 +1,23 @@
+/** Where every process of the bench listens. */
+export const ip = '127.0.0.1'
+
+/** Calls a second on each way during the comparison. */
+export const ratePerWay = 150
+
+/** Bytes of a request body and of an answer. */
+export const bodyBytes = 200
+
+/** Part of the bench's seconds that goes to the comparison; the rest goes to the saturated node. */
+export const comparisonShare = 0.7
+
+/** Calls in flight at once that saturate one node. */
+export const saturatingCalls = 64
+
+/** Calls on each way before anything is measured. */
+export const warmUpCalls = 2_000
+
+/** Calls at the measured rate before anything is recorded, in seconds. */
+export const warmUpSeconds = 2
+
+/** The target of the design: what one node may add for 99 calls in 100, in milliseconds. */
+export const targetMs = 0.67
--- /dev/null
+++ b/packages/bench/src/path/report.ts
@@ -0,0 +1,37 @@
+import { targetMs } from './constants.js'
+import type { Way } from './load.js'
+
+const percentiles = [50, 99, 99.9]
+
+/** One line of the result: a figure with its unit. */
+export interface Figure { readonly what: string, readonly value: number, readonly unit: string }
+
+/** Latency of each way, and what the ways with nodes add to the direct one at the same percentile. */
+export function describeWays (direct: Way, others: readonly Way[]): Figure[] {
+  return percentiles.flatMap(percentile => [
+    { what: `p${percentile} direct`, value: readMs(direct, percentile), unit: 'ms' },
+    ...others.map(way => ({
+      what: `p${percentile} added by ${way.name}`,
+      value: round(readMs(way, percentile) - readMs(direct, percentile)),
+      unit: 'ms'
+    }))
+  ])
+}
+
+/** Prints each figure as a JSON line, then all of them as a table. */
+export function printFigures (figures: readonly Figure[]): void {
+  for (const figure of figures) process.stdout.write(`${JSON.stringify({ bench: 'path', ...figure })}\n`)
+  const width = Math.max(...figures.map(({ what }) => what.length))
+  for (const { what, value, unit } of figures) process.stdout.write(`${what.padEnd(width)}  ${String(value).padStart(10)} ${unit}\n`)
+  const added = figures.find(({ what }) => what === 'p99 added by one node')?.value ?? Number.NaN
+  process.stdout.write(`p99 added by one node is ${round(added / targetMs)} times the target of ${targetMs} ms\n`)
+}
+
+/** Rounds to a thousandth. */
+export function round (value: number): number {
+  return Math.round(value * 1000) / 1000
+}
+
+function readMs (way: Way, percentile: number): number {
+  return round(way.latencies.getValueAtPercentile(percentile) / 1000)
+}
