--- a/packages/auburnturn/src/core/call/constants.ts
+++ b/packages/auburnturn/src/core/call/constants.ts
@@ -20,6 +20,10 @@
   incarnation: 'auburnturn-incarnation',
   /** The service a call is for, between nodes. */
   service: 'auburnturn-service',
+  /** `yes` on an answer that was recorded for an earlier sending of the same ticket. */
+  recorded: 'auburnturn-recorded',
+  /** `wanted` between nodes: a refused ticket is to be replaced, since the sender will follow it. */
+  successor: 'auburnturn-successor',
   /** The call's name in logs and histories, between nodes. */
   callId: 'auburnturn-call-id',
   /** Who made the call, between nodes. */
--- a/packages/auburnturn/src/core/http/attempt.ts
+++ b/packages/auburnturn/src/core/http/attempt.ts
@@ -1,10 +1,11 @@
 import type { Dispatcher } from 'undici'
+import { headerNames } from '../call/index.js'
 import type { Answer, Body, Call, Outcome, RawHeaders } from '../call/types.js'
 import type { Clock, Timeout } from '../clock/index.js'
 import { done, mayHaveRun, notRun } from '../verdict/index.js'
 import type { MayHaveRunCause, NotRunCause, Verdict } from '../verdict/index.js'
 import type { Connection, Connections, Waiter } from './connections.js'
-import { countHeader, forwardHeaders, hasToken } from './headers.js'
+import { countHeader, findHeader, forwardHeaders, hasToken } from './headers.js'
 import { readPeerAnswer } from './peer-answer.js'
 import type { PeerAnswer } from './peer-answer.js'
 
@@ -82,7 +83,7 @@
     this.fault = this.findFault(status, headers)
     if (this.fault !== undefined) throw new Error(this.fault)
     if (this.peer?.refusal !== undefined) return true
-    answer.head(status, reason, forwardHeaders(headers))
+    answer.head(status, reason, this.passHeaders(headers))
     // undici expects the announced length also of an answer that has no body.
     if (status === 304) this.complete([])
     return true
@@ -106,6 +107,13 @@
     this.finish(this.judge(error))
   }
 
+  /** Only another node can say that its answer was recorded earlier. */
+  private passHeaders (headers: RawHeaders): RawHeaders {
+    const passed = forwardHeaders(headers)
+    if (this.options.trusted && findHeader(headers, headerNames.recorded) === 'yes') passed.push(headerNames.recorded, 'yes')
+    return passed
+  }
+
   private complete (rawTrailers: Buffer[]): void {
     if (this.stage === 'ended') return
     const refusal = this.peer?.refusal
