Carry the wish for a successor in the call, not in its headers

Cause: since call.headers hold no auburnturn-* headers, a target never saw that the sender would follow a successor; a distant target's refusal ended the call (503). The router also put the ticket among the headers that go to the upstream. Change: Call.successorWanted, set from the peers' connection only. Test: 'a refusal by a distant target is followed to its successor', failing before (503), passing now.

--- a/packages/auburnturn/src/core/call/types.ts
+++ b/packages/auburnturn/src/core/call/types.ts
@@ -28,6 +28,8 @@
   /** Whether another node already passed this call on. */
   readonly forwarded: boolean
   readonly ticket?: string
+  /** Another node passed the ticketed call on and will follow the successor of a refused ticket. */
+  readonly successorWanted?: boolean
   /** Aborted when the caller is gone. */
   readonly signal: AbortSignal
 }
--- a/packages/auburnturn/src/core/node/identify.ts
+++ b/packages/auburnturn/src/core/node/identify.ts
@@ -35,45 +35,54 @@
 }
 
 function identifyFresh (request: IncomingMessage, signal: AbortSignal, context: IdentifyContext): Identified {
-  const { clock, store, directory, nextId } = context
-  const route = findRoute(request)
-  if (!store.hasService(route.service) && !directory.hasService(route.service)) return unknownService
+  const { store, directory } = context
+  const { service, path } = findRoute(request)
+  if (!store.hasService(service) && !directory.hasService(service)) return unknownService
   const caller = request.socket.remoteAddress ?? ''
   const headers = forwardHeaders(request.rawHeaders)
   headers.push('forwarded', formatForwarded(caller, findHeader(headers, 'host')), 'via', viaValue)
-  const call = createCall(request, route, signal, clock, store.profileOf(route.service))
-  return { kind: 'call', call: { ...call, id: nextId(), headers, caller, forwarded: false } }
+  return { kind: 'call', call: createCall(request, { service, path, headers, caller, id: context.nextId(), signal }, context) }
 }
 
 function identifyForwarded (request: IncomingMessage, signal: AbortSignal, context: IdentifyContext): Identified {
   const raw = request.rawHeaders
   const service = findHeader(raw, headerNames.service)
   if (service === undefined) return unknownService
-  const route = { service, path: request.url ?? '/' }
-  const call = createCall(request, route, signal, context.clock, context.store.profileOf(service))
+  const path = request.url ?? '/'
   const id = findHeader(raw, headerNames.callId) ?? context.nextId()
   const caller = findHeader(raw, headerNames.caller) ?? ''
-  return { kind: 'call', call: { ...call, id, headers: forwardHeaders(raw), caller, forwarded: true } }
+  const call = createCall(request, { service, path, headers: forwardHeaders(raw), caller, id, signal }, context)
+  const successorWanted = findHeader(raw, headerNames.successor) === 'wanted'
+  return { kind: 'call', call: successorWanted ? { ...call, successorWanted } : call }
 }
 
-/** The parts of a call that callers and other nodes state alike. */
-function createCall (request: IncomingMessage, route: Route, signal: AbortSignal, clock: Clock, profile: Profile): Omit<Call, 'id' | 'headers' | 'caller' | 'forwarded'> {
+/** Adds what callers and other nodes state alike. */
+function createCall (request: IncomingMessage, known: KnownFields, { clock, store, forwarded }: IdentifyContext): Call {
   const raw = request.rawHeaders
   const method = request.method ?? 'GET'
+  const profile = store.profileOf(known.service)
   const ticket = findHeader(raw, headerNames.ticket)
-  return {
-    ...route,
+  const call: Call = {
+    id: known.id,
+    service: known.service,
     method,
+    path: known.path,
+    headers: known.headers,
     profile,
-    idempotent: isIdempotent(method, route.path, findHeader(raw, headerNames.idempotent), profile),
+    idempotent: isIdempotent(method, known.path, findHeader(raw, headerNames.idempotent), profile),
     deadline: clock.now() + readTimeout(findHeader(raw, headerNames.timeout), profile),
     attempt: readCount(findHeader(raw, headerNames.attempt)),
     depth: readCount(findHeader(raw, headerNames.depth)) + 1,
-    ...(ticket === undefined ? {} : { ticket }),
-    signal
+    caller: known.caller,
+    forwarded,
+    signal: known.signal
   }
+  return ticket === undefined ? call : { ...call, ticket }
 }
 
+/** The fields of a call that are found differently for callers and other nodes. */
+type KnownFields = Pick<Call, 'id' | 'service' | 'path' | 'headers' | 'caller' | 'signal'>
+
 const unknownService: HeadRefusal = {
   kind: 'refused',
   cause: 'unknown-service',
--- a/packages/auburnturn/src/core/node/peers.ts
+++ b/packages/auburnturn/src/core/node/peers.ts
@@ -1,7 +1,7 @@
 import { headerNames } from '../call/index.js'
 import type { Answer, Body, Call, Outcome, RawHeaders } from '../call/types.js'
 import type { Clock } from '../clock/index.js'
-import { Exchange, findHeader } from '../http/index.js'
+import { Exchange } from '../http/index.js'
 import type { Directory, Member } from '../membership/index.js'
 
 /** Connections to a node that carried no call for this long are closed, in milliseconds. */
@@ -56,7 +56,7 @@
       headerNames.idempotent, call.idempotent ? 'yes' : 'no'
     ]
     if (call.ticket !== undefined) headers.push(headerNames.ticket, call.ticket)
-    if (findHeader(call.headers, headerNames.successor) === 'wanted') headers.push(headerNames.successor, 'wanted')
+    if (call.successorWanted === true) headers.push(headerNames.successor, 'wanted')
     return headers
   }
 
--- a/packages/auburnturn/src/core/router/ticketed.ts
+++ b/packages/auburnturn/src/core/router/ticketed.ts
@@ -1,4 +1,3 @@
-import { headerNames } from '../call/index.js'
 import type { Answer, Attempt, Body, Call, Outcome, RawHeaders } from '../call/types.js'
 import { parseTicket } from '../ledger/index.js'
 import type { Ticket } from '../ledger/index.js'
@@ -47,8 +46,8 @@
   const target = route.members(call.service).find(candidate => candidate.id === member)
   if (target === undefined) return { verdict: mayHaveRun('ticket-lost') }
   sending.attemptsLeft--
-  const headers = replaceHeaders(call.headers, ticket, sending.attemptsLeft > 0 && fitsReplay(call))
-  return await route.attempt({ ...call, ticket, headers }, target, body, answer)
+  const successorWanted = sending.attemptsLeft > 0 && fitsReplay(call)
+  return await route.attempt({ ...call, ticket, successorWanted }, target, body, answer)
 }
 
 /** The ticket of the next attempt; undefined when the sending ends here. */
@@ -85,15 +84,3 @@
   }
   return undefined
 }
-
-function replaceHeaders (headers: RawHeaders, ticket: string, successorWanted: boolean): RawHeaders {
-  const replaced: string[] = []
-  for (let index = 0; index < headers.length; index += 2) {
-    const name = (headers[index] as string).toLowerCase()
-    if (name === headerNames.ticket || name === headerNames.successor) continue
-    replaced.push(headers[index] as string, headers[index + 1] as string)
-  }
-  replaced.push(headerNames.ticket, ticket)
-  if (successorWanted) replaced.push(headerNames.successor, 'wanted')
-  return replaced
-}
--- a/packages/auburnturn/src/core/target/ticketed.ts
+++ b/packages/auburnturn/src/core/target/ticketed.ts
@@ -1,7 +1,5 @@
 import type { Answer, Body, Call, Outcome } from '../call/types.js'
-import { headerNames } from '../call/index.js'
 import type { Clock } from '../clock/index.js'
-import { findHeader } from '../http/headers.js'
 import { Recorder, replay } from '../ledger/index.js'
 import type { Claim, Ledger } from '../ledger/index.js'
 import { done, mayHaveRun, notRun } from '../verdict/index.js'
@@ -72,7 +70,7 @@
   }
 
   private async findSuccessor (call: Call, cause: NotRunCause): Promise<string | undefined> {
-    if (findHeader(call.headers, headerNames.successor) !== 'wanted' || !mayRunElsewhere(cause)) return undefined
+    if (call.successorWanted !== true || !mayRunElsewhere(cause)) return undefined
     const remaining = call.deadline - this.options.clock.now()
     return remaining > 0 ? await this.options.fetchTicket(call.service, remaining) : undefined
   }
--- a/packages/auburnturn/test/ledger/tickets-path.test.ts
+++ b/packages/auburnturn/test/ledger/tickets-path.test.ts
@@ -81,6 +81,17 @@
   })
 })
 
+path('a refusal by a distant target is followed to its successor', async () => {
+  await withCluster(3, async (cluster, ran) => {
+    const ticket = await fetchTicket(cluster, 0)
+    const index = Number(/orders-(\d)/.exec(ticket)?.[1]) - 1
+    cluster.nodes[index]?.drain()
+    const told = await post(cluster, (index + 1) % 3, '/new', { 'auburnturn-ticket': ticket })
+    assert.is(`${told.status} ${told.text}`, '201 order 1')
+    assert.is(ran.length, 1)
+  })
+})
+
 path('without another target a refused ticket stays usable and says so truthfully', async () => {
   await withCluster(1, async (cluster, ran) => {
     const ticket = await fetchTicket(cluster, 0)
