Cancel calls by a light signal in place of an AbortController for each

Cause: in the profile of the saturated node, AbortController, its signal and its listeners stand for about 5 in 100 of busy time (get signal 2.4, createAbortSignal 2.3, add and remove of listeners 1.4), before garbage. Change: Cancellation in core/clock; Call.signal is now a CancelSignal, which an AbortSignal fits too, and clock.sleep takes either. target/ follows.

--- a/packages/auburnturn/src/core/call/types.ts
+++ b/packages/auburnturn/src/core/call/types.ts
@@ -1,3 +1,4 @@
+import type { CancelSignal } from '../clock/index.js'
 import type { Member } from '../membership/types.js'
 import type { Profile } from '../settings/index.js'
 import type { Verdict } from '../verdict/index.js'
@@ -31,7 +32,7 @@
   /** Another node passed the ticketed call on and will follow the successor of a refused ticket. */
   readonly successorWanted?: boolean
   /** Aborted when the caller is gone. */
-  readonly signal: AbortSignal
+  readonly signal: CancelSignal
 }
 
 /** Why a caller's request body can't be read to its end. */
--- a/packages/auburnturn/src/core/clock/clock.ts
+++ b/packages/auburnturn/src/core/clock/clock.ts
@@ -1,5 +1,6 @@
 import { asap, cancelTask, delay, newDefaultScheduler, periodic } from '@most/scheduler'
 import type { ScheduledTask, Scheduler, Task, Time } from '@most/types'
+import type { CancelSignal } from './cancellation.js'
 import { TimerWheel } from './timer-wheel.js'
 
 /** Stops what was scheduled; calling it again does nothing. */
@@ -38,7 +39,7 @@
   }
 
   /** Resolves after `milliseconds`, or as soon as `signal` aborts. */
-  async sleep (milliseconds: number, signal?: AbortSignal): Promise<void> {
+  async sleep (milliseconds: number, signal?: CancelSignal): Promise<void> {
     if (signal?.aborted === true) return
     await new Promise<void>(resolve => {
       const wake = (): void => {
--- a/packages/auburnturn/src/core/clock/index.ts
+++ b/packages/auburnturn/src/core/clock/index.ts
@@ -2,6 +2,8 @@
  * Time as seen by every part: a most scheduler behind a few plain calls.
  * Nothing outside this folder reads the system clock or sets a timer on its own.
  */
+export { Cancellation } from './cancellation.js'
+export type { CancelSignal } from './cancellation.js'
 export { Clock } from './clock.js'
 export { ManualClock } from './manual-clock.js'
 export { TimerWheel } from './timer-wheel.js'
--- a/packages/auburnturn/src/core/http/listener.ts
+++ b/packages/auburnturn/src/core/http/listener.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { Call, Outcome, RawHeaders } from '../call/types.js'
+import { Cancellation } from '../clock/index.js'
 import type { Clock } from '../clock/index.js'
 import { Fault } from '../errors/index.js'
 import type { Logger } from '../logger/index.js'
@@ -96,9 +97,9 @@
   }
 
   private async handle (request: IncomingMessage, response: ServerResponse, expectsContinue: boolean): Promise<void> {
-    const gone = new AbortController()
+    const gone = Cancellation.create()
     response.on('close', () => { if (!response.writableFinished) gone.abort() })
-    const identified = checkHead(request) ?? this.options.identify(request, gone.signal)
+    const identified = checkHead(request) ?? this.options.identify(request, gone)
     if (identified.kind === 'refused') {
       this.refuseHead(request, response, identified)
       return
--- a/packages/auburnturn/src/core/http/types.ts
+++ b/packages/auburnturn/src/core/http/types.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from 'node:http'
 import type { Answer, Body, Call, Outcome } from '../call/types.js'
+import type { CancelSignal } from '../clock/index.js'
 import type { NotRunCause } from '../verdict/index.js'
 
 /** Routes one call to its outcome. */
@@ -18,4 +19,4 @@
 export type Identified = { readonly kind: 'call', readonly call: Call } | HeadRefusal
 
 /** Makes a call of a request head. */
-export type Identify = (request: IncomingMessage, signal: AbortSignal) => Identified
+export type Identify = (request: IncomingMessage, signal: CancelSignal) => Identified
--- a/packages/auburnturn/src/core/node/identify.ts
+++ b/packages/auburnturn/src/core/node/identify.ts
@@ -2,7 +2,7 @@
 import { isIPv6 } from 'node:net'
 import { headerNames } from '../call/index.js'
 import type { Call, RawHeaders } from '../call/types.js'
-import type { Clock } from '../clock/index.js'
+import type { CancelSignal, Clock } from '../clock/index.js'
 import type { Store } from '../configuration/index.js'
 import { findHeader, forwardHeaders, viaValue } from '../http/index.js'
 import type { HeadRefusal, Identified } from '../http/index.js'
@@ -16,7 +16,7 @@
 const absoluteTarget = /^https?:\/\/([^/?#]+)(.*)$/i
 
 /** Makes a call of a request head, with the configuration in force at this moment. */
-export function identifyCall (request: IncomingMessage, signal: AbortSignal, context: IdentifyContext): Identified {
+export function identifyCall (request: IncomingMessage, signal: CancelSignal, context: IdentifyContext): Identified {
   const fault = findHeaderFault(request.rawHeaders)
   if (fault !== undefined) return { kind: 'refused', cause: 'bad-request', detail: fault }
   return context.forwarded ? identifyForwarded(request, signal, context) : identifyFresh(request, signal, context)
@@ -34,7 +34,7 @@
   return word === 'yes' || methods.includes(method)
 }
 
-function identifyFresh (request: IncomingMessage, signal: AbortSignal, context: IdentifyContext): Identified {
+function identifyFresh (request: IncomingMessage, signal: CancelSignal, context: IdentifyContext): Identified {
   const { store, directory } = context
   const { service, path } = findRoute(request)
   if (!store.hasService(service) && !directory.hasService(service)) return unknownService
@@ -44,7 +44,7 @@
   return { kind: 'call', call: createCall(request, { service, path, headers, caller, id: context.nextId(), signal }, context) }
 }
 
-function identifyForwarded (request: IncomingMessage, signal: AbortSignal, context: IdentifyContext): Identified {
+function identifyForwarded (request: IncomingMessage, signal: CancelSignal, context: IdentifyContext): Identified {
   const raw = request.rawHeaders
   const service = findHeader(raw, headerNames.service)
   if (service === undefined) return unknownService
--- a/packages/auburnturn/src/core/target/target.ts
+++ b/packages/auburnturn/src/core/target/target.ts
@@ -1,5 +1,6 @@
 import type { Admission } from '../admission/index.js'
 import type { Answer, Body, Call, Load, Outcome } from '../call/types.js'
+import { Cancellation } from '../clock/index.js'
 import type { Clock } from '../clock/index.js'
 import { Ledger } from '../ledger/index.js'
 import { mayHaveRun, notRun } from '../verdict/index.js'
@@ -63,7 +64,7 @@
 
   /** Once admitted, the call goes on when its caller leaves, so that a later sending finds its answer. */
   private async executeDetached (call: Call, body: Body, answer: Answer): Promise<Outcome> {
-    return await this.admitAndRun(call, { ...call, signal: new AbortController().signal }, body, answer)
+    return await this.admitAndRun(call, { ...call, signal: Cancellation.create() }, body, answer)
   }
 
   private async admitAndRun (asked: Call, admitted: Call, body: Body, answer: Answer): Promise<Outcome> {
--- a/packages/auburnturn/src/core/target/ticketed.ts
+++ b/packages/auburnturn/src/core/target/ticketed.ts
@@ -1,4 +1,5 @@
 import type { Answer, Body, Call, Outcome } from '../call/types.js'
+import { Cancellation } from '../clock/index.js'
 import type { Clock } from '../clock/index.js'
 import { Recorder, replay } from '../ledger/index.js'
 import type { Claim, Ledger } from '../ledger/index.js'
@@ -76,11 +77,14 @@
   }
 
   private async settlesInTime (settled: Promise<void>, call: Call): Promise<boolean> {
-    const ended = new AbortController()
+    const ended = Cancellation.create()
+    const leave = (): void => { ended.abort() }
     const remaining = call.deadline - this.options.clock.now()
-    const signal = AbortSignal.any([ended.signal, call.signal])
-    const expired = this.options.clock.sleep(remaining, signal).then(() => false)
+    call.signal.addEventListener('abort', leave, { once: true })
+    if (call.signal.aborted) ended.abort()
+    const expired = this.options.clock.sleep(remaining, ended).then(() => false)
     const result = await Promise.race([settled.then(() => true), expired])
+    call.signal.removeEventListener('abort', leave)
     ended.abort()
     return result
   }
--- a/packages/auburnturn/test/http/listener.test.ts
+++ b/packages/auburnturn/test/http/listener.test.ts
@@ -195,7 +195,7 @@
 listeners('a caller that leaves aborts its call', async () => {
   let aborted = false
   const listening = await Listening.create(async call => {
-    await new Promise(resolve => { call.signal.addEventListener('abort', resolve) })
+    await new Promise<void>(resolve => { call.signal.addEventListener('abort', resolve) })
     aborted = true
     return { verdict: mayHaveRun('caller-gone') }
   })
