--- /dev/null
+++ b/packages/auburnturn/test/clock/timer-wheel.test.ts
@@ -0,0 +1,68 @@
+import fc from 'fast-check'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { Cancellation, ManualClock } from '../../src/index.js'
+
+const wheels = suite('timer wheel')
+const tickMs = 4
+
+wheels('every timeout fires once, never early and at most a tick late, unless it was cancelled', async () => {
+  const timeouts = fc.array(fc.record({ set: fc.nat(3_000), wait: fc.nat(9_000), cancelAfter: fc.option(fc.nat(9_000)) }), { maxLength: 30 })
+  await fc.assert(fc.asyncProperty(timeouts, async list => {
+    const clock = ManualClock.create()
+    const fired = list.map((): number[] => [])
+    list.forEach(({ set, wait, cancelAfter }, index) => {
+      clock.after(set, () => {
+        const timeout = clock.wheel.after(wait, () => { fired[index]?.push(clock.now()) })
+        if (cancelAfter !== null) clock.after(cancelAfter, () => { timeout.cancel() })
+      })
+    })
+    await clock.advance(13_000)
+    list.forEach(({ set, wait, cancelAfter }, index) => {
+      const times = fired[index] as number[]
+      if (cancelAfter !== null && cancelAfter < wait) assert.equal(times, [])
+      else if (cancelAfter === null || cancelAfter > wait + tickMs) {
+        assert.is(times.length, 1)
+        const late = (times[0] as number) - set - wait
+        assert.ok(late >= 0 && late <= tickMs, `late by ${late}`)
+      }
+    })
+    assert.is(clock.wheel.pending, 0)
+  }), { seed: 7, numRuns: 60 })
+})
+
+wheels('after a pause of the process everything due fires, and nothing else', async () => {
+  const clock = ManualClock.create()
+  const fired: number[] = []
+  for (const wait of [5, 500, 2_047, 2_048, 5_000, 60_000]) clock.wheel.after(wait, () => { fired.push(wait) })
+  clock.jump(30_000)
+  await clock.advance(tickMs)
+  assert.equal(fired.sort((one, other) => one - other), [5, 500, 2_047, 2_048, 5_000])
+  assert.is(clock.wheel.pending, 1)
+})
+
+wheels('an action may set and cancel other timeouts', async () => {
+  const clock = ManualClock.create()
+  const fired: string[] = []
+  const first = clock.wheel.after(8, () => { second.cancel(); fired.push('first') })
+  const second = clock.wheel.after(8, () => { first.cancel(); fired.push('second') })
+  clock.wheel.after(8, () => { clock.wheel.after(0, () => { fired.push('later') }) })
+  await clock.advance(40)
+  assert.is(fired.length, 2)
+  assert.ok(fired.includes('later'))
+})
+
+wheels('a cancellation calls each listener once', () => {
+  const cancellation = Cancellation.create()
+  let calls = 0
+  const removed = (): void => { calls += 100 }
+  cancellation.addEventListener('abort', () => { calls++ })
+  cancellation.addEventListener('abort', removed)
+  cancellation.removeEventListener('abort', removed)
+  cancellation.abort()
+  cancellation.abort()
+  assert.is(calls, 1)
+  assert.ok(cancellation.aborted)
+})
+
+wheels.run()
--- a/packages/auburnturn/test/http/listener.test.ts
+++ b/packages/auburnturn/test/http/listener.test.ts
@@ -149,6 +149,37 @@
   await listening.close()
 })
 
+listeners('a body that is retained reads the same again, also while an earlier reading still waits', async () => {
+  const listening = await Listening.create(async (_call, body, answer) => {
+    const first = readBody(body).catch(() => 'ended')
+    await new Promise(resolve => setTimeout(resolve, 5))
+    const second = await readBody(body)
+    writeAnswer(answer, `${await first} ${second} ${body.replayable ? 'replayable' : 'spent'}`)
+    return { verdict: done }
+  })
+  const caller = RawCaller.create(listening.port).write('POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n')
+  await waitFor(() => listening.calls.length === 1)
+  await new Promise(resolve => setTimeout(resolve, 20))
+  caller.write('3\r\ndef\r\n0\r\n\r\n')
+  assert.match(await caller.read(text => text.includes('replayable')), 'ended abcdef replayable')
+  caller.close()
+  await listening.close()
+})
+
+listeners('a body that grows beyond replayBytes can be read once only', async () => {
+  const big = 'x'.repeat(1_000)
+  const listening = await Listening.create(async (_call, body, answer) => {
+    const text = await readBody(body)
+    const again = await readBody(body).catch(() => 'refused')
+    writeAnswer(answer, `${text.length} ${again} ${body.replayable ? 'replayable' : 'spent'}`)
+    return { verdict: done }
+  }, { body: { replayBytes: 100 } })
+  const chunk = `${big.length.toString(16)}\r\n${big}\r\n`
+  const answer = await sendRaw(listening.port, `POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n${chunk}${chunk}0\r\n\r\n`)
+  assert.match(answer, '2000 refused spent')
+  await listening.close()
+})
+
 listeners('a body that breaks its chunking fails its call with 400', async () => {
   const listening = await Listening.create(async (_call, body) => {
     await readBody(body).catch(() => {})
