Split the listener's bookkeeping and the reading of heads into modules of their own

Behaviour unchanged. Tests: exchange 32, listener 33, interface 19, fuzz 4, all pass. Speed not measured.

--- a/packages/auburnturn/src/core/http/attempt.ts
+++ b/packages/auburnturn/src/core/http/attempt.ts
@@ -4,9 +4,10 @@
 import type { Clock, Timeout } from '../clock/index.js'
 import { done, mayHaveRun, notRun } from '../verdict/index.js'
 import type { MayHaveRunCause, NotRunCause, Verdict } from '../verdict/index.js'
+import { decodeHeaders, isFramed } from './answer-head.js'
 import type { Connection, Connections, Waiter } from './connections.js'
-import { countHeader, findHeader, forwardHeaders, hasToken } from './headers.js'
-import { readPeerAnswer } from './peer-answer.js'
+import { findHeader, forwardHeaders } from './headers.js'
+import { describeOutcome, readPeerAnswer } from './peer-answer.js'
 import type { PeerAnswer } from './peer-answer.js'
 
 /** Names of undici's errors for a head that can't be an answer. */
@@ -179,28 +180,10 @@
     call.signal.removeEventListener('abort', this.leave)
     // Later, because undici is still at work on the connection here.
     if (connection !== undefined) queueMicrotask(() => { connections.release(connection) })
-    resolve({
-      verdict,
-      ...(status === undefined ? {} : { status }),
-      ...(peer?.load === undefined ? {} : { load: peer.load }),
-      ...(peer?.incarnation === undefined ? {} : { incarnation: peer.incarnation }),
-      ...(peer?.successor === undefined ? {} : { successor: peer.successor })
-    })
+    resolve(describeOutcome(verdict, status, peer))
   }
 }
 
-/** Whether the end of the answer can be told from a loss of the connection (RFC 9112, 6.3). */
-function isFramed (method: string, status: number, headers: RawHeaders): boolean {
-  if (method === 'HEAD' || status === 204 || status === 304) return true
-  return countHeader(headers, 'content-length') > 0 || hasToken(headers, 'transfer-encoding', 'chunked')
-}
-
-function decodeHeaders (rawHeaders: Buffer[]): string[] {
-  const headers = new Array<string>(rawHeaders.length)
-  for (let index = 0; index < rawHeaders.length; index++) headers[index] = (rawHeaders[index] as Buffer).toString('latin1')
-  return headers
-}
-
 function doNothing (): void {}
 
 interface AttemptOptions {
--- a/packages/auburnturn/src/core/http/listener.ts
+++ b/packages/auburnturn/src/core/http/listener.ts
@@ -12,6 +12,7 @@
 import { answerAndClose, describeBrokenInput } from './broken-input.js'
 import { headCheckMs, headTimeoutMs, idleConnectionMs } from './constants.js'
 import { checkHead } from './head.js'
+import { InFlight } from './in-flight.js'
 import { discardRest } from './linger.js'
 import { createProblem } from './problem.js'
 import type { Problem } from './problem.js'
@@ -23,9 +24,7 @@
 export class Listener implements Part {
   private readonly server: Server
   private readonly options: ListenerOptions
-  /** Bodies of the calls in flight, by connection. */
-  private readonly active = new Map<Duplex, Set<RequestBody>>()
-  private readonly broken = new WeakSet<Duplex>()
+  private readonly active = InFlight.create()
   private inFlight = 0
   private dropped = 0
   private closing = false
@@ -73,7 +72,7 @@
   }
 
   dump (): unknown {
-    return { port: this.server.listening ? this.port : 0, inFlight: this.inFlight, connections: this.active.size, droppedConnections: this.dropped }
+    return { port: this.server.listening ? this.port : 0, inFlight: this.inFlight, connections: this.active.connections, droppedConnections: this.dropped }
   }
 
   private async listen (): Promise<void> {
@@ -106,12 +105,12 @@
     }
     const { call } = identified
     const body = this.createBody(request, response, call, expectsContinue)
-    this.follow(request, body)
+    this.active.add(request.socket, body)
     try {
       await this.serve(call, body, request, response, expectsContinue)
     } finally {
       body.close()
-      this.unfollow(request, body)
+      if (this.active.remove(request.socket, body)) request.socket.destroySoon()
     }
   }
 
@@ -165,32 +164,18 @@
   }
 
   private refuseConnect (socket: Duplex): void {
-    this.broken.add(socket)
+    this.active.markBroken(socket)
     answerAndClose(socket, createProblem(notRun('bad-request'), { status: 501, detail: 'CONNECT is not offered.' }), this.options.clock)
   }
 
   private writeProblem (request: IncomingMessage, response: ServerResponse, problem: Problem): void {
     // A caller that waits for 100 may send its body or not: the connection can't be used again.
-    const mustClose = this.closing || this.broken.has(request.socket) || (request.headers.expect !== undefined && !request.complete)
+    const mustClose = this.closing || this.active.isBroken(request.socket) || (request.headers.expect !== undefined && !request.complete)
     if (mustClose) problem.headers.push('connection', 'close')
     response.writeHead(problem.status, problem.headers)
     response.end(problem.body)
   }
 
-  private follow (request: IncomingMessage, body: RequestBody): void {
-    const bodies = this.active.get(request.socket)
-    if (bodies === undefined) this.active.set(request.socket, new Set([body]))
-    else bodies.add(body)
-  }
-
-  private unfollow (request: IncomingMessage, body: RequestBody): void {
-    const bodies = this.active.get(request.socket)
-    bodies?.delete(body)
-    if (bodies?.size !== 0) return
-    this.active.delete(request.socket)
-    if (this.broken.has(request.socket)) request.socket.destroySoon()
-  }
-
   private finish (request: IncomingMessage): void {
     this.inFlight--
     discardRest(request, this.options.clock)
@@ -203,9 +188,8 @@
 
   /** Fails the calls in flight whose bodies broke; without any, answers on the connection itself. */
   private handleBrokenInput (error: NodeJS.ErrnoException, socket: Duplex): void {
-    if (this.broken.has(socket)) return
-    this.broken.add(socket)
-    const bodies = this.active.get(socket)
+    if (this.active.isBroken(socket)) return
+    const bodies = this.active.markBroken(socket)
     const problem = describeBrokenInput(error.code)
     if (problem === undefined || !socket.writable) socket.destroy()
     else if (bodies === undefined) answerAndClose(socket, problem, this.options.clock)
--- a/packages/auburnturn/src/core/http/peer-answer.ts
+++ b/packages/auburnturn/src/core/http/peer-answer.ts
@@ -1,7 +1,7 @@
 import { headerNames } from '../call/index.js'
-import type { Load, RawHeaders } from '../call/types.js'
+import type { Load, Outcome, RawHeaders } from '../call/types.js'
 import { mayHaveRun, notRun } from '../verdict/index.js'
-import type { MayHaveRun, MayHaveRunCause, NotRun, NotRunCause } from '../verdict/index.js'
+import type { MayHaveRun, MayHaveRunCause, NotRun, NotRunCause, Verdict } from '../verdict/index.js'
 import { findHeader } from './headers.js'
 import { parseLoad } from './load.js'
 import { mayHaveRunStatus, notRunStatus } from './problem.js'
@@ -31,6 +31,20 @@
   }
 }
 
+/** The outcome of an attempt. Common ones are plain literals, which are cheaper than spread optional fields. */
+export function describeOutcome (verdict: Verdict, status: number | undefined, peer: PeerAnswer | undefined): Outcome {
+  if (status === undefined) return { verdict }
+  if (peer === undefined) return { verdict, status }
+  const { load, incarnation, successor } = peer
+  return {
+    verdict,
+    status,
+    ...(load === undefined ? undefined : { load }),
+    ...(incarnation === undefined ? undefined : { incarnation }),
+    ...(successor === undefined ? undefined : { successor })
+  }
+}
+
 /** A cause of a newer version of the system is not known here; the kind alone decides then. */
 function readRefusal (kind: 'not-run' | 'may-have-run', cause = ''): NotRun | MayHaveRun {
   if (kind === 'not-run') return notRun(Object.hasOwn(notRunStatus, cause) ? cause as NotRunCause : 'admission-closed')
