--- a/packages/bench/src/path/constants.ts
+++ b/packages/bench/src/path/constants.ts
@@ -1,5 +1,8 @@
-/** Where every process of the bench listens. */
-export const ip = '127.0.0.1'
+/** Where upstreams and daemons listen: a loopback address of their own, so that nobody else takes their ports. */
+export const ip = '127.9.1.1'
+
+/** Where the platform's stand-in listens. */
+export const platformIp = '127.0.0.1'
 
 /** Calls a second on each way during the comparison. */
 export const ratePerWay = 150
--- a/packages/bench/src/path/processes.ts
+++ b/packages/bench/src/path/processes.ts
@@ -8,7 +8,7 @@
 import { tmpdir } from 'node:os'
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
-import { ip } from './constants.js'
+import { ip, platformIp } from './constants.js'
 
 /** The unit of processor time in /proc/PID/stat, in milliseconds (USER_HZ is 100 on Linux). */
 const clockTickMs = 10
@@ -51,7 +51,7 @@
       control: address(ports.control),
       operator: address(ports.operator),
       upstream: address(upstreamPort),
-      platform: [address(platformPort)],
+      platform: [{ ip: platformIp, port: platformPort }],
       log: { level: 'warn' }
     }
     const file = join(this.folder, `${id}.jsonc`)
