--- a/packages/auburnturn/src/core/call/types.ts
+++ b/packages/auburnturn/src/core/call/types.ts
@@ -1,3 +1,4 @@
+import type { CancelSignal } from '../clock/index.js'
 import type { Member } from '../membership/types.js'
 import type { Profile } from '../settings/index.js'
 import type { Verdict } from '../verdict/index.js'
@@ -28,8 +29,10 @@
   /** Whether another node already passed this call on. */
   readonly forwarded: boolean
   readonly ticket?: string
+  /** Another node passed the ticketed call on and will follow the successor of a refused ticket. */
+  readonly successorWanted?: boolean
   /** Aborted when the caller is gone. */
-  readonly signal: AbortSignal
+  readonly signal: CancelSignal
 }
 
 /** Why a caller's request body can't be read to its end. */
