Split the embedded default into modules that end cleanly; daemon exit rules

Cause: one script held the whole fleet; a daemon that died or a start that failed half way left the others running, and a second signal to a daemon did nothing.

--- a/packages/auburnturnd/src/daemon.ts
+++ b/packages/auburnturnd/src/daemon.ts
@@ -1,56 +1,69 @@
 /** The daemon: reads its settings, runs one node, and ends on SIGTERM or SIGINT. */
 import { readFileSync } from 'node:fs'
-import { describeFault, Fault, formatProblem, isFault, Node, parseDocument, settingsSchema } from 'auburnturn'
-import type { NodeSettings } from 'auburnturn'
+import { describeFault, Fault, isFault } from 'auburnturn'
 import yargs from 'yargs'
+import { exitCodes } from './exit-codes.js'
+import { readSettings } from './read-settings.js'
+import { runNode } from './run-node.js'
 
-/** Exit codes, documented in docs/OPERATORS.md. */
-export const exitCodes = { ok: 0, failed: 1, invalid: 2 } as const
-
-/** Runs the daemon with the words of its command line. */
+/** Runs the daemon with the words of its command line. Never rejects; sets the exit code. */
 export async function runDaemon (words: readonly string[]): Promise<void> {
-  const options = await yargs(words)
-    .scriptName('auburnturnd')
-    .option('settings', { type: 'string', demandOption: true, describe: 'Settings file, JSON with comments' })
-    .option('check', { type: 'boolean', default: false, describe: 'Check the settings and exit' })
-    .strict()
-    .fail((message, error) => {
-      process.stderr.write(`auburnturnd: ${message ?? String(error)}\n`)
-      process.exit(exitCodes.invalid)
-    })
-    .parse()
   try {
-    const settings = readSettings(options.settings)
-    if (!options.check) await runNode(settings)
+    const options = await parseOptions(words)
+    if (options !== undefined) await run(options)
   } catch (error) {
-    process.stderr.write(`auburnturnd: ${isFault(error) ? describeFault(error) : String(error)}\n`)
-    process.exitCode = isFault(error) && error.tag.startsWith('settings') ? exitCodes.invalid : exitCodes.failed
+    process.stderr.write(`auburnturnd: ${isFault(error) ? describeFault(error) : describeError(error)}\n`)
+    // Parts of a node that failed to start may still hold the process.
+    process.exit(isFault(error) && isMisuse(error) ? exitCodes.invalid : exitCodes.failed)
   }
 }
 
-/** Reads and checks a settings file; throws a fault that names every problem. */
-export function readSettings (file: string): NodeSettings {
-  const parsed = parseDocument(readText(file), settingsSchema)
-  if (parsed.kind === 'valid') return parsed.value
-  throw Fault.create('settings-invalid', parsed.problems.map(problem => formatProblem(file, problem)).join('\n'))
+interface Options {
+  readonly settings: string
+  readonly check: boolean
 }
 
-function readText (file: string): string {
-  try {
-    return readFileSync(file, 'utf8')
-  } catch (error) {
-    throw Fault.create('settings-unreadable', error instanceof Error ? error.message : String(error), error)
+async function run ({ settings: file, check }: Options): Promise<void> {
+  const { settings, warnings } = readSettings(file)
+  if (!check) {
+    await runNode(settings, warnings)
+    return
   }
+  for (const warning of warnings) process.stderr.write(`${warning}\n`)
+  process.stdout.write(`${file}: the settings are valid\n`)
 }
 
-async function runNode (settings: NodeSettings): Promise<void> {
-  const node = await Node.create(settings)
-  const stop = (): void => {
-    node.close().catch(error => {
-      process.stderr.write(`auburnturnd: ${String(error)}\n`)
-      process.exitCode = exitCodes.failed
+/** Undefined when the words asked only for help or the version. */
+async function parseOptions (words: readonly string[]): Promise<Options | undefined> {
+  let output = ''
+  const options = await yargs()
+    .scriptName('auburnturnd')
+    .usage('$0 --settings FILE [--check]')
+    .locale('en')
+    .version(readVersion())
+    .exitProcess(false)
+    .option('settings', { type: 'string', demandOption: true, requiresArg: true, describe: 'Settings file, JSON with comments' })
+    .option('check', { type: 'boolean', default: false, describe: 'Check the settings and exit' })
+    .epilogue('Exit codes: 0 well, 1 failed, 2 wrong flag or settings.')
+    .strict()
+    .fail((message: string | null, error: unknown) => {
+      throw message === null ? error : Fault.create('usage-invalid', message.trim().replace(/\s*\n\s*/g, ' '))
     })
-  }
-  process.once('SIGTERM', stop)
-  process.once('SIGINT', stop)
+    .parseAsync([...words], {}, (_error: unknown, _options: unknown, text: string) => { output = text })
+  if (output === '') return { settings: String(options.settings), check: options.check }
+  process.stdout.write(`${output}\n`)
+  return undefined
+}
+
+function readVersion (): string {
+  const text = readFileSync(new URL('../../package.json', import.meta.url), 'utf8')
+  return (JSON.parse(text) as { version: string }).version
+}
+
+function describeError (error: unknown): string {
+  return error instanceof Error ? error.message : String(error)
+}
+
+function isMisuse ({ tag }: Fault): boolean {
+  return tag === 'usage-invalid' || tag === 'settings-invalid' || tag === 'settings-unreadable'
 }
--- /dev/null
+++ b/packages/auburnturnd/src/read-settings.ts
@@ -0,0 +1,27 @@
+import { readFileSync } from 'node:fs'
+import { Fault, findSettingsRisks, formatProblem, locateKey, parseDocument, settingsSchema } from 'auburnturn'
+import type { NodeSettings } from 'auburnturn'
+
+/** Settings that are valid, with a line for each risky choice in them. */
+export interface CheckedSettings {
+  readonly settings: NodeSettings
+  readonly warnings: readonly string[]
+}
+
+/** Reads and checks a settings file; throws a fault that names every problem. */
+export function readSettings (file: string): CheckedSettings {
+  const text = readText(file)
+  const parsed = parseDocument(text, settingsSchema)
+  if (parsed.kind === 'invalid') throw Fault.create('settings-invalid', parsed.problems.map(problem => formatProblem(file, problem)).join('\n'))
+  const warnings = findSettingsRisks(parsed.value).map(({ path, message }) =>
+    formatProblem(file, { ...locateKey(text, path), key: path.join('.'), message: `warning: ${message}` }))
+  return { settings: parsed.value, warnings }
+}
+
+function readText (file: string): string {
+  try {
+    return readFileSync(file, 'utf8')
+  } catch (error) {
+    throw Fault.create('settings-unreadable', error instanceof Error ? error.message : String(error), error)
+  }
+}
--- a/packages/stand-ins/src/upstream-service.ts
+++ b/packages/stand-ins/src/upstream-service.ts
@@ -1,41 +1,41 @@
-import { createServer } from 'node:http'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Behaviour } from './behaviour.js'
+import { StandInServer } from './stand-in-server.js'
 
 /** A customer's service on one VM; it answers every request with its name and what it received. */
 export class UpstreamService {
-  private readonly server: Server
-  private readonly name: string
+  readonly name: string
+  private readonly server: StandInServer
 
-  private constructor (name: string) {
+  private constructor (name: string, server: StandInServer) {
     this.name = name
-    this.server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
-      this.answer(request, response).catch(() => { response.destroy() })
-    })
+    this.server = server
   }
 
   static async create (name: string, port = 0): Promise<UpstreamService> {
-    const service = new UpstreamService(name)
-    await new Promise<void>(resolve => { service.server.listen(port, '127.0.0.1', resolve) })
-    return service
+    const server = await StandInServer.create((request, response) => {
+      answer(name, request, response).catch(() => { response.destroy() })
+    }, port)
+    return new UpstreamService(name, server)
   }
 
   get port (): number {
-    return (this.server.address() as AddressInfo).port
+    return this.server.port
   }
 
-  async close (): Promise<void> {
-    await new Promise<void>(resolve => {
-      this.server.close(() => { resolve() })
-      this.server.closeIdleConnections()
-    })
+  async behave (behaviour: Behaviour): Promise<void> {
+    await this.server.behave(behaviour)
   }
 
-  private async answer (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    let bytes = 0
-    for await (const chunk of request) bytes += (chunk as Buffer).length
-    const body = JSON.stringify({ upstream: this.name, method: request.method, path: request.url, bytes })
-    response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) })
-    response.end(`${body}`)
+  async close (): Promise<void> {
+    await this.server.close()
   }
 }
+
+async function answer (name: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+  let bytes = 0
+  for await (const chunk of request) bytes += (chunk as Buffer).length
+  const body = JSON.stringify({ upstream: name, method: request.method, path: request.url, bytes })
+  response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) })
+  response.end(body)
+}
