Write log lines at all; test supervision, metrics, logs, operator, drain and processes

Cause: roarr makes a silent logger unless ROARR_LOG is set when it is made, so no node ever logged a line (test 'an event is one line' failed first). closeWithin took a part whose close threw for one that hung (test failed first). hdr-histogram-js loads its WebAssembly build.

--- a/packages/auburnturn/src/core/logger/logger.ts
+++ b/packages/auburnturn/src/core/logger/logger.ts
@@ -1,4 +1,5 @@
-import { Roarr } from 'roarr'
+import type { Logger as Roarr } from 'roarr'
+import { createRoarr } from './create-roarr.js'
 import { formatEvent } from './format.js'
 import type { Fields, Level } from './types.js'
 
@@ -10,27 +11,31 @@
 export class Logger {
   private readonly subsystem: string
   private readonly level: Level
-  private readonly write: Write
+  private readonly roarr: Roarr
 
-  private constructor (subsystem: string, level: Level, write: Write) {
+  private constructor (subsystem: string, level: Level, roarr: Roarr) {
     this.subsystem = subsystem
     this.level = level
-    this.write = write
+    this.roarr = roarr
   }
 
   /** `write` receives whole lines without a line end; standard error unless given. */
   static create (level: Level = 'info', write: Write = line => { process.stderr.write(`${line}\n`) }): Logger {
-    return new Logger('auburnturn', level, write)
+    const roarr = createRoarr(({ context, message, time }) => {
+      const { subsystem, level, fields } = context as unknown as EventContext
+      write(formatEvent(time, level, subsystem, message, fields))
+    })
+    return new Logger('auburnturn', level, roarr)
   }
 
   /** A logger that drops everything. */
   static createSilent (): Logger {
-    return new Logger('silent', 'error', () => {})
+    return Logger.create('error', () => {})
   }
 
   /** The same logger under the name of a subsystem. */
   label (subsystem: string): Logger {
-    return new Logger(subsystem, this.level, this.write)
+    return new Logger(subsystem, this.level, this.roarr)
   }
 
   debug (event: string, fields: Fields = {}): void { this.emit('debug', event, fields) }
@@ -40,11 +45,14 @@
 
   private emit (level: Level, event: string, fields: Fields): void {
     if (rank[level] < rank[this.level]) return
-    // roarr's own output stays off unless ROARR_LOG is set, so the line is written here.
-    const roarr = Roarr.child(message => {
-      this.write(formatEvent(message.time, level, this.subsystem, event, fields))
-      return message
-    })
-    roarr[level](event)
+    const context: EventContext = { subsystem: this.subsystem, level, fields }
+    this.roarr[level]({ ...context }, event)
   }
 }
+
+/** What roarr carries from an event to the line that is written of it. */
+interface EventContext {
+  readonly subsystem: string
+  readonly level: Level
+  readonly fields: Fields
+}
--- a/packages/auburnturn/src/core/metrics/constants.ts
+++ b/packages/auburnturn/src/core/metrics/constants.ts
@@ -4,6 +4,12 @@
 /** Longest duration that a histogram tells apart, in microseconds. */
 export const highestMicroseconds = 3_600_000_000
 
+/** Range that a histogram holds before it grows, in microseconds. */
+export const initialHighestMicroseconds = 100_000
+
+/** Significant decimal digits of a recorded duration. */
+export const significantDigits = 2
+
 /** Percentiles that are shown of each duration. */
 export const percentiles: readonly number[] = [50, 99, 99.9]
 
--- a/packages/auburnturn/src/core/metrics/recorder.ts
+++ b/packages/auburnturn/src/core/metrics/recorder.ts
@@ -1,6 +1,7 @@
-import { build } from 'hdr-histogram-js'
 import type { Histogram } from 'hdr-histogram-js'
-import { highestMicroseconds, percentiles, windowMs } from './constants.js'
+// The package's index also loads its WebAssembly build, 12 MB of resident memory.
+import int32Histogram from 'hdr-histogram-js/dist/Int32Histogram.js'
+import { highestMicroseconds, initialHighestMicroseconds, percentiles, significantDigits, windowMs } from './constants.js'
 import type { DurationSummary } from './types.js'
 
 /** Durations of one kind: quantiles of the last one to two windows, and totals since the start. */
@@ -49,5 +50,7 @@
 }
 
 function createHistogram (): Histogram {
-  return build({ bitBucketSize: 32, autoResize: true, numberOfSignificantValueDigits: 2, useWebAssembly: false })
+  const histogram = new int32Histogram.default(1, initialHighestMicroseconds, significantDigits)
+  histogram.autoResize = true
+  return histogram
 }
--- a/packages/auburnturn/src/core/supervisor/close-within.ts
+++ b/packages/auburnturn/src/core/supervisor/close-within.ts
@@ -10,9 +10,10 @@
 /** Closes a part and waits for it at most `milliseconds`. Never rejects. */
 export async function closeWithin (part: Part, milliseconds: number, clock: Clock): Promise<CloseOutcome> {
   const settled = new AbortController()
-  const closing = close(part).finally(() => { settled.abort() })
-  const late = clock.sleep(milliseconds, settled.signal).then((): CloseOutcome => ({ kind: 'late' }))
-  return await Promise.race([closing, late])
+  const closing = close(part)
+  closing.then(() => { settled.abort() }, () => {})
+  await clock.sleep(milliseconds, settled.signal)
+  return settled.signal.aborted ? await closing : { kind: 'late' }
 }
 
 async function close (part: Part): Promise<CloseOutcome> {
--- /dev/null
+++ b/packages/auburnturn/test/node/drain.test.ts
@@ -0,0 +1,54 @@
+import { once } from 'node:events'
+import type { ServerResponse } from 'node:http'
+import { request } from 'undici'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { Cluster } from '../fixtures/cluster.js'
+
+const draining = suite('drain')
+
+draining('a node that drains refuses new calls as not run and lets those in flight end', async () => {
+  let answerHeld: (response: ServerResponse) => void = () => {}
+  const held = new Promise<ServerResponse>(resolve => { answerHeld = resolve })
+  const cluster = await Cluster.create(1, () => (incoming, response) => {
+    if (incoming.url === '/slow') answerHeld(response)
+    else response.end('at once')
+  })
+  cluster.publish({ key: 'profile/quick', version: 1, text: '{ "drain": { "newWorkMs": 50 } }' }, { key: 'service/orders', version: 2, text: '{ "profile": "quick" }' })
+  const node = cluster.nodes[0]
+  const origin = `http://127.0.0.1:${node?.callersPort ?? 0}/~orders`
+  const slow = request(`${origin}/slow`)
+  const response = await held
+
+  const drained = node?.drain()
+  const refused = await request(`${origin}/new`)
+  assert.is(refused.statusCode, 503)
+  assert.is(refused.headers['auburnturn-verdict'], 'not-run')
+  await refused.body.dump()
+  const health = await request(`http://127.0.0.1:${node?.operatorPort ?? 0}/health`)
+  assert.equal([health.statusCode, await health.body.text()], [503, 'draining\n'])
+
+  response.end('whole')
+  const answer = await slow
+  assert.is(await answer.body.text(), 'whole')
+  await drained
+  await cluster.close()
+})
+
+draining('a close waits for the calls in flight', async () => {
+  let held: ServerResponse | undefined
+  const cluster = await Cluster.create(1, () => (_incoming, response) => { held = response })
+  const slow = request(`http://127.0.0.1:${cluster.nodes[0]?.callersPort ?? 0}/~orders/slow`)
+  while (held === undefined) await new Promise(resolve => setImmediate(resolve))
+  let closed = false
+  const closing = cluster.nodes[0]?.close().then(() => { closed = true })
+  await new Promise(resolve => setImmediate(resolve))
+  assert.not.ok(closed)
+  held.end('whole')
+  await once(held, 'finish')
+  assert.is(await (await slow).body.text(), 'whole')
+  await closing
+  await cluster.close()
+})
+
+draining.run()
--- /dev/null
+++ b/packages/stand-ins/test/fleet.test.ts
@@ -0,0 +1,146 @@
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { existsSync } from 'node:fs'
+import { createServer } from 'node:net'
+import { request } from 'undici'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { Fleet } from '../src/index.js'
+import type { Deployment } from '../src/index.js'
+import { findFreePorts } from './fixtures/free-ports.js'
+
+const fleets = suite('fleet')
+
+const small: Deployment = {
+  region: 'kochi',
+  failureDomains: ['kochi-a', 'kochi-b'],
+  services: [{ name: 'orders', targets: 2, profile: 'orders' }]
+}
+const portsOfSmall = 9
+
+async function createFleet (onDaemonEnd?: (name: string) => void): Promise<Fleet> {
+  const firstPort = await findFreePorts(portsOfSmall)
+  return await Fleet.create({ deployments: [small], firstPort, controlPort: firstPort + portsOfSmall - 1, ...(onDaemonEnd === undefined ? {} : { onDaemonEnd }) })
+}
+
+/** Ends a fleet without its drain. */
+async function endAtOnce (fleet: Fleet): Promise<void> {
+  fleet.kill()
+  await fleet.close()
+}
+
+function exists (pid: number | undefined): boolean {
+  return existsSync(`/proc/${pid ?? 0}/stat`)
+}
+
+fleets('SIGTERM lets the call in flight end, refuses new ones as not run, and ends with 0', async () => {
+  const fleet = await createFleet()
+  const port = fleet.places[0]?.callersPort ?? 0
+  await behave(fleet, 'latencyMs=1000')
+  const slow = request(`http://127.0.0.1:${port}/~orders/slow`)
+  await waitForInFlight(fleet.places[0]?.operatorPort ?? 0)
+
+  fleet.daemons[0]?.signal('SIGTERM')
+  await waitForHealth(fleet.places[0]?.operatorPort ?? 0, 'draining\n')
+  const refused = await request(`http://127.0.0.1:${port}/~orders/new`)
+  assert.equal([refused.statusCode, refused.headers['auburnturn-verdict']], [503, 'not-run'])
+  await refused.body.dump()
+
+  const answer = await slow
+  assert.is(answer.statusCode, 200)
+  assert.match(await answer.body.text(), '"path":"/slow"')
+  assert.equal(await fleet.daemons[0]?.ended, { code: 0, signal: null })
+  await fleet.close()
+})
+
+fleets('a second signal ends a daemon at once with 1', async () => {
+  const fleet = await createFleet()
+  const [daemon] = fleet.daemons
+  daemon?.signal('SIGINT')
+  await waitForHealth(fleet.places[0]?.operatorPort ?? 0, 'draining\n')
+  daemon?.signal('SIGTERM')
+  assert.equal(await daemon?.ended, { code: 1, signal: null })
+  await endAtOnce(fleet)
+})
+
+fleets('a fleet goes on past a daemon that died, and closes what is left', async () => {
+  let told: (name: string) => void = () => {}
+  const ended = new Promise<string>(resolve => { told = resolve })
+  const fleet = await createFleet(name => { told(name) })
+  fleet.daemons[0]?.signal('SIGKILL')
+  assert.is(await ended, 'orders-1')
+  const answer = await request(`http://127.0.0.1:${fleet.places[1]?.callersPort ?? 0}/~orders/still`)
+  assert.is(answer.statusCode, 200)
+  await answer.body.dump()
+  await fleet.close()
+  assert.equal(fleet.daemons.map(({ pid }) => exists(pid)), [false, false])
+})
+
+fleets('a start that fails half way closes what has started', async () => {
+  const firstPort = await findFreePorts(portsOfSmall)
+  const taken = createServer()
+  taken.listen(firstPort + 4, '127.0.0.1')
+  await once(taken, 'listening')
+  try {
+    await Fleet.create({ deployments: [small], firstPort, controlPort: firstPort + portsOfSmall - 1 })
+    assert.unreachable()
+  } catch (error) {
+    assert.is((error as Error).message, 'the daemon of orders-2 ended while it started')
+  }
+  const probe = createServer()
+  probe.listen(firstPort, '127.0.0.1')
+  await once(probe, 'listening')
+  probe.close()
+  taken.close()
+})
+
+fleets('an upstream that is told to fail or to be down does so until it is told otherwise', async () => {
+  const fleet = await createFleet()
+  const url = `http://127.0.0.1:${fleet.places[0]?.callersPort ?? 0}/~orders/`
+  await behave(fleet, 'failing=true', 'orders-1', 'orders-2')
+  assert.is(await readStatus(url), 500)
+  await behave(fleet, 'down=true', 'orders-1', 'orders-2')
+  assert.is(await readStatus(url), 503)
+  await behave(fleet, '', 'orders-1', 'orders-2')
+  assert.is(await readStatus(url), 200)
+  assert.is(await readStatus(`http://127.0.0.1:${fleet.controlPort}/orders-1?slow=yes`, 'POST'), 400)
+  await endAtOnce(fleet)
+})
+
+fleets('the daemon says in one line what is wrong with its settings', async () => {
+  const child = spawn(process.execPath, ['../auburnturnd/bin/auburnturnd.js', '--settings', 'no-such-file.jsonc'], { cwd: new URL('../..', import.meta.url) })
+  const chunks: Buffer[] = []
+  child.stderr.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+  const [code] = await once(child, 'close') as [number]
+  assert.is(code, 2)
+  assert.match(Buffer.concat(chunks).toString(), /^auburnturnd: The settings file could not be read: ENOENT[^\n]*\n$/)
+})
+
+async function behave (fleet: Fleet, query: string, ...upstreams: string[]): Promise<void> {
+  for (const name of upstreams.length === 0 ? ['orders-1'] : upstreams) {
+    assert.is(await readStatus(`http://127.0.0.1:${fleet.controlPort}/${name}?${query}`, 'POST'), 200)
+  }
+}
+
+async function readStatus (url: string, method: 'GET' | 'POST' = 'GET'): Promise<number> {
+  const answer = await request(url, { method })
+  await answer.body.dump()
+  return answer.statusCode
+}
+
+async function waitForInFlight (operatorPort: number): Promise<void> {
+  for (;;) {
+    const answer = await request(`http://127.0.0.1:${operatorPort}/dump/calls`)
+    const { inFlight } = await answer.body.json() as { inFlight: number }
+    if (inFlight > 0) return
+  }
+}
+
+async function waitForHealth (operatorPort: number, health: string): Promise<void> {
+  for (;;) {
+    const answer = await request(`http://127.0.0.1:${operatorPort}/health`)
+    if (await answer.body.text() === health) return
+  }
+}
+
+fleets.run()
