--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -25,6 +25,7 @@
 import { Peers } from './peers.js'
 import { followConfiguration, followMembers } from './readers.js'
 import { showNode } from './show-node.js'
+import { isTicketRequest, TicketOffice } from './tickets.js'
 
 /** What a node is given from outside; all have working defaults. */
 export interface NodeOptions {
@@ -50,6 +51,7 @@
   private readonly tracker: CallTracker
   private readonly supervisor: Supervisor
   private readonly admission: Admission
+  private readonly tickets: TicketOffice
   private closing = false
   private started = false
   private readonly ports = { callers: 0, peers: 0, control: 0, operator: 0 }
@@ -70,6 +72,8 @@
     this.metrics = Metrics.create({ clock: this.clock })
     this.tracker = CallTracker.create({ clock: this.clock, metrics: this.metrics })
     this.admission = Admission.create({ clock: this.clock })
+    const { id, service } = settings
+    this.tickets = TicketOffice.create({ id, service, directory: this.directory, random: this.random, controlClients: this.controlClients })
     this.supervisor = Supervisor.create({ clock: this.clock, logger: this.logger.label('supervisor') })
   }
 
@@ -96,16 +100,21 @@
     return this.started ? 'serving' : 'starting'
   }
 
-  /** Refuses new work as not run, and resolves when other nodes had time to hear of it and nothing is in flight. */
+  /**
+   * Refuses new work for the own upstream as not run, and resolves when other nodes had time to hear of it
+   * and nothing runs there. Calls to other targets still pass: what runs on the upstream may need them.
+   */
   async drain (): Promise<void> {
     this.leave()
     await this.clock.sleep(this.store.profileOf(this.settings.service).drain.newWorkMs)
-    await this.tracker.settle()
+    await this.tracker.settleUpstream()
   }
 
   /** Refuses new work as not run, lets what is in flight end, then closes every part. */
   async close (): Promise<void> {
     this.leave()
+    await this.tracker.settleUpstream()
+    this.tracker.refuse()
     await this.tracker.settle()
     await this.supervisor.close()
   }
@@ -126,7 +135,6 @@
   private leave (): void {
     if (this.closing) return
     this.closing = true
-    this.tracker.refuse()
     this.admission.drain()
     const self = this.directory.find(this.settings.service, this.settings.id)
     if (self !== undefined) this.directory.announceLeaving(self, this.incarnation)
@@ -137,7 +145,8 @@
     const platform = Platform.create(settings.platform.map(({ ip, port }) => `http://${ip}:${port}`))
     const peers = Peers.create({ clock, directory, connections: settings.limits.connectionsPerTarget })
     const upstream = this.createUpstream()
-    const target = Target.create({ incarnation: this.incarnation, clock, admission: this.admission, run: this.tracker.trackAttempt('upstream', async (call, body: Body, answer: Answer) => await upstream.send(call, body, answer)) })
+    const target = this.createTarget(upstream)
+    this.controlRoutes.push(this.tickets.routes(target))
     const router = this.createRouter(peers, target)
     // First, so that it closes last: the drain can be watched.
     await this.supervisor.add('operator', async () => await this.openOperator())
@@ -147,6 +156,7 @@
     await this.supervisor.add('members', async () => followMembers({ platform, directory, clock, logger }))
     await this.supervisor.add('upstream', async () => upstream)
     await this.supervisor.add('peers', async () => peers)
+    await this.supervisor.add('target', async () => ({ close: async () => {}, dump: () => target.dump() }))
     await this.supervisor.add('router', async () => ({ close: async () => {}, dump: () => router.dump() }))
     await this.supervisor.add('controlClients', async () => this.controlClients)
     await this.supervisor.add('ownMembership', async () => this.createOwnMembership())
@@ -163,6 +173,17 @@
     return Exchange.create({ origin: `http://${ip}:${port}`, connections: this.settings.limits.callerConnections, connectMs, clock: this.clock })
   }
 
+  private createTarget (upstream: Exchange): Target {
+    return Target.create({
+      id: this.settings.id,
+      incarnation: this.incarnation,
+      clock: this.clock,
+      admission: this.admission,
+      run: this.tracker.trackAttempt('upstream', async (call, body: Body, answer: Answer) => await upstream.send(call, body, answer)),
+      fetchTicket: async (service, withinMs) => await this.tickets.fetchElsewhere(service, withinMs)
+    })
+  }
+
   private createRouter (peers: Peers, target: Target): Router {
     const { id, service } = this.settings
     return Router.create({ clock: this.clock, random: this.random, directory: this.directory, remote: this.tracker.trackAttempt('peer', peers.attempt), local: { id, service, target } })
@@ -181,7 +202,9 @@
         answerHeaders,
         logger: logger.label(name),
         identify: (request, signal) => identifyCall(request, signal, { clock, store, directory, forwarded }),
-        serve: this.tracker.track(async (call, body, answer) => await router.run(call, body, answer))
+        serve: this.tracker.track(async (call, body, answer) => !forwarded && isTicketRequest(call)
+          ? await this.tickets.answer(call, answer, target, tried => router.choose(call, tried))
+          : await router.run(call, body, answer))
       })
       this.ports[name] = listener.port
       return listener
