--- a/packages/auburnturn/src/core/metrics/recorder.ts
+++ b/packages/auburnturn/src/core/metrics/recorder.ts
@@ -1,9 +1,11 @@
 import type { Histogram } from 'hdr-histogram-js'
 // The package's index also loads its WebAssembly build, 12 MB of resident memory.
-import int32Histogram from 'hdr-histogram-js/dist/Int32Histogram.js'
+import int32Module from 'hdr-histogram-js/dist/Int32Histogram.js'
 import { highestMicroseconds, initialHighestMicroseconds, percentiles, significantDigits, windowMs } from './constants.js'
 import type { DurationSummary } from './types.js'
 
+const Int32Histogram = int32Module.default
+
 /** Durations of one kind: quantiles of the last one to two windows, and totals since the start. */
 export class Recorder {
   private readonly now: () => number
@@ -50,7 +52,7 @@
 }
 
 function createHistogram (): Histogram {
-  const histogram = new int32Histogram.default(1, initialHighestMicroseconds, significantDigits)
+  const histogram = new Int32Histogram(1, initialHighestMicroseconds, significantDigits)
   histogram.autoResize = true
   return histogram
 }
