--- a/packages/auburnturn/src/core/call/constants.ts
+++ b/packages/auburnturn/src/core/call/constants.ts
@@ -23,5 +23,12 @@
   /** `yes` on an answer that was recorded for an earlier sending of the same ticket. */
   recorded: 'auburnturn-recorded',
   /** `wanted` between nodes: a refused ticket is to be replaced, since the sender will follow it. */
-  successor: 'auburnturn-successor'
+  successor: 'auburnturn-successor',
+  /** The call's name in logs and histories, between nodes. */
+  callId: 'auburnturn-call-id',
+  /** Who made the call, between nodes. */
+  caller: 'auburnturn-caller'
 } as const
+
+/** Prefix of every header above. No other header with it passes a node. */
+export const headerPrefix = 'auburnturn-'
--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -1,12 +1,11 @@
 import { randomBytes } from 'node:crypto'
 import { Admission } from '../admission/index.js'
-import { headerNames } from '../call/index.js'
-import type { Answer, Body, RawHeaders } from '../call/types.js'
+import type { Answer, Body } from '../call/types.js'
 import { Clock } from '../clock/index.js'
 import { Store } from '../configuration/index.js'
 import { ControlClients, ControlServer } from '../control/index.js'
 import type { Routes } from '../control/index.js'
-import { Exchange, formatLoad, Listener } from '../http/index.js'
+import { Exchange, Listener } from '../http/index.js'
 import { Logger } from '../logger/index.js'
 import { Directory } from '../membership/index.js'
 import { Metrics } from '../metrics/index.js'
@@ -20,13 +19,18 @@
 import { Supervisor } from '../supervisor/index.js'
 import { Target } from '../target/index.js'
 import { CallTracker } from './call-tracker.js'
+import { createAnswerHeaders } from './answer-headers.js'
+import { createCallIds } from './call-ids.js'
 import { identifyCall } from './identify.js'
 import { OwnMembership } from './own-membership.js'
-import { Peers } from './peers.js'
+import { describeToUpstream, Peers } from './peers.js'
 import { followConfiguration, followMembers } from './readers.js'
 import { showNode } from './show-node.js'
 import { isTicketRequest, TicketOffice } from './tickets.js'
 
+/** Time between the refusal of every call and the end of idle connections, in milliseconds. */
+const closeLingerMs = 50
+
 /** What a node is given from outside; all have working defaults. */
 export interface NodeOptions {
   readonly clock?: Clock
@@ -37,6 +41,7 @@
 /** The process beside one upstream. */
 export class Node {
   readonly incarnation = randomBytes(8).toString('hex')
+  private readonly nextId = createCallIds(this.incarnation)
   readonly store: Store
   readonly directory: Directory
   readonly notices: Notices
@@ -115,6 +120,8 @@
     this.leave()
     await this.tracker.settleUpstream()
     this.tracker.refuse()
+    // A request that is on its way on an open connection is refused as not run rather than reset.
+    if (this.started) await this.clock.sleep(closeLingerMs)
     await this.tracker.settle()
     await this.supervisor.close()
   }
@@ -143,7 +150,7 @@
   private async start (): Promise<void> {
     const { settings, clock, logger, store, directory } = this
     const platform = Platform.create(settings.platform.map(({ ip, port }) => `http://${ip}:${port}`))
-    const peers = Peers.create({ clock, directory, connections: settings.limits.connectionsPerTarget })
+    const peers = Peers.create({ clock, directory, connections: settings.limits.connectionsPerTarget, headerBytes: settings.limits.headerBytes })
     const upstream = this.createUpstream()
     const target = this.createTarget(upstream)
     this.controlRoutes.push(this.tickets.routes(target))
@@ -169,8 +176,7 @@
 
   private createUpstream (): Exchange {
     const { ip, port } = this.settings.upstream
-    const { connectMs } = this.store.profileOf(this.settings.service).timeouts
-    return Exchange.create({ origin: `http://${ip}:${port}`, connections: this.settings.limits.callerConnections, connectMs, clock: this.clock })
+    return Exchange.create({ origin: `http://${ip}:${port}`, connections: this.settings.limits.callerConnections, clock: this.clock })
   }
 
   private createTarget (upstream: Exchange): Target {
@@ -179,7 +185,7 @@
       incarnation: this.incarnation,
       clock: this.clock,
       admission: this.admission,
-      run: this.tracker.trackAttempt('upstream', async (call, body: Body, answer: Answer) => await upstream.send(call, body, answer)),
+      run: this.tracker.trackAttempt('upstream', async (call, body: Body, answer: Answer) => await upstream.send(call, body, answer, describeToUpstream(call, this.clock))),
       fetchTicket: async (service, withinMs) => await this.tickets.fetchElsewhere(service, withinMs)
     })
   }
@@ -191,17 +197,16 @@
 
   private async listen (name: 'callers' | 'peers', forwarded: boolean, router: Router, target: Target): Promise<void> {
     const { clock, store, directory, settings, logger, incarnation } = this
-    const answerHeaders = (): RawHeaders => forwarded
-      ? [headerNames.load, formatLoad(target.load), headerNames.incarnation, incarnation]
-      : []
+    const headers = createAnswerHeaders({ target, incarnation, forwarded })
     await this.supervisor.add(name, async () => {
       const listener = await Listener.create({
         ...settings[name],
         connections: settings.limits.callerConnections,
         headerBytes: settings.limits.headerBytes,
-        answerHeaders,
+        clock,
+        ...headers,
         logger: logger.label(name),
-        identify: (request, signal) => identifyCall(request, signal, { clock, store, directory, forwarded }),
+        identify: (request, signal) => identifyCall(request, signal, { clock, store, directory, forwarded, nextId: this.nextId }),
         serve: this.tracker.track(async (call, body, answer) => !forwarded && isTicketRequest(call)
           ? await this.tickets.answer(call, answer, target, tried => router.choose(call, tried))
           : await router.run(call, body, answer))
