--- /dev/null
+++ b/packages/auburnturn/src/core/client/follow.ts
@@ -0,0 +1,27 @@
+import type { Clock } from '../clock/index.js'
+import type { Logger } from '../logger/index.js'
+import type { Part } from '../supervisor/types.js'
+import { retryMs } from './constants.js'
+
+/** Reads again and again until closed; a failed read is logged and tried again after a pause. */
+export function follow (what: string, read: (signal: AbortSignal) => Promise<void>, { clock, logger }: { clock: Clock, logger: Logger }): Part {
+  const closing = new AbortController()
+  const loop = async (): Promise<void> => {
+    while (!closing.signal.aborted) {
+      try {
+        await read(closing.signal)
+      } catch (error) {
+        if (closing.signal.aborted) return
+        logger.warn('platform-silent', { what, error: String(error) })
+        await clock.sleep(retryMs, closing.signal)
+      }
+    }
+  }
+  const running = loop()
+  return {
+    async close () {
+      closing.abort()
+      await running
+    }
+  }
+}
--- /dev/null
+++ b/packages/auburnturn/src/core/client/held-body.ts
@@ -0,0 +1,23 @@
+import type { Body } from '../call/types.js'
+
+/** A request body that is held whole, so that it can be sent again. */
+export class HeldBody implements Body {
+  readonly replayable = true
+  readonly whole: Uint8Array
+
+  private constructor (whole: Uint8Array) {
+    this.whole = whole
+  }
+
+  static create (body: string | Uint8Array = ''): HeldBody {
+    return new HeldBody(typeof body === 'string' ? Buffer.from(body) : body)
+  }
+
+  get empty (): boolean {
+    return this.whole.length === 0
+  }
+
+  async * read (): AsyncIterable<Uint8Array> {
+    if (!this.empty) yield this.whole
+  }
+}
