Run the examples of the test without colours

Cause: uvu sets FORCE_COLOR, so that an example printed its number coloured and the comparison failed under uvu alone. Change: the test turns colours off for the example.

--- a/packages/stand-ins/test/examples.test.ts
+++ b/packages/stand-ins/test/examples.test.ts
@@ -7,7 +7,7 @@
 
 const folder = fileURLToPath(new URL('../../../../examples/', import.meta.url))
 
-/** What each example prints, on standard output alone. */
+/** What each example prints, on standard output alone and without colours, which uvu asks for. */
 const expected: Readonly<Record<string, string>> = {
   'embedded-router.js': [
     'order: done, 200 {"upstream":"orders-1","method":"POST","path":"/orders","bytes":19}',
@@ -31,7 +31,7 @@
 
 for (const [file, output] of Object.entries(expected)) {
   examples(`${file} runs and prints what it should`, async () => {
-    const { stdout, stderr } = await promisify(execFile)(process.execPath, [`${folder}${file}`], { timeout: 30_000 })
+    const { stdout, stderr } = await promisify(execFile)(process.execPath, [`${folder}${file}`], { timeout: 30_000, env: { ...process.env, FORCE_COLOR: '0' } })
     assert.is(stderr, '')
     assert.is(stdout, output)
   })
