--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -156,7 +156,7 @@
     this.controlRoutes.push(this.tickets.routes(target))
     const router = this.createRouter(peers, target)
     // First, so that it closes last: the drain can be watched.
-    await this.supervisor.add('operator', async () => await this.openOperator())
+    await this.supervisor.add('operator', async fail => await this.openOperator(fail))
     await this.supervisor.add('membership', async () => this.directory)
     await this.supervisor.add('platform', async () => platform)
     await this.supervisor.add('configuration', async () => followConfiguration({ platform, store, clock, logger }))
@@ -238,8 +238,8 @@
     return control
   }
 
-  private async openOperator (): Promise<Operator> {
-    const operator = await Operator.create({ ...this.settings.operator, dumpNode: () => this.dump(), readState: () => this.state, metrics: this.metrics })
+  private async openOperator (fail: (error: unknown) => void): Promise<Operator> {
+    const operator = await Operator.create({ ...this.settings.operator, dumpNode: () => this.dump(), readState: () => this.state, metrics: this.metrics, fail })
     this.ports.operator = operator.port
     return operator
   }
--- a/packages/auburnturn/src/core/operator/operator.ts
+++ b/packages/auburnturn/src/core/operator/operator.ts
@@ -16,6 +16,7 @@
 export class Operator implements Part {
   private readonly server: Server
   private readonly options: OperatorOptions
+  private closing = false
 
   private constructor (options: OperatorOptions) {
     this.options = options
@@ -31,6 +32,7 @@
       operator.server.once('error', error => { reject(Fault.create('address-in-use', `${ip}:${port}`, error)) })
       operator.server.listen(port, ip, resolve)
     })
+    operator.watch()
     return operator
   }
 
@@ -39,12 +41,20 @@
   }
 
   async close (): Promise<void> {
+    this.closing = true
     await new Promise<void>(resolve => {
-      this.server.close(() => { resolve() })
+      this.server.close(() => { resolve() }) // also calls back when it was closed before
       this.server.closeAllConnections()
     })
   }
 
+  /** Tells the supervisor when the address is lost. */
+  private watch (): void {
+    const { fail } = this.options
+    this.server.on('error', error => { fail(error) })
+    this.server.on('close', () => { if (!this.closing) fail(new Error('the operator address was closed')) })
+  }
+
   private serve (request: IncomingMessage, response: ServerResponse): void {
     request.resume()
     if (!namesNumber(request.headers.host)) return send(response, 403, plainText, 'Name this address by its IP number.\n')
@@ -82,6 +92,8 @@
   readonly dumpNode: () => Record<string, unknown>
   readonly readState: () => NodeState
   readonly metrics: Metrics
+  /** Told once when the operator can't go on. */
+  readonly fail: (error: unknown) => void
 }
 
 /** A page of another origin reaches a loopback address only by a host name of its own. */
