--- a/packages/auburnturn-cli/src/core/call/types.ts
+++ b/packages/auburnturn-cli/src/core/call/types.ts
@@ -19,7 +19,7 @@
   readonly cause: string | undefined
   readonly status: number | undefined
   readonly milliseconds: number
-  /** Nodes that the call went through, as the answer tells. */
+  /** Targets that were tried, in order, with what became of those that did not answer. */
   readonly way: string | undefined
   readonly body: string
 }
--- a/packages/auburnturn-cli/test/tool.test.ts
+++ b/packages/auburnturn-cli/test/tool.test.ts
@@ -92,6 +92,7 @@
   const { code, printed } = await run('call', single.callers, 'orders', '/list?page=2', '--method', 'post', '--body', 'abc')
   assert.is(code, 0)
   assert.match(printed, /^verdict {2}done: /)
+  assert.match(printed, /^way {6}orders-1$/m)
   assert.match(printed, '"method":"POST","path":"/list?page=2","bytes":3')
 })
 
--- a/packages/auburnturn/src/core/call/types.ts
+++ b/packages/auburnturn/src/core/call/types.ts
@@ -28,6 +28,8 @@
   /** Whether another node already passed this call on. */
   readonly forwarded: boolean
   readonly ticket?: string
+  /** The targets tried so far with what became of each, when the caller asked for them. */
+  readonly way?: string[]
   /** Aborted when the caller is gone. */
   readonly signal: AbortSignal
 }
@@ -81,6 +83,8 @@
   readonly incarnation?: string
   /** The ticket that replaces the refused one. */
   readonly successor?: string
+  /** The targets that were tried, when the caller asked for them. */
+  readonly way?: string
 }
 
 /** Tries a call once at one member. */
--- a/packages/auburnturn/src/core/node/answer-headers.ts
+++ b/packages/auburnturn/src/core/node/answer-headers.ts
@@ -10,7 +10,11 @@
     : ['via', viaValue]
   return {
     answerHeaders: () => [...nodeHeaders(), headerNames.verdict, 'done'],
-    refusalHeaders: ({ successor }) => successor === undefined ? nodeHeaders() : [...nodeHeaders(), headerNames.ticket, successor]
+    refusalHeaders: ({ successor, way }) => [
+      ...nodeHeaders(),
+      ...(successor === undefined ? [] : [headerNames.ticket, successor]),
+      ...(way === undefined ? [] : [headerNames.way, way])
+    ]
   }
 }
 
--- a/packages/auburnturn/src/core/node/call-tracker.ts
+++ b/packages/auburnturn/src/core/node/call-tracker.ts
@@ -3,6 +3,7 @@
 import type { Serve } from '../http/index.js'
 import type { Metrics } from '../metrics/index.js'
 import { notRun } from '../verdict/index.js'
+import { AnswerWithWay, formatWay, noteAttempt } from './way.js'
 
 /** Time after the last deadline until calls in flight count as stuck, in milliseconds. */
 const graceMs = 1_000
@@ -49,15 +50,16 @@
       this.calls.set(call.id, times)
       this.latestDeadline = Math.max(this.latestDeadline, call.deadline)
       try {
-        return this.count(await serve(call, body, answer))
+        const told = call.way === undefined ? answer : AnswerWithWay.create(call, answer)
+        return this.count(withWay(call, await serve(call, body, told)))
       } finally {
         this.finish(call, times, this.clock.now() - start)
       }
     }
   }
 
-  /** Times the attempts that `attempt` makes. */
-  trackAttempt<Rest extends unknown[]> (destination: Destination, attempt: (call: Call, ...rest: Rest) => Promise<Outcome>): (call: Call, ...rest: Rest) => Promise<Outcome> {
+  /** Times the attempts that `attempt` makes, and notes their targets for a caller that asked. */
+  trackAttempt<Rest extends unknown[]> (destination: Destination, attempt: (call: Call, ...rest: Rest) => Promise<Outcome>, nameTarget: (...rest: NoInfer<Rest>) => string): (call: Call, ...rest: Rest) => Promise<Outcome> {
     return async (call, ...rest) => {
       const times = this.calls.get(call.id)
       const start = this.clock.now()
@@ -65,8 +67,11 @@
       if (times !== undefined) times.attempts++
       if (destination === 'upstream') this.upstreamAttempts++
       if (times !== undefined && destination === 'upstream') times.queuedMs += start - times.heldSince
+      const noteOutcome = noteAttempt(call, call.way === undefined ? '' : nameTarget(...rest))
       try {
-        return await attempt(call, ...rest)
+        const outcome = await attempt(call, ...rest)
+        noteOutcome(outcome)
+        return outcome
       } finally {
         if (destination === 'upstream') this.upstreamAttempts--
         this.wake()
@@ -130,3 +135,8 @@
     this.wake()
   }
 }
+
+function withWay (call: Call, outcome: Outcome): Outcome {
+  const way = formatWay(call)
+  return way === undefined ? outcome : { ...outcome, way }
+}
--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -1,6 +1,7 @@
 import { randomBytes } from 'node:crypto'
 import { Admission } from '../admission/index.js'
 import type { Answer, Body } from '../call/types.js'
+import { headerNames } from '../call/index.js'
 import { Clock } from '../clock/index.js'
 import { Store } from '../configuration/index.js'
 import { ControlClients, ControlServer } from '../control/index.js'
@@ -27,6 +28,7 @@
 import { followConfiguration, followMembers } from './readers.js'
 import { showNode } from './show-node.js'
 import { isTicketRequest, TicketOffice } from './tickets.js'
+import { recordWay } from './way.js'
 
 /** Time between the refusal of every call and the end of idle connections, in milliseconds. */
 const closeLingerMs = 50
@@ -185,14 +187,14 @@
       incarnation: this.incarnation,
       clock: this.clock,
       admission: this.admission,
-      run: this.tracker.trackAttempt('upstream', async (call, body: Body, answer: Answer) => await upstream.send(call, body, answer, describeToUpstream(call, this.clock))),
+      run: this.tracker.trackAttempt('upstream', async (call, body: Body, answer: Answer) => await upstream.send(call, body, answer, describeToUpstream(call, this.clock)), () => this.settings.id),
       fetchTicket: async (service, withinMs) => await this.tickets.fetchElsewhere(service, withinMs)
     })
   }
 
   private createRouter (peers: Peers, target: Target): Router {
     const { id, service } = this.settings
-    return Router.create({ clock: this.clock, random: this.random, directory: this.directory, remote: this.tracker.trackAttempt('peer', peers.attempt), local: { id, service, target } })
+    return Router.create({ clock: this.clock, random: this.random, directory: this.directory, remote: this.tracker.trackAttempt('peer', peers.attempt, member => member.id), local: { id, service, target } })
   }
 
   private async listen (name: 'callers' | 'peers', forwarded: boolean, router: Router, target: Target): Promise<void> {
@@ -206,7 +208,7 @@
         clock,
         ...headers,
         logger: logger.label(name),
-        identify: (request, signal) => identifyCall(request, signal, { clock, store, directory, forwarded, nextId: this.nextId }),
+        identify: (request, signal) => recordWay(identifyCall(request, signal, { clock, store, directory, forwarded, nextId: this.nextId }), request.headers[headerNames.way]),
         serve: this.tracker.track(async (call, body, answer) => !forwarded && isTicketRequest(call)
           ? await this.tickets.answer(call, answer, target, tried => router.choose(call, tried))
           : await router.run(call, body, answer))
