--- a/packages/auburnturn/src/core/node/call-tracker.ts
+++ b/packages/auburnturn/src/core/node/call-tracker.ts
@@ -59,7 +59,7 @@
   }
 
   /** Times the attempts that `attempt` makes, and notes their targets for a caller that asked. */
-  trackAttempt<Rest extends unknown[]> (destination: Destination, attempt: (call: Call, ...rest: Rest) => Promise<Outcome>, nameTarget: (...rest: NoInfer<Rest>) => string): (call: Call, ...rest: Rest) => Promise<Outcome> {
+  trackAttempt<Rest extends unknown[]> (destination: Destination, attempt: (call: Call, ...rest: Rest) => Promise<Outcome>, nameTarget: (first: NoInfer<Rest[0]>) => string): (call: Call, ...rest: Rest) => Promise<Outcome> {
     return async (call, ...rest) => {
       const times = this.calls.get(call.id)
       const start = this.clock.now()
@@ -67,7 +67,7 @@
       if (times !== undefined) times.attempts++
       if (destination === 'upstream') this.upstreamAttempts++
       if (times !== undefined && destination === 'upstream') times.queuedMs += start - times.heldSince
-      const noteOutcome = noteAttempt(call, call.way === undefined ? '' : nameTarget(...rest))
+      const noteOutcome = noteAttempt(call, call.way === undefined ? '' : nameTarget(rest[0]))
       try {
         const outcome = await attempt(call, ...rest)
         noteOutcome(outcome)
