Leave no settings files behind after a second signal

Cause: npm start ended by a second Ctrl-C left its folder in the temporary directory. Change: kill removes the folder too; a test looks for it after a close.

--- a/packages/stand-ins/src/fleet.ts
+++ b/packages/stand-ins/src/fleet.ts
@@ -15,8 +15,9 @@
 export class Fleet {
   readonly places: readonly Place[]
   readonly daemons: DaemonProcess[] = []
+  /** Holds the settings files while the fleet runs. */
+  readonly folder = mkdtempSync(join(tmpdir(), 'auburnturn-'))
   private readonly options: FleetOptions
-  private readonly folder = mkdtempSync(join(tmpdir(), 'auburnturn-'))
   private readonly upstreams: UpstreamService[] = []
   private platform: PlatformService | undefined
   private control: ControlService | undefined
@@ -51,9 +52,10 @@
     await this.closing
   }
 
-  /** Ends the daemons without waiting for their calls. */
+  /** Ends the daemons without waiting for their calls, and leaves no file behind. Safe while the process exits. */
   kill (): void {
     for (const daemon of this.daemons) daemon.signal('SIGKILL')
+    rmSync(this.folder, { recursive: true, force: true })
   }
 
   private async start (): Promise<void> {
--- a/packages/stand-ins/test/fleet.test.ts
+++ b/packages/stand-ins/test/fleet.test.ts
@@ -81,6 +81,7 @@
   await answer.body.dump()
   await fleet.close()
   assert.equal(fleet.daemons.map(({ pid }) => exists(pid)), [false, false])
+  assert.not.ok(existsSync(fleet.folder))
 })
 
 fleets('a start that fails half way closes what has started', async () => {
