Choose targets by calls, latency, errors and age; bound retries; order the queue

Cause: the skeleton chose by its own calls in flight only, retried without a budget and queued in order of arrival. Change: cost-based choice over a bounded rendezvous subset, ejection, ramps, retry budget, hedges as a race, a queue by class, caller and deadline, an adaptive limit, and running a suspect alone.

--- a/packages/auburnturn/src/core/admission/admission.ts
+++ b/packages/auburnturn/src/core/admission/admission.ts
@@ -1,91 +1,185 @@
 import type { Call, Load } from '../call/types.js'
 import type { Clock } from '../clock/index.js'
 import type { NotRunCause } from '../verdict/index.js'
-import type { Admittance } from './types.js'
-
-interface Waiter {
-  readonly deadline: number
-  readonly decide: (admittance: Admittance) => void
-}
+import { classRank, neededShare } from './constants.js'
+import { Limiter } from './limiter.js'
+import type { Admittance, Waiter } from './types.js'
+import { WaitQueue } from './wait-queue.js'
 
 /** Slots and a short queue for one upstream. */
 export class Admission {
   private readonly clock: Clock
-  private readonly waiters: Waiter[] = []
+  private readonly queue = WaitQueue.create()
+  /** Calls under suspicion, each to run while nothing else does. */
+  private readonly suspects: Waiter[] = []
+  private readonly runningOf = new Map<string, number>()
+  private readonly limiter = Limiter.create(20)
+  private readonly refused: Partial<Record<NotRunCause, number>> = {}
   private running = 0
-  private limit = 20
-  private state: Load['state'] = 'serving'
+  private alone = false
+  private state: Load['state']
 
-  private constructor (clock: Clock) {
+  private constructor (clock: Clock, state: Load['state']) {
     this.clock = clock
+    this.state = state
   }
 
-  static create ({ clock }: { clock: Clock }): Admission {
-    return new Admission(clock)
+  /** Serves at once unless it is created as `starting`. */
+  static create ({ clock, state = 'serving' }: { clock: Clock, state?: Load['state'] }): Admission {
+    return new Admission(clock, state)
   }
 
   /** Resolves when the call may run or is refused; a refusal means that it did not run. */
   async admit (call: Call): Promise<Admittance> {
-    this.limit = call.profile.admission.slots
-    if (this.state !== 'serving') return refuse('admission-closed')
-    if (this.clock.now() >= call.deadline) return refuse('deadline-expired')
-    if (this.running < this.limit) return this.grant()
-    if (this.waiters.length >= call.profile.admission.queue) return refuse('overloaded')
-    return await this.wait(call)
+    this.limiter.resize(call.profile.admission.slots)
+    const cause = this.findObstacle(call)
+    if (cause !== undefined) return this.refuse(cause)
+    if (this.hasRoom() && this.queue.length === 0) return this.grant(call.caller)
+    return await this.wait(call, call.profile.admission.queue)
+  }
+
+  /** Like `admit`, for a call that may crash its upstream: it runs while nothing else does. */
+  async admitAlone (call: Call): Promise<Admittance> {
+    const cause = this.findObstacle(call)
+    if (cause !== undefined) return this.refuse(cause)
+    if (this.suspects.length >= call.profile.admission.queue) return this.refuse('overloaded')
+    return await this.waitAlone(call)
   }
 
   /** Whether a call that enters here may run here without a look at other targets. */
   isBelow (share: number): boolean {
-    return this.state === 'serving' && this.running < this.limit * share
+    return this.hasRoom() && this.queue.length === 0 && this.running < this.limiter.limit * share
   }
 
   get load (): Load {
-    return { running: this.running, queued: this.waiters.length, limit: this.limit, state: this.state }
+    return { running: this.running, queued: this.queue.length + this.suspects.length, limit: this.limiter.limit, state: this.state }
+  }
+
+  /** Accepts work, after `starting`. Does nothing while draining. */
+  open (): void {
+    if (this.state === 'starting') this.state = 'serving'
   }
 
   /** Refuses new and queued work from now on; what runs goes on. */
   drain (): void {
     this.state = 'draining'
-    for (const waiter of this.waiters.splice(0)) waiter.decide(refuse('admission-closed'))
+    for (const waiter of [...this.queue.clear(), ...this.suspects.splice(0)]) waiter.decide(this.refuse('admission-closed'))
+  }
+
+  /** Refuses every waiting call whose deadline has passed, as after a pause of this process. */
+  dropExpired (): void {
+    const now = this.clock.now()
+    const kept: Waiter[] = []
+    for (const waiter of this.queue.clear()) {
+      if (waiter.deadline <= now) waiter.decide(this.refuse('deadline-expired'))
+      else kept.push(waiter)
+    }
+    for (const waiter of kept) this.queue.push(waiter)
   }
 
   dump (): unknown {
-    return this.load
+    return { ...this.load, alone: this.alone, typicalMs: this.limiter.typicalMs, refused: this.refused, callers: Object.fromEntries(this.runningOf) }
+  }
+
+  private findObstacle (call: Call): NotRunCause | undefined {
+    if (this.state !== 'serving') return 'admission-closed'
+    const left = call.deadline - this.clock.now()
+    if (left <= 0 || call.signal.aborted) return left <= 0 ? 'deadline-expired' : 'caller-gone'
+    return left < this.expectedMs() ? 'deadline-expired' : undefined
+  }
+
+  /** Least time until a call that comes now has an answer. */
+  private expectedMs (): number {
+    const { typicalMs, limit } = this.limiter
+    return typicalMs * (neededShare + this.queue.length / limit)
+  }
+
+  private hasRoom (): boolean {
+    return this.state === 'serving' && !this.alone && this.suspects.length === 0 && this.running < this.limiter.limit
   }
 
-  private async wait (call: Call): Promise<Admittance> {
-    const deadline = Math.min(call.deadline, this.clock.now() + call.profile.timeouts.queueMs)
+  private async wait (call: Call, room: number): Promise<Admittance> {
+    return await this.enqueue(call, this.queue, waiter => {
+      if (this.queue.length < room) return this.queue.push(waiter)
+      const victim = room === 0 ? undefined : this.queue.pickVictim(waiter)
+      if (victim === undefined) return waiter.decide(this.refuse('overloaded'))
+      this.queue.remove(victim)
+      this.queue.push(waiter)
+      victim.decide(this.refuse('overloaded'))
+    })
+  }
+
+  private async waitAlone (call: Call): Promise<Admittance> {
+    const list = { remove: (waiter: Waiter) => this.suspects.splice(this.suspects.indexOf(waiter), 1).length > 0 }
+    return await this.enqueue(call, list, waiter => {
+      this.suspects.push(waiter)
+      this.startNext()
+    })
+  }
+
+  /** Makes a waiter that leaves `list` at its deadline or when its caller does, and hands it to `place`. */
+  private async enqueue (call: Call, list: { remove (waiter: Waiter): boolean }, place: (waiter: Waiter) => void): Promise<Admittance> {
+    const now = this.clock.now()
+    const deadline = Math.min(call.deadline - this.limiter.typicalMs * neededShare, now + call.profile.timeouts.queueMs)
     return await new Promise<Admittance>(resolve => {
       const decide = (admittance: Admittance): void => {
         cancel()
         call.signal.removeEventListener('abort', leave)
         resolve(admittance)
       }
-      const waiter: Waiter = { deadline, decide }
+      const waiter: Waiter = { caller: call.caller, rank: classRank[call.profile.class], deadline, decide }
       const drop = (cause: NotRunCause): void => {
-        this.waiters.splice(this.waiters.indexOf(waiter), 1)
-        decide(refuse(cause))
+        if (!list.remove(waiter)) return
+        decide(this.refuse(cause))
+        this.startNext()
       }
       const leave = (): void => { drop('caller-gone') }
-      const cancel = this.clock.after(deadline - this.clock.now(), () => { drop('queue-timeout') })
+      const cancel = this.clock.after(deadline - now, () => { drop('queue-timeout') })
       call.signal.addEventListener('abort', leave, { once: true })
-      this.waiters.push(waiter)
+      place(waiter)
     })
   }
 
-  private grant (): Admittance {
+  private grant (caller: string, alone = false): Admittance {
     this.running++
+    this.alone = alone
+    this.runningOf.set(caller, this.countOf(caller) + 1)
     let held = true
-    const release = (): void => {
+    const release = (verdict: { readonly kind: string }, latencyMs: number): void => {
       if (!held) return
       held = false
-      this.running--
-      this.waiters.shift()?.decide(this.grant())
+      if (verdict.kind === 'done') this.limiter.record(latencyMs, this.running >= this.limiter.limit)
+      this.leave(caller)
     }
     return { kind: 'admitted', release }
   }
-}
 
-function refuse (cause: NotRunCause): Admittance {
-  return { kind: 'refused', cause }
+  private leave (caller: string): void {
+    this.running--
+    this.alone = false
+    const left = this.countOf(caller) - 1
+    if (left > 0) this.runningOf.set(caller, left)
+    else this.runningOf.delete(caller)
+    this.startNext()
+  }
+
+  /** Fills the free slots from the queue; a suspect starts once nothing else runs. */
+  private startNext (): void {
+    const suspect = this.running === 0 ? this.suspects.shift() : undefined
+    if (suspect !== undefined) return suspect.decide(this.grant(suspect.caller, true))
+    while (this.hasRoom()) {
+      const waiter = this.queue.take(caller => this.countOf(caller))
+      if (waiter === undefined) return
+      waiter.decide(waiter.deadline <= this.clock.now() ? this.refuse('queue-timeout') : this.grant(waiter.caller))
+    }
+  }
+
+  private countOf (caller: string): number {
+    return this.runningOf.get(caller) ?? 0
+  }
+
+  private refuse (cause: NotRunCause): Admittance {
+    this.refused[cause] = (this.refused[cause] ?? 0) + 1
+    return { kind: 'refused', cause }
+  }
 }
--- a/packages/auburnturn/src/core/admission/types.ts
+++ b/packages/auburnturn/src/core/admission/types.ts
@@ -8,3 +8,13 @@
     readonly release: (verdict: Verdict, latencyMs: number) => void
   }
   | { readonly kind: 'refused', readonly cause: NotRunCause }
+
+/** A call that waits for a slot. */
+export interface Waiter {
+  readonly caller: string
+  /** Rank of the call's class; lower is served first. */
+  readonly rank: number
+  /** Clock milliseconds at which waiting is pointless. */
+  readonly deadline: number
+  readonly decide: (admittance: Admittance) => void
+}
--- a/packages/auburnturn/src/core/call/types.ts
+++ b/packages/auburnturn/src/core/call/types.ts
@@ -73,6 +73,8 @@
   readonly incarnation?: string
   /** The ticket that replaces the refused one. */
   readonly successor?: string
+  /** True when a layer below has done what retrying it may: no layer above sends the call again. */
+  readonly exhausted?: boolean
 }
 
 /** Tries a call once at one member. */
--- a/packages/auburnturn/src/core/router/router.ts
+++ b/packages/auburnturn/src/core/router/router.ts
@@ -1,16 +1,15 @@
-import type { Answer, Attempt, Body, Call, Outcome } from '../call/types.js'
-import type { Clock } from '../clock/index.js'
-import type { Directory, Member } from '../membership/index.js'
-import type { Random } from '../random/index.js'
+import type { Answer, Body, Call, Outcome } from '../call/types.js'
+import type { Member } from '../membership/index.js'
 import { Balancer } from '../routing/index.js'
-import type { Policy } from '../routing/index.js'
-import type { Target } from '../target/index.js'
 import { isRetryable, notRun } from '../verdict/index.js'
+import { joinOutcomes, Race } from './race.js'
+import { ServiceState } from './service-state.js'
+import type { RouterOptions } from './types.js'
 
 /** Routes calls of any service. */
 export class Router {
   private readonly options: RouterOptions
-  private readonly balancers = new Map<string, Balancer>()
+  private readonly services = new Map<string, ServiceState>()
 
   private constructor (options: RouterOptions) {
     this.options = options
@@ -24,19 +23,36 @@
   async run (call: Call, body: Body, answer: Answer): Promise<Outcome> {
     if (call.forwarded) return await this.runHere(call, body, answer)
     const tried = new Set<string>()
+    const service = this.stateOf(call.service)
+    service.budget.earn(call.profile.retry.share)
     let outcome: Outcome = { verdict: notRun('no-target') }
-    for (let attempt = 0; attempt < call.profile.retry.attempts; attempt++) {
+    for (let attempt = call.attempt; ; attempt++) {
       const member = this.choose(call, tried)
       if (member === undefined) return outcome
       tried.add(member.id)
-      outcome = await this.attempt(call, member, body, answer)
-      if (answer.started || !body.replayable || !isRetryable(outcome.verdict, call.idempotent)) return outcome
+      outcome = await this.attempt(attempt === call.attempt ? call : { ...call, attempt }, member, body, answer, tried)
+      if (!isRetryable(outcome.verdict, call.idempotent)) return outcome
+      if (!this.mayRetry(call, body, answer, outcome, attempt + 1)) return { ...outcome, exhausted: true }
     }
-    return outcome
+  }
+
+  /** Reads the members of a service again at its next call. */
+  refresh (service: string): void {
+    this.services.get(service)?.balancer.refresh()
+  }
+
+  /** Treats all that is known of targets as unknown, as after a pause of this process. */
+  forget (): void {
+    for (const { balancer } of this.services.values()) balancer.forget()
+  }
+
+  /** The balancers of the services called so far. */
+  get balancers (): ReadonlyMap<string, Balancer> {
+    return new Map([...this.services].map(([name, { balancer }]) => [name, balancer]))
   }
 
   dump (): unknown {
-    return Object.fromEntries([...this.balancers].map(([service, balancer]) => [service, balancer.dump()]))
+    return Object.fromEntries([...this.services].map(([name, service]) => [name, service.dump()]))
   }
 
   private async runHere (call: Call, body: Body, answer: Answer): Promise<Outcome> {
@@ -45,42 +61,82 @@
     return await local.target.execute(call, body, answer)
   }
 
+  /** Whether this layer may send `call` once more; takes from the budget. */
+  private mayRetry (call: Call, body: Body, answer: Answer, outcome: Outcome, attempt: number): boolean {
+    if (answer.started || !body.replayable || call.signal.aborted) return false
+    if (outcome.exhausted === true || call.attempt > 0 || attempt >= call.profile.retry.attempts) return false
+    if (this.options.clock.now() >= call.deadline) return false
+    return this.stateOf(call.service).budget.take()
+  }
+
   private choose (call: Call, tried: ReadonlySet<string>): Member | undefined {
+    const service = this.stateOf(call.service)
+    return this.chooseLocal(call, service, tried) ?? service.balancer.choose(tried)
+  }
+
+  /** This node's own target when it has room to spare and is not slower than the others. */
+  private chooseLocal (call: Call, service: ServiceState, tried: ReadonlySet<string>): Member | undefined {
     const { local } = this.options
-    if (local !== undefined && local.service === call.service && !tried.has(local.id) && local.target.isBelow(call.profile.admission.localBelow)) {
-      return this.options.directory.members(call.service).find(member => member.id === local.id) ?? this.balancerOf(call.service).choose(tried)
-    }
-    return this.balancerOf(call.service).choose(tried)
+    if (local?.service !== call.service || tried.has(local.id)) return undefined
+    if (!local.target.isBelow(call.profile.admission.localBelow) || !service.balancer.isFit(local.id)) return undefined
+    const member = this.options.directory.members(call.service).find(({ id }) => id === local.id)
+    if (member !== undefined) service.localRuns++
+    return member
   }
 
-  private async attempt (call: Call, member: Member, body: Body, answer: Answer): Promise<Outcome> {
-    const { clock, local, remote } = this.options
-    const balancer = this.balancerOf(call.service)
+  private async attempt (call: Call, member: Member, body: Body, answer: Answer, tried: Set<string>): Promise<Outcome> {
+    const mayHedge = call.profile.retry.hedge && call.idempotent && body.replayable && call.attempt === 0
+    if (!mayHedge) return await this.send(call, member, body, answer)
+    return await this.sendHedged(call, member, body, answer, tried)
+  }
+
+  /** Sends a second attempt elsewhere when the first is late; the first head wins and cancels the other. */
+  private async sendHedged (call: Call, member: Member, body: Body, answer: Answer, tried: Set<string>): Promise<Outcome> {
+    const { clock } = this.options
+    const service = this.stateOf(call.service)
+    const race = Race.create(answer)
+    const lane = race.enter(call.signal)
     const start = clock.now()
-    balancer.started(member)
+    const first = this.send({ ...call, signal: lane.signal }, member, body, lane).finally(lane.close)
+    const late = new AbortController()
+    const settled = await Promise.race([first, clock.sleep(service.hedgeDelay.milliseconds, late.signal)])
+    late.abort()
+    first.then(() => { service.hedgeDelay.record(clock.now() - start) }, () => {})
+    if (settled !== undefined || answer.started) return await first
+    const other = service.balancer.choose(tried)
+    if (other === undefined || !service.balancer.isFit(other.id) || !service.budget.take()) return await first
+    tried.add(other.id)
+    service.hedges++
+    const second = race.enter(call.signal)
+    const hedge = this.send({ ...call, attempt: call.attempt + 1, signal: second.signal }, other, body, second).finally(second.close)
+    return await firstDone(first, hedge)
+  }
+
+  private async send (call: Call, member: Member, body: Body, answer: Answer): Promise<Outcome> {
+    const { local, remote } = this.options
+    const { balancer } = this.stateOf(call.service)
+    const started = balancer.started(member)
     const outcome = member.id === local?.id
       ? await local.target.execute(call, body, answer)
       : await remote(call, member, body, answer)
-    balancer.finished(member, outcome, clock.now() - start)
+    balancer.finished(started, outcome)
     return outcome
   }
 
-  private balancerOf (service: string): Balancer {
-    const known = this.balancers.get(service)
+  private stateOf (service: string): ServiceState {
+    const known = this.services.get(service)
     if (known !== undefined) return known
-    const { clock, random, directory, policy } = this.options
-    const fresh = Balancer.create({ service, clock, random, directory, ...(policy === undefined ? {} : { policy }) })
-    this.balancers.set(service, fresh)
+    const { clock, random, directory, policy, local } = this.options
+    const balancer = Balancer.create({ service, clock, random, directory, router: local?.id ?? '', ...(policy === undefined ? {} : { policy }) })
+    const fresh = ServiceState.create(balancer)
+    this.services.set(service, fresh)
     return fresh
   }
 }
 
-/** What a router is made of. `local` is absent where a service embeds the router. */
-export interface RouterOptions {
-  readonly clock: Clock
-  readonly random: Random
-  readonly directory: Directory
-  readonly remote: Attempt
-  readonly local?: { readonly id: string, readonly service: string, readonly target: Target }
-  readonly policy?: Policy
+/** Resolves with the first of two outcomes that is done, else with both joined. */
+async function firstDone (first: Promise<Outcome>, second: Promise<Outcome>): Promise<Outcome> {
+  const earlier = await Promise.race([first, second])
+  if (earlier.verdict.kind === 'done') return earlier
+  return joinOutcomes(await first, await second)
 }
--- /dev/null
+++ b/packages/auburnturn/src/core/router/service-state.ts
@@ -0,0 +1,31 @@
+import type { Balancer } from '../routing/index.js'
+import { HedgeDelay } from './hedge-delay.js'
+import { RetryBudget } from './retry-budget.js'
+
+/** What a router keeps for one service that it calls. */
+export class ServiceState {
+  readonly balancer: Balancer
+  readonly budget = RetryBudget.create()
+  readonly hedgeDelay = HedgeDelay.create()
+  /** Attempts that ran on this node's own target without asking the balancer. */
+  localRuns = 0
+  hedges = 0
+
+  private constructor (balancer: Balancer) {
+    this.balancer = balancer
+  }
+
+  static create (balancer: Balancer): ServiceState {
+    return new ServiceState(balancer)
+  }
+
+  dump (): unknown {
+    return {
+      retries: this.budget.dump(),
+      localRuns: this.localRuns,
+      hedges: this.hedges,
+      hedgeDelayMs: this.hedgeDelay.milliseconds,
+      targets: this.balancer.dump()
+    }
+  }
+}
--- a/packages/auburnturn/src/core/routing/balancer.ts
+++ b/packages/auburnturn/src/core/routing/balancer.ts
@@ -1,12 +1,21 @@
-import type { Outcome } from '../call/types.js'
+import type { Load, Outcome } from '../call/types.js'
 import type { Clock } from '../clock/index.js'
 import type { Directory, Member } from '../membership/index.js'
 import type { Random } from '../random/index.js'
-import { chooseTwo } from './baselines.js'
+import { chooseAdaptive, slownessOf } from './adaptive.js'
+import { createCandidate, estimateCalls, isKnown, isUsable, noteIncarnation, noteLatency, noteLoad, noteResult } from './candidate.js'
+import { refreshMs, subsetSize } from './constants.js'
+import { judgeOutcome } from './judge.js'
+import { chooseOwner, chooseSubset } from './subset.js'
 import type { Candidate, Policy } from './types.js'
 
-/** Smoothing of latency and errors: the weight of the newest observation. */
-const smoothing = 0.2
+/** One attempt on its way, from `started` to `finished`. */
+export interface Started {
+  readonly candidate: Candidate
+  readonly at: number
+  /** How many times over its slots were filled when the attempt started; 1 while some were free. */
+  readonly crowding: number
+}
 
 /** Chooses targets for one service and learns from what becomes of the attempts. */
 export class Balancer {
@@ -15,14 +24,19 @@
   private readonly policy: Policy
   private readonly directory: Directory
   private readonly service: string
-  private readonly candidates = new Map<string, Candidate>()
+  private readonly router: string
+  private readonly known = new Map<string, Candidate>()
+  private candidates: readonly Candidate[] = []
+  private readAt = -Infinity
+  private readonly startedAt = new WeakMap<Candidate, number>()
 
   private constructor (options: BalancerOptions) {
     this.clock = options.clock
     this.random = options.random
-    this.policy = options.policy ?? chooseTwo
+    this.policy = options.policy ?? chooseAdaptive
     this.directory = options.directory
     this.service = options.service
+    this.router = options.router ?? ''
   }
 
   static create (options: BalancerOptions): Balancer {
@@ -31,40 +45,144 @@
 
   /** A live target whose id is not in `excluded`; undefined when there is none. */
   choose (excluded: ReadonlySet<string>): Member | undefined {
-    const live = this.directory.liveMembers(this.service).filter(member => !excluded.has(member.id))
-    if (live.length === 0) return undefined
-    const candidates = live.map(member => this.candidateOf(member))
-    return this.policy(candidates, this.random, this.clock.now()).member
+    const candidates = this.current()
+    const left = excluded.size === 0 ? candidates : candidates.filter(({ member }) => !excluded.has(member.id))
+    if (left.length === 0) return undefined
+    return this.policy(left, this.random, this.clock.now()).member
+  }
+
+  /** The one live target that every router picks for `key`. */
+  chooseOwner (key: string): Member | undefined {
+    return chooseOwner(this.directory.liveMembers(this.service), key)
+  }
+
+  /** Whether a target is usable and about as fast as the fastest. */
+  isFit (id: string): boolean {
+    const now = this.clock.now()
+    const candidate = this.known.get(id)
+    if (candidate === undefined) return true
+    return isUsable(candidate, now) && slownessOf(candidate, this.fastestMs(), now) === 1 && candidate.errorShare < 0.5
   }
 
   /** To be called when an attempt at `member` starts. */
-  started (member: Member): void {
-    this.candidateOf(member).inFlight++
+  started (member: Member): Started {
+    const now = this.clock.now()
+    const candidate = this.candidateOf(member)
+    const limit = candidate.load?.limit ?? Infinity
+    const crowding = Math.max(1, (estimateCalls(candidate, now) + 1) / Math.max(1, limit))
+    if (candidate.inFlight === 0) candidate.heardAt = now
+    candidate.inFlight++
+    this.startedAt.set(candidate, now)
+    return { candidate, at: now, crowding }
   }
 
   /** To be called once for every `started`. */
-  finished (member: Member, outcome: Outcome, latencyMs: number): void {
-    const candidate = this.candidateOf(member)
+  finished ({ candidate, at, crowding }: Started, outcome: Outcome): void {
+    const now = this.clock.now()
+    const result = judgeOutcome(outcome)
     candidate.inFlight--
-    const failed = outcome.verdict.kind === 'done' ? 0 : 1
-    candidate.errorShare += smoothing * (failed - candidate.errorShare)
-    if (failed === 0) candidate.latencyMs += smoothing * (latencyMs - candidate.latencyMs)
-    if (outcome.load === undefined) return
-    candidate.load = outcome.load
-    candidate.loadAt = this.clock.now()
+    noteIncarnation(candidate, outcome.incarnation, now)
+    if (result === 'refused' && isContradicted(candidate)) candidate.trust = 0
+    noteLoad(candidate, outcome.load, now, this.startedAt.get(candidate) ?? now)
+    const unanswered = result === 'abandoned' && (now - at) / crowding > candidate.latencyMs
+    if (result === 'answered' || unanswered) noteLatency(candidate, (now - at) / crowding, at - candidate.heardAt, this.fastestMs())
+    if (result === 'refused' || result === 'abandoned') return
+    candidate.heardAt = now
+    noteResult(candidate, result === 'failed', this.leastErrors(), now)
+  }
+
+  /** Takes in what a probe of a target told. */
+  reported (member: Member, load: Load, incarnation: string | undefined): void {
+    const candidate = this.candidateOf(member)
+    noteIncarnation(candidate, incarnation, this.clock.now())
+    noteLoad(candidate, load, this.clock.now(), this.startedAt.get(candidate) ?? -Infinity)
+  }
+
+  /** The target in use whose last report is the oldest, with the time of that report. */
+  findStalest (): { readonly member: Member, readonly loadAt: number } | undefined {
+    let stalest: Candidate | undefined
+    for (const candidate of this.current()) {
+      if (stalest === undefined || candidate.loadAt < stalest.loadAt) stalest = candidate
+    }
+    return stalest
+  }
+
+  /** Reads the members again at the next choice. */
+  refresh (): void {
+    this.readAt = -Infinity
+  }
+
+  /** Forgets every report and latency, as after a pause of this process. */
+  forget (): void {
+    for (const candidate of this.known.values()) {
+      Object.assign(candidate, { load: undefined, others: 0, outcomes: 0, latencyMs: 0, errorShare: 0, ejectedUntil: -Infinity, heardAt: this.clock.now() })
+    }
+    this.refresh()
   }
 
   dump (): unknown {
-    return [...this.candidates.values()].map(({ member, ...seen }) => ({ id: member.id, ...seen }))
+    const now = this.clock.now()
+    return this.candidates.map(candidate => ({
+      id: candidate.member.id,
+      inFlight: candidate.inFlight,
+      expectedCalls: estimateCalls(candidate, now),
+      latencyMs: candidate.latencyMs,
+      errorShare: candidate.errorShare,
+      slowness: slownessOf(candidate, this.fastestMs(), now),
+      usable: isUsable(candidate, now),
+      trust: candidate.trust,
+      load: candidate.load,
+      reportAgeMs: candidate.load === undefined ? undefined : now - candidate.loadAt
+    }))
+  }
+
+  private current (): readonly Candidate[] {
+    const now = this.clock.now()
+    if (now - this.readAt < refreshMs) return this.candidates
+    const first = this.known.size === 0
+    const members = chooseSubset(this.directory.liveMembers(this.service), this.router, subsetSize)
+    this.candidates = members.map(member => this.candidateOf(member, first ? -Infinity : now))
+    this.prune(new Set(members.map(({ id }) => id)))
+    this.readAt = now
+    return this.candidates
+  }
+
+  private prune (ids: ReadonlySet<string>): void {
+    for (const [id, candidate] of this.known) {
+      if (!ids.has(id) && candidate.inFlight === 0) this.known.delete(id)
+    }
   }
 
-  private candidateOf (member: Member): Candidate {
-    const known = this.candidates.get(member.id)
-    if (known !== undefined) return known
-    const fresh: Candidate = { member, inFlight: 0, latencyMs: 0, errorShare: 0, load: undefined, loadAt: 0 }
-    this.candidates.set(member.id, fresh)
+  private candidateOf (member: Member, newAt = -Infinity): Candidate {
+    const known = this.known.get(member.id)
+    if (known !== undefined) {
+      known.member = member
+      return known
+    }
+    const fresh = createCandidate(member, newAt)
+    this.known.set(member.id, fresh)
     return fresh
   }
+
+  private fastestMs (): number {
+    const now = this.clock.now()
+    let fastest = Infinity
+    for (const candidate of this.candidates) {
+      if (isKnown(candidate) && isUsable(candidate, now)) fastest = Math.min(fastest, candidate.latencyMs)
+    }
+    return fastest
+  }
+
+  private leastErrors (): number {
+    let least = 1
+    for (const candidate of this.candidates) least = Math.min(least, candidate.errorShare)
+    return least
+  }
+}
+
+/** Whether a refusal contradicts the report before it, which showed free slots. */
+function isContradicted ({ load }: Candidate): boolean {
+  return load !== undefined && load.running + load.queued < load.limit
 }
 
 interface BalancerOptions {
@@ -73,4 +191,6 @@
   readonly random: Random
   readonly directory: Directory
   readonly policy?: Policy
+  /** Tells the subsets of different routers apart: the node's id. */
+  readonly router?: string
 }
--- a/packages/auburnturn/src/core/routing/index.ts
+++ b/packages/auburnturn/src/core/routing/index.ts
@@ -1,4 +1,11 @@
 /** Choice of a target from local sight, load carried on replies, and age. */
+export { chooseAdaptive } from './adaptive.js'
 export { Balancer } from './balancer.js'
+export type { Started } from './balancer.js'
 export { chooseLeastInFlight, chooseRandom, chooseRoundRobin, chooseTwo } from './baselines.js'
+export { createCandidate } from './candidate.js'
+export { weigh } from './hash.js'
+export { judgeOutcome } from './judge.js'
+export type { Judgement } from './judge.js'
+export { chooseOwner, chooseSubset } from './subset.js'
 export type { Candidate, Policy } from './types.js'
--- /dev/null
+++ b/packages/auburnturn/src/core/routing/judge.ts
@@ -0,0 +1,31 @@
+import type { Outcome } from '../call/types.js'
+
+/** What an outcome says of its target. */
+export type Judgement =
+  | 'answered'
+  | 'failed' // counts as load, however fast it came
+  | 'refused' // told by the target's own admission, not an error
+  | 'abandoned' // says nothing: the caller left
+
+/** Reads an outcome as a sign of its target's health. */
+export function judgeOutcome ({ verdict, status }: Outcome): Judgement {
+  if (verdict.kind === 'done') return status !== undefined && status >= 500 ? 'failed' : 'answered'
+  switch (verdict.cause) {
+    case 'caller-gone':
+    case 'bad-request':
+    case 'ticket-refused':
+    case 'ticket-running':
+    case 'ticket-lost':
+    case 'quarantined':
+      return 'abandoned'
+    case 'overloaded':
+    case 'queue-timeout':
+    case 'deadline-expired':
+    case 'admission-closed':
+    case 'unknown-service':
+    case 'no-target':
+      return 'refused'
+    default:
+      return 'failed'
+  }
+}
