--- a/packages/auburnturn/src/core/admission/admission.ts
+++ b/packages/auburnturn/src/core/admission/admission.ts
@@ -110,13 +110,18 @@
   }
 
   private async waitAlone (call: Call): Promise<Admittance> {
-    const list = { remove: (waiter: Waiter) => this.suspects.splice(this.suspects.indexOf(waiter), 1).length > 0 }
-    return await this.enqueue(call, list, waiter => {
+    return await this.enqueue(call, { remove: waiter => this.removeSuspect(waiter) }, waiter => {
       this.suspects.push(waiter)
       this.startNext()
     })
   }
 
+  private removeSuspect (waiter: Waiter): boolean {
+    const index = this.suspects.indexOf(waiter)
+    if (index >= 0) this.suspects.splice(index, 1)
+    return index >= 0
+  }
+
   /** Makes a waiter that leaves `list` at its deadline or when its caller does, and hands it to `place`. */
   private async enqueue (call: Call, list: { remove (waiter: Waiter): boolean }, place: (waiter: Waiter) => void): Promise<Admittance> {
     const now = this.clock.now()
--- /dev/null
+++ b/packages/auburnturn/src/core/measuring/constants.ts
@@ -0,0 +1,21 @@
+/** Bytes that a probe or the answer to one takes on the wire with its headers. */
+export const probeBytes = 300
+
+/** Processor time charged for sending a probe or an answer to one, in milliseconds. */
+export const messageCoreMs = 0.2
+
+/** Longest wait for the answer to a probe, in milliseconds. */
+export const probeAnswerMs = 250
+
+/** A report younger than this is not renewed by a probe, in milliseconds. */
+export const freshMs = 20
+
+/** A service that was not called for this long is not probed, in milliseconds. */
+export const idleMs = 2_000
+
+/** Shortest and longest pause between two looks for something to probe, in milliseconds. */
+export const leastPauseMs = 2
+export const mostPauseMs = 1_000
+
+/** How long a target that gave no answer is not probed again, in milliseconds. */
+export const silentMs = 5_000
--- /dev/null
+++ b/packages/auburnturn/src/core/measuring/prober.ts
@@ -0,0 +1,103 @@
+import type { Clock } from '../clock/index.js'
+import type { Member } from '../membership/types.js'
+import type { Balancer } from '../routing/index.js'
+import type { Part } from '../supervisor/types.js'
+import type { MeasuringBudget } from './budget.js'
+import { freshMs, idleMs, leastPauseMs, mostPauseMs, probeAnswerMs, probeBytes, silentMs } from './constants.js'
+import type { Probe } from './types.js'
+
+/** Renews the oldest reports of the services in use, as far as the budget goes. */
+export class Prober implements Part {
+  private readonly options: ProberOptions
+  private readonly closing = new AbortController()
+  private readonly pending = new Set<string>()
+  /** Targets that gave no answer, until when they are left alone. */
+  private readonly silent = new Map<string, number>()
+  private readonly running: Promise<void>
+
+  private constructor (options: ProberOptions) {
+    this.options = options
+    this.running = this.run()
+  }
+
+  /** Starts probing. */
+  static create (options: ProberOptions): Prober {
+    return new Prober(options)
+  }
+
+  async close (): Promise<void> {
+    this.closing.abort()
+    await this.running
+  }
+
+  dump (): unknown {
+    return { ...(this.options.budget.dump() as object), pending: this.pending.size, silent: [...this.silent.keys()] }
+  }
+
+  private async run (): Promise<void> {
+    const { clock, budget } = this.options
+    while (!this.closing.signal.aborted) {
+      const wait = budget.waitFor(probeBytes)
+      if (wait === 0) this.probeStalest()
+      const pause = Math.min(mostPauseMs, Math.max(leastPauseMs, wait))
+      await clock.sleep(pause, this.closing.signal)
+    }
+  }
+
+  private probeStalest (): void {
+    const stalest = this.findStalest()
+    if (stalest === undefined || !this.options.budget.take(probeBytes)) return
+    this.ask(stalest).catch(() => {})
+  }
+
+  private async ask ({ member, service, balancer }: Stale): Promise<void> {
+    const { clock, probe } = this.options
+    this.pending.add(member.id)
+    const late = new AbortController()
+    const cancel = clock.after(probeAnswerMs, () => { late.abort() })
+    try {
+      const report = await probe(member, service, AbortSignal.any([late.signal, this.closing.signal]))
+      if (report === undefined) this.silent.set(member.id, clock.now() + silentMs)
+      else balancer.reported(member, report.load, report.incarnation)
+    } catch {
+      this.silent.set(member.id, clock.now() + silentMs)
+    } finally {
+      cancel()
+      this.pending.delete(member.id)
+    }
+  }
+
+  private findStalest (): Stale | undefined {
+    const now = this.options.clock.now()
+    let stalest: Stale | undefined
+    for (const [service, balancer] of this.options.balancers()) {
+      if (now - balancer.usedAt > idleMs) continue
+      const found = balancer.findStalest(member => this.mayAsk(member, now))
+      if (found === undefined || now - found.loadAt < freshMs) continue
+      if (stalest === undefined || found.loadAt < stalest.loadAt) stalest = { ...found, service, balancer }
+    }
+    return stalest
+  }
+
+  private mayAsk ({ id }: Member, now: number): boolean {
+    const until = this.silent.get(id)
+    if (until !== undefined && until <= now) this.silent.delete(id)
+    return id !== this.options.self && !this.pending.has(id) && !this.silent.has(id)
+  }
+}
+
+interface Stale {
+  readonly member: Member
+  readonly loadAt: number
+  readonly service: string
+  readonly balancer: Balancer
+}
+
+interface ProberOptions {
+  readonly clock: Clock
+  readonly budget: MeasuringBudget
+  readonly balancers: () => ReadonlyMap<string, Balancer>
+  readonly probe: Probe
+  /** This node's own target, whose load is known without a probe. */
+  readonly self?: string
+}
--- a/packages/auburnturn/src/core/router/retry-budget.ts
+++ b/packages/auburnturn/src/core/router/retry-budget.ts
@@ -1,8 +1,11 @@
 import { maxRetries, reserveRetries } from './constants.js'
 
-/** Retries and hedges of one service, held to a share of its first attempts. */
+/**
+ * Retries and hedges of one service, held to a share of its first attempts.
+ * A few may be spent before they are earned, so that a service with few calls can retry at all.
+ */
 export class RetryBudget {
-  private left = reserveRetries
+  private earned = 0
   private firsts = 0
   private spent = 0
   private denied = 0
@@ -16,7 +19,7 @@
   /** Counts a first attempt, which earns `share` of a retry. */
   earn (share: number): void {
     this.firsts++
-    this.left = Math.min(maxRetries, this.left + share)
+    this.earned = Math.min(this.earned + share, this.spent + maxRetries)
   }
 
   /** Whether one more attempt is within the budget; takes it. */
@@ -25,11 +28,15 @@
       this.denied++
       return false
     }
-    this.left--
     this.spent++
     return true
   }
 
+  /** Attempts that may be taken now. */
+  get left (): number {
+    return Math.max(reserveRetries, this.earned) - this.spent
+  }
+
   dump (): { readonly firsts: number, readonly spent: number, readonly denied: number, readonly left: number } {
     const { firsts, spent, denied, left } = this
     return { firsts, spent, denied, left }
--- a/packages/auburnturn/src/core/routing/adaptive.ts
+++ b/packages/auburnturn/src/core/routing/adaptive.ts
@@ -1,5 +1,5 @@
-import { estimateCalls, estimateLatency, isKnown, isUsable, rampShare } from './candidate.js'
-import { errorWeight, slowRatio } from './constants.js'
+import { estimateCalls, estimateLatency, isUsable, rampShare } from './candidate.js'
+import { errorWeight, slowRatio, waitWeight } from './constants.js'
 import type { Candidate, Policy } from './types.js'
 
 /**
@@ -15,8 +15,8 @@
   for (const candidate of candidates) {
     if (!isUsable(candidate, now)) continue
     usable++
-    if (isKnown(candidate) && candidate.latencyMs < fastestMs) fastestMs = candidate.latencyMs
-    if (candidate.errorShare < leastErrors) leastErrors = candidate.errorShare
+    fastestMs = Math.min(fastestMs, estimateLatency(candidate, now))
+    leastErrors = Math.min(leastErrors, candidate.errorShare)
   }
   const everyone = usable * 2 < count
   const first = random.below(count)
@@ -34,17 +34,19 @@
 }
 
 function costOf (candidate: Candidate, fastestMs: number, leastErrors: number, now: number): number {
-  const calls = (estimateCalls(candidate, now) + 1) / rampShare(candidate, now)
   const errors = 1 + errorWeight * Math.max(0, candidate.errorShare - leastErrors)
-  return calls * errors * slownessOf(candidate, fastestMs, now)
+  const slowness = Math.max(1, slownessOf(candidate, fastestMs, now))
+  return (weighCalls(candidate, now) + 1) * errors * slowness * slowness
 }
 
-/** 1 for a target about as fast as the fastest, more for slower ones; fades while nothing is heard. */
+/** Calls expected at a target for its share; those beyond its slots weigh more, as they wait. */
+function weighCalls (candidate: Candidate, now: number): number {
+  const calls = estimateCalls(candidate, now)
+  const waiting = Math.max(0, calls + 1 - (candidate.load?.limit ?? Infinity))
+  return (calls + waitWeight * waiting) / rampShare(candidate, now)
+}
+
+/** Expected latency over the most that still counts as equal to the fastest. */
 export function slownessOf (candidate: Candidate, fastestMs: number, now: number): number {
-  if (!isKnown(candidate) || fastestMs === Infinity) return 1
-  const ratio = estimateLatency(candidate, now) / (fastestMs * slowRatio)
-  if (ratio <= 1) return 1
-  if (candidate.inFlight > 0) return ratio * ratio
-  const fading = Math.exp((candidate.heardAt - now) / candidate.patienceMs)
-  return ratio ** (2 * fading)
+  return fastestMs > 0 && fastestMs < Infinity ? estimateLatency(candidate, now) / (fastestMs * slowRatio) : 0
 }
--- a/packages/auburnturn/src/core/routing/balancer.ts
+++ b/packages/auburnturn/src/core/routing/balancer.ts
@@ -3,18 +3,16 @@
 import type { Directory, Member } from '../membership/index.js'
 import type { Random } from '../random/index.js'
 import { chooseAdaptive, slownessOf } from './adaptive.js'
-import { createCandidate, estimateCalls, isKnown, isUsable, noteIncarnation, noteLatency, noteLoad, noteResult } from './candidate.js'
-import { refreshMs, subsetSize } from './constants.js'
+import { createCandidate, estimateCalls, estimateLatency, isUsable, noteAnswer, noteIncarnation, noteLoad, noteResult, noteSlowness, reset, settle } from './candidate.js'
+import { refreshMs, slowRatio, subsetSize } from './constants.js'
 import { judgeOutcome } from './judge.js'
 import { chooseOwner, chooseSubset } from './subset.js'
-import type { Candidate, Policy } from './types.js'
+import type { Candidate, Policy, Usual } from './types.js'
 
 /** One attempt on its way, from `started` to `finished`. */
 export interface Started {
   readonly candidate: Candidate
   readonly at: number
-  /** How many times over its slots were filled when the attempt started; 1 while some were free. */
-  readonly crowding: number
 }
 
 /** Chooses targets for one service and learns from what becomes of the attempts. */
@@ -25,9 +23,12 @@
   private readonly directory: Directory
   private readonly service: string
   private readonly router: string
+  private readonly usual: Usual = { latencyMs: 0 }
   private readonly known = new Map<string, Candidate>()
   private candidates: readonly Candidate[] = []
   private readAt = -Infinity
+  /** When a target was last chosen. */
+  usedAt = -Infinity
   private readonly startedAt = new WeakMap<Candidate, number>()
 
   private constructor (options: BalancerOptions) {
@@ -46,6 +47,7 @@
   /** A live target whose id is not in `excluded`; undefined when there is none. */
   choose (excluded: ReadonlySet<string>): Member | undefined {
     const candidates = this.current()
+    this.usedAt = this.clock.now()
     const left = excluded.size === 0 ? candidates : candidates.filter(({ member }) => !excluded.has(member.id))
     if (left.length === 0) return undefined
     return this.policy(left, this.random, this.clock.now()).member
@@ -61,34 +63,31 @@
     const now = this.clock.now()
     const candidate = this.known.get(id)
     if (candidate === undefined) return true
-    return isUsable(candidate, now) && slownessOf(candidate, this.fastestMs(), now) === 1 && candidate.errorShare < 0.5
+    return isUsable(candidate, now) && slownessOf(candidate, this.fastestMs(now), now) <= 1 && candidate.errorShare < 0.5
   }
 
   /** To be called when an attempt at `member` starts. */
   started (member: Member): Started {
     const now = this.clock.now()
     const candidate = this.candidateOf(member)
-    const limit = candidate.load?.limit ?? Infinity
-    const crowding = Math.max(1, (estimateCalls(candidate, now) + 1) / Math.max(1, limit))
-    if (candidate.inFlight === 0) candidate.heardAt = now
+    settle(candidate, now)
     candidate.inFlight++
     this.startedAt.set(candidate, now)
-    return { candidate, at: now, crowding }
+    return { candidate, at: now }
   }
 
   /** To be called once for every `started`. */
-  finished ({ candidate, at, crowding }: Started, outcome: Outcome): void {
+  finished ({ candidate, at }: Started, outcome: Outcome): void {
     const now = this.clock.now()
     const result = judgeOutcome(outcome)
+    settle(candidate, now)
     candidate.inFlight--
     noteIncarnation(candidate, outcome.incarnation, now)
     if (result === 'refused' && isContradicted(candidate)) candidate.trust = 0
     noteLoad(candidate, outcome.load, now, this.startedAt.get(candidate) ?? now)
-    const unanswered = result === 'abandoned' && (now - at) / crowding > candidate.latencyMs
-    if (result === 'answered' || unanswered) noteLatency(candidate, (now - at) / crowding, at - candidate.heardAt, this.fastestMs())
-    if (result === 'refused' || result === 'abandoned') return
-    candidate.heardAt = now
-    noteResult(candidate, result === 'failed', this.leastErrors(), now)
+    if (result === 'answered') noteAnswer(candidate, now - at)
+    noteSlowness(candidate, slowRatio * slownessOf(candidate, this.fastestMs(now), now), now)
+    if (result === 'answered' || result === 'failed') noteResult(candidate, result === 'failed', this.leastErrors(), now)
   }
 
   /** Takes in what a probe of a target told. */
@@ -98,13 +97,14 @@
     noteLoad(candidate, load, this.clock.now(), this.startedAt.get(candidate) ?? -Infinity)
   }
 
-  /** The target in use whose last report is the oldest, with the time of that report. */
-  findStalest (): { readonly member: Member, readonly loadAt: number } | undefined {
+  /** The target in use whose last report is the oldest, with the time of that report; only of those that `isAskable`. */
+  findStalest (isAskable: (member: Member) => boolean): { readonly member: Member, readonly loadAt: number } | undefined {
     let stalest: Candidate | undefined
     for (const candidate of this.current()) {
+      if (!isAskable(candidate.member)) continue
       if (stalest === undefined || candidate.loadAt < stalest.loadAt) stalest = candidate
     }
-    return stalest
+    return stalest === undefined ? undefined : { member: stalest.member, loadAt: stalest.loadAt }
   }
 
   /** Reads the members again at the next choice. */
@@ -114,9 +114,7 @@
 
   /** Forgets every report and latency, as after a pause of this process. */
   forget (): void {
-    for (const candidate of this.known.values()) {
-      Object.assign(candidate, { load: undefined, others: 0, outcomes: 0, latencyMs: 0, errorShare: 0, ejectedUntil: -Infinity, heardAt: this.clock.now() })
-    }
+    for (const candidate of this.known.values()) reset(candidate)
     this.refresh()
   }
 
@@ -126,9 +124,9 @@
       id: candidate.member.id,
       inFlight: candidate.inFlight,
       expectedCalls: estimateCalls(candidate, now),
-      latencyMs: candidate.latencyMs,
+      latencyMs: estimateLatency(candidate, now),
       errorShare: candidate.errorShare,
-      slowness: slownessOf(candidate, this.fastestMs(), now),
+      slowness: slownessOf(candidate, this.fastestMs(now), now),
       usable: isUsable(candidate, now),
       trust: candidate.trust,
       load: candidate.load,
@@ -159,16 +157,15 @@
       known.member = member
       return known
     }
-    const fresh = createCandidate(member, newAt)
+    const fresh = createCandidate(member, newAt, this.usual)
     this.known.set(member.id, fresh)
     return fresh
   }
 
-  private fastestMs (): number {
-    const now = this.clock.now()
+  private fastestMs (now: number): number {
     let fastest = Infinity
     for (const candidate of this.candidates) {
-      if (isKnown(candidate) && isUsable(candidate, now)) fastest = Math.min(fastest, candidate.latencyMs)
+      if (isUsable(candidate, now)) fastest = Math.min(fastest, estimateLatency(candidate, now))
     }
     return fastest
   }
--- a/packages/auburnturn/src/core/routing/candidate.ts
+++ b/packages/auburnturn/src/core/routing/candidate.ts
@@ -1,18 +1,21 @@
 import type { Outcome } from '../call/types.js'
 import type { Member } from '../membership/types.js'
-import { closedLifeMs, ejectionOutcomes, ejectionShare, errorSmoothing, firstEjectionMs, firstPatienceMs, knownAnswers, maxEjectionMs, maxPatienceMs, rampFloor, rampMs, reportLagMs, reportLifeMs, slowRatio, smoothing, trustRegained } from './constants.js'
-import type { Candidate } from './types.js'
+import { closedLifeMs, confirmRatio, ejectionOutcomes, ejectionShare, errorSmoothing, firstEjectionMs, firstMemoryMs, maxEjectionMs, maxMemoryMs, priorAnswers, rampFloor, rampMs, reportLagMs, reportLifeMs, slowRatio, trustRegained, usualWeight } from './constants.js'
+import type { Candidate, Usual } from './types.js'
 
 /** A target of which nothing is known; `newAt` is when it appeared, `-Infinity` for one that was always there. */
-export function createCandidate (member: Member, newAt: number): Candidate {
+export function createCandidate (member: Member, newAt: number, usual: Usual = { latencyMs: 0 }): Candidate {
   return {
     member,
     inFlight: 0,
-    latencyMs: 0,
+    busyMs: 0,
+    answers: 0,
+    memoryMs: firstMemoryMs,
+    notedAt: 0,
+    slowAt: -Infinity,
+    usual,
     errorShare: 0,
     outcomes: 0,
-    heardAt: newAt,
-    patienceMs: firstPatienceMs,
     load: undefined,
     loadAt: 0,
     others: 0,
@@ -31,12 +34,24 @@
   return candidate.inFlight + candidate.others * weight
 }
 
-/** Expected time to an answer, in milliseconds: what was seen, or more when answers fail to appear. */
+/**
+ * Expected time to an answer, in milliseconds: by Little's law, calls in flight over the rate of answers.
+ * It rises as soon as answers stay away and falls as soon as they come again.
+ */
 export function estimateLatency (candidate: Candidate, now: number): number {
-  if (candidate.inFlight === 0) return candidate.latencyMs
-  // Of n calls one is expected back every latency/n; silence beyond that is slowness not yet answered.
-  const silence = (now - candidate.heardAt) * Math.min(candidate.inFlight, 8) / 2
-  return Math.max(candidate.latencyMs, silence)
+  const { memoryMs, inFlight, usual } = candidate
+  const fading = Math.exp((candidate.notedAt - now) / memoryMs)
+  const busyMs = candidate.busyMs * fading + inFlight * memoryMs * (1 - fading)
+  return (busyMs + priorAnswers * usual.latencyMs) / (candidate.answers * fading + priorAnswers)
+}
+
+/** Brings `busyMs` and `answers` up to `now`; to be called before `inFlight` changes. */
+export function settle (candidate: Candidate, now: number): void {
+  const { memoryMs, inFlight } = candidate
+  const fading = Math.exp((candidate.notedAt - now) / memoryMs)
+  candidate.busyMs = candidate.busyMs * fading + inFlight * memoryMs * (1 - fading)
+  candidate.answers *= fading
+  candidate.notedAt = now
 }
 
 /** Whether the target may take calls as far as its state and its errors tell. */
@@ -64,26 +79,45 @@
   candidate.loadAt = now
 }
 
+/** Forgets what was seen and reported of a target. */
+export function reset (candidate: Candidate): void {
+  Object.assign(candidate, { busyMs: 0, answers: 0, memoryMs: firstMemoryMs, slowAt: -Infinity, errorShare: 0, outcomes: 0, load: undefined, others: 0, trust: 1, ejectedUntil: -Infinity, ejections: 0 })
+}
+
 /** Starts the ramp again when another incarnation answers. */
 export function noteIncarnation (candidate: Candidate, incarnation: string | undefined, now: number): void {
   if (incarnation === undefined || incarnation === candidate.incarnation) return
   const restarted = candidate.incarnation !== undefined
   candidate.incarnation = incarnation
   if (!restarted) return
-  Object.assign(candidate, { newAt: now, outcomes: 0, latencyMs: 0, errorShare: 0, ejectedUntil: -Infinity, ejections: 0, trust: 1 })
+  reset(candidate)
+  candidate.newAt = now
 }
 
-/** Smooths a latency; the longer nothing was heard, the more the newest weighs. */
-export function noteLatency (candidate: Candidate, latencyMs: number, idleMs: number, fastestMs: number): void {
-  const seen = Math.max(0.01, latencyMs)
-  const weight = Math.max(smoothing, 1 / (candidate.outcomes + 1), 1 - Math.exp(-idleMs / candidate.patienceMs) - 0.5)
-  candidate.latencyMs = candidate.latencyMs === 0
-    ? seen
-    : Math.exp(Math.log(candidate.latencyMs) * (1 - weight) + Math.log(seen) * weight)
-  if (fastestMs === Infinity) return
-  const slow = seen > fastestMs * slowRatio * 2
-  if (!slow) candidate.patienceMs = Math.max(firstPatienceMs, candidate.patienceMs / 2)
-  else if (idleMs > candidate.patienceMs / 4) candidate.patienceMs = Math.min(maxPatienceMs, candidate.patienceMs * 2)
+/** Counts an answer that took `latencyMs`. */
+export function noteAnswer (candidate: Candidate, latencyMs: number): void {
+  const { usual } = candidate
+  candidate.answers++
+  usual.latencyMs = usual.latencyMs === 0 ? latencyMs : usual.latencyMs + usualWeight * (latencyMs - usual.latencyMs)
+}
+
+/** Lengthens the memory of a target that stays slow, and shortens that of one that answers in time. */
+export function noteSlowness (candidate: Candidate, ratio: number, now: number): void {
+  if (ratio >= confirmRatio) {
+    if (now - candidate.slowAt < candidate.memoryMs) return
+    candidate.slowAt = now
+    remember(candidate, Math.min(maxMemoryMs, candidate.memoryMs * 2))
+  } else if (ratio < slowRatio && candidate.memoryMs > firstMemoryMs) {
+    remember(candidate, Math.max(firstMemoryMs, candidate.memoryMs / 2))
+  }
+}
+
+/** Changes the memory and keeps the latency that follows from it. */
+function remember (candidate: Candidate, memoryMs: number): void {
+  const scale = memoryMs / candidate.memoryMs
+  candidate.memoryMs = memoryMs
+  candidate.busyMs *= scale
+  candidate.answers *= scale
 }
 
 /** Smooths errors, and ejects the target when it fails far more than the best one does. */
@@ -99,8 +133,3 @@
   candidate.ejectedUntil = now + Math.min(maxEjectionMs, firstEjectionMs * 2 ** candidate.ejections)
   candidate.ejections++
 }
-
-/** Whether enough answers were seen to compare the target's latency with others. */
-export function isKnown (candidate: Candidate): boolean {
-  return candidate.outcomes >= knownAnswers && candidate.latencyMs > 0
-}
--- a/packages/auburnturn/src/core/routing/constants.ts
+++ b/packages/auburnturn/src/core/routing/constants.ts
@@ -4,21 +4,27 @@
 /** Longest time until the member list is read again without a change being announced, in milliseconds. */
 export const refreshMs = 1_000
 
-/** Least weight of the newest latency or error in its smoothed value. */
-export const smoothing = 0.1
-
 /** Weight of the newest error in the smoothed share of errors. */
 export const errorSmoothing = 0.2
 
+/** Weight of the newest answer in the usual latency of a service. */
+export const usualWeight = 0.01
+
+/** Answers of the usual latency that are mixed into what was seen of one target. */
+export const priorAnswers = 2
+
 /** A target this many times slower than the fastest still counts as equal. */
-export const slowRatio = 1.5
+export const slowRatio = 2
+
+/** Slowness from which a target keeps its bad record for longer. */
+export const confirmRatio = 3
 
-/** Answers after which a latency is known well enough to compare. */
-export const knownAnswers = 3
+/** How long what was seen of a target counts, in milliseconds; doubles while the target stays slow. */
+export const firstMemoryMs = 30
+export const maxMemoryMs = 4_000
 
-/** How long a slow target is left before trial calls, in milliseconds; doubles while trials stay slow. */
-export const firstPatienceMs = 100
-export const maxPatienceMs = 4_000
+/** How much more a call weighs that must wait for a slot. */
+export const waitWeight = 4
 
 /** Age at which a report weighs e times less, in milliseconds. */
 export const reportLifeMs = 100
--- a/packages/auburnturn/src/core/routing/types.ts
+++ b/packages/auburnturn/src/core/routing/types.ts
@@ -2,21 +2,30 @@
 import type { Member } from '../membership/types.js'
 import type { Random } from '../random/index.js'
 
+/** What is usual for a service, whichever target answers. */
+export interface Usual {
+  /** Smoothed time to an answer, in milliseconds; 0 before the first. */
+  latencyMs: number
+}
+
 /** What one router knows of one target. Times are clock milliseconds. */
 export interface Candidate {
   member: Member
   /** This router's own calls that the target has not answered. */
   inFlight: number
-  /** Smoothed (geometric mean) time to an answer without waiting for a slot, in milliseconds; 0 while unknown. */
-  latencyMs: number
+  /** Calls in flight summed over time, and answers, both fading with `memoryMs`; up to `notedAt`. */
+  busyMs: number
+  answers: number
+  memoryMs: number
+  notedAt: number
+  /** When the target was last found slow; its memory grows when that lasts. */
+  slowAt: number
+  /** Shared by all targets of the service. */
+  readonly usual: Usual
   /** Smoothed share of attempts that failed. */
   errorShare: number
   /** Answers and failures seen since the target or its incarnation is new. */
   outcomes: number
-  /** When the last outcome arrived, or the first call in flight started. */
-  heardAt: number
-  /** How long the target is left before a trial call while it is slow. */
-  patienceMs: number
   /** Last load heard from the target itself, and when. */
   load: Load | undefined
   loadAt: number
--- /dev/null
+++ b/packages/bench/src/routing/contenders.ts
@@ -0,0 +1,13 @@
+import { chooseAdaptive, chooseLeastInFlight, chooseRandom, chooseRoundRobin, chooseTwo } from 'auburnturn'
+import type { Contender } from './types.js'
+
+/** Our policy, with local runs and probes. */
+export const adaptive: Contender = { name: 'adaptive', createPolicy: () => chooseAdaptive, plain: false }
+
+/** The policies it is compared with, behind the same admission and retry budget. */
+export const baselines: readonly Contender[] = [
+  { name: 'round-robin', createPolicy: chooseRoundRobin, plain: true },
+  { name: 'random', createPolicy: () => chooseRandom, plain: true },
+  { name: 'least-in-flight', createPolicy: () => chooseLeastInFlight, plain: true },
+  { name: 'two-choices', createPolicy: () => chooseTwo, plain: true }
+]
--- /dev/null
+++ b/packages/bench/src/routing/types.ts
@@ -0,0 +1,61 @@
+import type { MeasuringCost, Policy, Profile, Random } from 'auburnturn'
+import type { Failure, Speed } from './upstream.js'
+
+/** One way of routing that is compared. */
+export interface Contender {
+  readonly name: string
+  /** Made anew for every router, as some policies keep state. */
+  readonly createPolicy: () => Policy
+  /** Whether it is a plain policy: no local runs, no probes. */
+  readonly plain: boolean
+}
+
+/** What happens to the fleet at a moment of a run, in milliseconds from its start. */
+export interface Event {
+  readonly at: number
+  readonly what: 'drain' | 'join'
+  readonly target: number
+}
+
+/** A run's setting. Times are milliseconds from the start of the run. */
+export interface Scene {
+  readonly name: string
+  readonly group: 'steady' | 'shifting' | 'failing' | 'overload' | 'reports' | 'uneven'
+  readonly targets: number
+  /** Calls offered as a share of what all targets can serve. */
+  readonly load: number
+  readonly speed: (target: number, random: Random) => Speed
+  readonly failure: (target: number) => Failure
+  readonly events: readonly Event[]
+  /** How old the reports on replies and probes are when they arrive, besides the way. */
+  readonly reportAgeMs: number
+  /** Whether the first target always reports idle and the second full. */
+  readonly lies: boolean
+  /** Share of the calls that enter at the first node; the rest enter evenly. */
+  readonly skew: number
+  readonly profile: Profile
+}
+
+/** What came of one run. */
+export interface Figures {
+  readonly scene: string
+  readonly contender: string
+  readonly calls: number
+  /** From a node's taking the call to its answer, in milliseconds. */
+  readonly p50: number
+  readonly p99: number
+  readonly p999: number
+  /** Answers in time, as a share of what the targets can serve. */
+  readonly goodput: number
+  /** Shares of calls. */
+  readonly refused: number
+  readonly failed: number
+  readonly retries: number
+  readonly oneHop: number
+  readonly measuring: MeasuringCost
+  /** The most messages sent to measure in any second by one node. */
+  readonly messagesPerSecond: number
+  readonly bytesPerSecond: number
+  /** Calls that each target answered. */
+  readonly perTarget: readonly number[]
+}
