Hedge late idempotent calls at slow targets

Cause: calls in flight when a target turns slow are stuck there. Change: a second attempt once the call is later than 9 in 10 answers, only when its target is slow by the balancer's estimate and another has slots to spare, within the retry budget.

--- a/packages/auburnturn/src/core/router/constants.ts
+++ b/packages/auburnturn/src/core/router/constants.ts
@@ -5,7 +5,7 @@
 export const maxRetries = 100
 
 /** Share of first attempts that answer before a hedge is sent. */
-export const hedgeQuantile = 0.95
+export const hedgeQuantile = 0.9
 
 /** First guess of the delay before a hedge, in milliseconds. */
 export const firstHedgeMs = 50
--- a/packages/auburnturn/src/core/router/router.ts
+++ b/packages/auburnturn/src/core/router/router.ts
@@ -102,9 +102,9 @@
     const settled = await Promise.race([first, clock.sleep(service.hedgeDelay.milliseconds, late.signal)])
     late.abort()
     first.then(() => { service.hedgeDelay.record(clock.now() - start) }, () => {})
-    if (settled !== undefined || answer.started) return await first
-    const other = service.balancer.choose(tried)
-    if (other === undefined || !service.balancer.isFit(other.id) || !service.budget.take()) return await first
+    if (settled !== undefined || answer.started || !body.replayable) return await first
+    const other = this.chooseHedge(service, member, tried)
+    if (other === undefined || !service.budget.take()) return await first
     tried.add(other.id)
     service.hedges++
     const second = race.enter(call.signal)
@@ -112,6 +112,13 @@
     return await firstDone(first, hedge)
   }
 
+  /** Another target with room to spare, when the call is late because its target is slow and not because it is long. */
+  private chooseHedge ({ balancer }: ServiceState, member: Member, tried: ReadonlySet<string>): Member | undefined {
+    if (balancer.isFit(member.id)) return undefined
+    const other = balancer.choose(tried)
+    return other !== undefined && balancer.isFit(other.id) && balancer.hasRoom(other.id) ? other : undefined
+  }
+
   private async send (call: Call, member: Member, body: Body, answer: Answer): Promise<Outcome> {
     const { local, remote } = this.options
     const { balancer } = this.stateOf(call.service)
--- a/packages/auburnturn/src/core/routing/balancer.ts
+++ b/packages/auburnturn/src/core/routing/balancer.ts
@@ -4,7 +4,7 @@
 import type { Random } from '../random/index.js'
 import { chooseAdaptive, slownessOf } from './adaptive.js'
 import { createCandidate, estimateCalls, estimateLatency, isUsable, noteAnswer, noteIncarnation, noteLoad, noteResult, noteSlowness, reset, settle } from './candidate.js'
-import { refreshMs, slowRatio, subsetSize } from './constants.js'
+import { refreshMs, slowRatio, spareShare, subsetSize } from './constants.js'
 import { judgeOutcome } from './judge.js'
 import { chooseOwner, chooseSubset } from './subset.js'
 import type { Candidate, Policy, Usual } from './types.js'
@@ -66,6 +66,13 @@
     return isUsable(candidate, now) && slownessOf(candidate, this.fastestMs(now), now) <= 1 && candidate.errorShare < 0.5
   }
 
+  /** Whether a target is expected to have slots to spare. */
+  hasRoom (id: string): boolean {
+    const candidate = this.known.get(id)
+    if (candidate?.load === undefined) return false
+    return estimateCalls(candidate, this.clock.now()) < candidate.load.limit * spareShare
+  }
+
   /** To be called when an attempt at `member` starts. */
   started (member: Member): Started {
     const now = this.clock.now()
--- a/packages/auburnturn/src/core/routing/constants.ts
+++ b/packages/auburnturn/src/core/routing/constants.ts
@@ -56,3 +56,6 @@
 
 /** How strongly errors in excess of the best target's count as load. */
 export const errorWeight = 20
+
+/** Share of a target's slots below which it has some to spare for a second attempt. */
+export const spareShare = 0.8
--- a/packages/auburnturn/src/core/settings/profile.ts
+++ b/packages/auburnturn/src/core/settings/profile.ts
@@ -37,8 +37,8 @@
     share: share.default(0.1),
     /** Attempts for one call, the first included. */
     attempts: z.int().min(1).max(5).default(2),
-    /** A second attempt for a slow idempotent call, within the same share. */
-    hedge: z.boolean().default(false)
+    /** A second attempt for an idempotent call that is late at a slow target, within the same share. */
+    hedge: z.boolean().default(true)
   }).prefault({}),
   measuring: z.strictObject({
     messagesPerSecond: z.number().min(0).max(10_000).default(20),
