--- a/packages/auburnturn/src/core/admission/admission.ts
+++ b/packages/auburnturn/src/core/admission/admission.ts
@@ -35,6 +35,7 @@
     const cause = this.findObstacle(call)
     if (cause !== undefined) return this.refuse(cause)
     if (this.hasRoom() && this.queue.length === 0) return this.grant(call.caller)
+    if (this.alone || this.suspects.length > 0) return this.refuse('overloaded')
     return await this.wait(call, call.profile.admission.queue)
   }
 
@@ -51,13 +52,15 @@
     return this.hasRoom() && this.queue.length === 0 && this.running < this.limiter.limit * share
   }
 
+  /** While a suspect runs or waits to run alone, every slot counts as taken. */
   get load (): Load {
-    return { running: this.running, queued: this.queue.length + this.suspects.length, limit: this.limiter.limit, state: this.state }
+    const reserved = this.alone || this.suspects.length > 0
+    return { running: reserved ? this.limiter.limit : this.running, queued: this.queue.length + this.suspects.length, limit: this.limiter.limit, state: this.state }
   }
 
-  /** Accepts work, after `starting`. Does nothing while draining. */
+  /** Takes new work again. */
   open (): void {
-    if (this.state === 'starting') this.state = 'serving'
+    this.state = 'serving'
   }
 
   /** Refuses new and queued work from now on; what runs goes on. */
--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto'
 import { Admission } from '../admission/index.js'
 import { headerNames } from '../call/index.js'
-import type { RawHeaders } from '../call/types.js'
+import type { Answer, Body, RawHeaders } from '../call/types.js'
 import { Clock } from '../clock/index.js'
 import { Store } from '../configuration/index.js'
 import { ControlClients, ControlServer } from '../control/index.js'
@@ -12,15 +12,21 @@
 import { Metrics } from '../metrics/index.js'
 import { Notices } from '../notices/index.js'
 import { Operator } from '../operator/index.js'
+import type { NodeState } from '../operator/index.js'
 import { Platform } from '../platform/index.js'
+import { Quarantine } from '../quarantine/index.js'
 import { Random } from '../random/index.js'
 import { Router } from '../router/index.js'
 import type { NodeSettings } from '../settings/index.js'
 import { Supervisor } from '../supervisor/index.js'
 import { Target } from '../target/index.js'
+import { CallTracker } from './call-tracker.js'
 import { identifyCall } from './identify.js'
+import { OwnMembership } from './own-membership.js'
 import { Peers } from './peers.js'
 import { followConfiguration, followMembers } from './readers.js'
+import { addRouting } from './routing.js'
+import { showNode } from './show-node.js'
 
 /** What a node is given from outside; all have working defaults. */
 export interface NodeOptions {
@@ -42,9 +48,13 @@
   private readonly clock: Clock
   private readonly logger: Logger
   private readonly random: Random
-  private readonly metrics = Metrics.create()
+  private readonly metrics: Metrics
+  private readonly tracker: CallTracker
   private readonly supervisor: Supervisor
   private readonly admission: Admission
+  private readonly quarantine: Quarantine
+  private closing = false
+  private started = false
   private readonly ports = { callers: 0, peers: 0, control: 0, operator: 0 }
 
   private constructor (settings: NodeSettings, options: NodeOptions) {
@@ -53,9 +63,17 @@
     this.logger = (options.logger ?? Logger.create(settings.log.level)).label('node')
     this.random = options.random ?? Random.create(randomBytes(4).readInt32LE())
     this.store = Store.create({ clock: this.clock, logger: this.logger.label('configuration') })
-    this.directory = Directory.create()
     this.notices = Notices.create({ clock: this.clock })
+    this.directory = Directory.create({
+      clock: this.clock,
+      logger: this.logger.label('membership'),
+      notices: this.notices,
+      floorOf: service => this.store.profileOf(service).membership.floor
+    })
+    this.metrics = Metrics.create({ clock: this.clock })
+    this.tracker = CallTracker.create({ clock: this.clock, metrics: this.metrics })
     this.admission = Admission.create({ clock: this.clock })
+    this.quarantine = Quarantine.create({ clock: this.clock, notices: this.notices })
     this.supervisor = Supervisor.create({ clock: this.clock, logger: this.logger.label('supervisor') })
   }
 
@@ -76,15 +94,30 @@
   get controlPort (): number { return this.ports.control }
   get operatorPort (): number { return this.ports.operator }
 
+  /** Whether the node takes calls. */
+  get state (): NodeState {
+    if (this.closing) return 'draining'
+    return this.started ? 'serving' : 'starting'
+  }
+
+  /** Refuses new work as not run, and resolves when other nodes had time to hear of it and nothing is in flight. */
+  async drain (): Promise<void> {
+    this.leave()
+    await this.clock.sleep(this.store.profileOf(this.settings.service).drain.newWorkMs)
+    await this.tracker.settle()
+  }
+
   /** Refuses new work as not run, lets what is in flight end, then closes every part. */
   async close (): Promise<void> {
-    this.admission.drain()
+    this.leave()
+    await this.tracker.settle()
     await this.supervisor.close()
   }
 
   dump (): Record<string, unknown> {
     return {
-      node: { id: this.settings.id, service: this.settings.service, incarnation: this.incarnation },
+      node: { id: this.settings.id, service: this.settings.service, incarnation: this.incarnation, state: this.state },
+      calls: this.tracker.dump(),
       configuration: this.store.dump(),
       membership: this.directory.dump(),
       notices: this.notices.dump(),
@@ -94,13 +127,25 @@
     }
   }
 
+  private leave (): void {
+    if (this.closing) return
+    this.closing = true
+    this.tracker.refuse()
+    this.admission.drain()
+    const self = this.directory.find(this.settings.service, this.settings.id)
+    if (self !== undefined) this.directory.announceLeaving(self, this.incarnation)
+  }
+
   private async start (): Promise<void> {
     const { settings, clock, logger, store, directory } = this
     const platform = Platform.create(settings.platform.map(({ ip, port }) => `http://${ip}:${port}`))
-    const peers = Peers.create({ clock, connections: settings.limits.connectionsPerTarget })
+    const peers = Peers.create({ clock, directory, connections: settings.limits.connectionsPerTarget })
     const upstream = this.createUpstream()
-    const target = Target.create({ incarnation: this.incarnation, clock, admission: this.admission, run: async (call, body, answer) => await upstream.send(call, body, answer) })
+    const target = Target.create({ incarnation: this.incarnation, clock, admission: this.admission, quarantine: this.quarantine, run: this.tracker.trackAttempt('upstream', async (call, body: Body, answer: Answer) => await upstream.send(call, body, answer)) })
     const router = this.createRouter(peers, target)
+    // First, so that it closes last: the drain can be watched.
+    await this.supervisor.add('operator', async () => await this.openOperator())
+    await this.supervisor.add('membership', async () => this.directory)
     await this.supervisor.add('platform', async () => platform)
     await this.supervisor.add('configuration', async () => followConfiguration({ platform, store, clock, logger }))
     await this.supervisor.add('members', async () => followMembers({ platform, directory, clock, logger }))
@@ -108,10 +153,19 @@
     await this.supervisor.add('peers', async () => peers)
     await this.supervisor.add('router', async () => ({ close: async () => {}, dump: () => router.dump() }))
     await this.supervisor.add('controlClients', async () => this.controlClients)
+    await this.supervisor.add('quarantine', async () => this.quarantine)
+    await addRouting({ ...this.parts, router, target, clients: this.controlClients, routes: this.controlRoutes, self: settings, limits: () => store.profileOf(settings.service).measuring })
+    await this.supervisor.add('ownMembership', async () => this.createOwnMembership())
     await this.supervisor.add('control', async () => await this.openControl())
     await this.listen('peers', true, router, target)
     await this.listen('callers', false, router, target)
-    await this.supervisor.add('operator', async () => await this.openOperator())
+    showNode(this.metrics, { admission: this.admission, store: this.store, supervisor: this.supervisor })
+    this.started = true
+  }
+
+  private get parts () {
+    const { clock, random, logger, directory, supervisor, admission, metrics } = this
+    return { clock, random, logger: logger.label('routing'), directory, supervisor, admission, metrics }
   }
 
   private createUpstream (): Exchange {
@@ -122,7 +176,7 @@
 
   private createRouter (peers: Peers, target: Target): Router {
     const { id, service } = this.settings
-    return Router.create({ clock: this.clock, random: this.random, directory: this.directory, remote: peers.attempt, local: { id, service, target } })
+    return Router.create({ clock: this.clock, random: this.random, directory: this.directory, quarantine: this.quarantine, remote: this.tracker.trackAttempt('peer', peers.attempt), local: { id, service, target } })
   }
 
   private async listen (name: 'callers' | 'peers', forwarded: boolean, router: Router, target: Target): Promise<void> {
@@ -138,17 +192,29 @@
         answerHeaders,
         logger: logger.label(name),
         identify: (request, signal) => identifyCall(request, signal, { clock, store, directory, forwarded }),
-        serve: async (call, body, answer) => {
-          const outcome = await router.run(call, body, answer)
-          this.metrics.count(`calls_total{verdict="${outcome.verdict.kind}"}`)
-          return outcome
-        }
+        serve: this.tracker.track(async (call, body, answer) => await router.run(call, body, answer))
       })
       this.ports[name] = listener.port
       return listener
     })
   }
 
+  private createOwnMembership (): OwnMembership {
+    const { clock, directory, admission, store, incarnation } = this
+    const { id, service } = this.settings
+    return OwnMembership.create({
+      id,
+      incarnation,
+      service,
+      clock,
+      directory,
+      logger: this.logger.label('membership'),
+      profileOf: name => store.profileOf(name),
+      drain: () => { admission.drain() },
+      open: () => { if (!this.closing) admission.open() }
+    })
+  }
+
   private async openControl (): Promise<ControlServer> {
     const control = await ControlServer.create({ ...this.settings.control, routes: this.controlRoutes })
     this.ports.control = control.port
@@ -156,7 +222,7 @@
   }
 
   private async openOperator (): Promise<Operator> {
-    const operator = await Operator.create({ ...this.settings.operator, dumpNode: () => this.dump(), metrics: this.metrics })
+    const operator = await Operator.create({ ...this.settings.operator, dumpNode: () => this.dump(), readState: () => this.state, metrics: this.metrics })
     this.ports.operator = operator.port
     return operator
   }
--- a/packages/auburnturn/src/core/router/router.ts
+++ b/packages/auburnturn/src/core/router/router.ts
@@ -22,18 +22,13 @@
   /** Runs `call` to its outcome; the answer is written only by the attempt that succeeds. */
   async run (call: Call, body: Body, answer: Answer): Promise<Outcome> {
     if (call.forwarded) return await this.runHere(call, body, answer)
-    const tried = new Set<string>()
-    const service = this.stateOf(call.service)
-    service.budget.earn(call.profile.retry.share)
-    let outcome: Outcome = { verdict: notRun('no-target') }
-    for (let attempt = call.attempt; ; attempt++) {
-      const member = this.choose(call, tried)
-      if (member === undefined) return outcome
-      tried.add(member.id)
-      outcome = await this.attempt(attempt === call.attempt ? call : { ...call, attempt }, member, body, answer, tried)
-      if (!isRetryable(outcome.verdict, call.idempotent)) return outcome
-      if (!this.mayRetry(call, body, answer, outcome, attempt + 1)) return { ...outcome, exhausted: true }
+    const { quarantine } = this.options
+    if (quarantine?.hasSuspects === true) {
+      const treatment = await quarantine.judge(call, body)
+      if (treatment.kind === 'refused') return { verdict: quarantine.refuse(call), exhausted: true }
+      if (treatment.kind === 'alone') return await this.runSuspect(call, body, answer)
     }
+    return await this.runUsual(call, body, answer)
   }
 
   /** Reads the members of a service again at its next call. */
@@ -55,12 +50,37 @@
     return Object.fromEntries([...this.services].map(([name, service]) => [name, service.dump()]))
   }
 
+  private async runUsual (call: Call, body: Body, answer: Answer): Promise<Outcome> {
+    const tried = new Set<string>()
+    const service = this.stateOf(call.service)
+    service.budget.earn(call.profile.retry.share)
+    let outcome: Outcome = { verdict: notRun('no-target') }
+    for (let attempt = call.attempt; ; attempt++) {
+      const member = this.choose(call, tried)
+      if (member === undefined) return outcome
+      tried.add(member.id)
+      outcome = await this.attempt(attempt === call.attempt ? call : { ...call, attempt }, member, body, answer, tried)
+      if (!isRetryable(outcome.verdict, call.idempotent)) return outcome
+      if (!this.mayRetry(call, body, answer, outcome, attempt + 1)) return { ...outcome, exhausted: true }
+    }
+  }
+
   private async runHere (call: Call, body: Body, answer: Answer): Promise<Outcome> {
     const { local } = this.options
     if (local === undefined || local.service !== call.service) return { verdict: notRun('no-target') }
     return await local.target.execute(call, body, answer)
   }
 
+  /** Sends a suspect once, to the one target that every router picks for all suspects of a service. */
+  private async runSuspect (call: Call, body: Body, answer: Answer): Promise<Outcome> {
+    const owner = this.stateOf(call.service).balancer.chooseOwner('suspects')
+    if (owner === undefined) return { verdict: notRun('no-target') }
+    const outcome = await this.send(call, owner, body, answer)
+    if (outcome.verdict.kind !== 'done') return { ...outcome, exhausted: true }
+    await this.options.quarantine?.clear(call, body)
+    return outcome
+  }
+
   /** Whether this layer may send `call` once more; takes from the budget. */
   private mayRetry (call: Call, body: Body, answer: Answer, outcome: Outcome, attempt: number): boolean {
     if (answer.started || !body.replayable || call.signal.aborted) return false
@@ -79,13 +99,13 @@
     const { local } = this.options
     if (local?.service !== call.service || tried.has(local.id)) return undefined
     if (!local.target.isBelow(call.profile.admission.localBelow) || !service.balancer.isFit(local.id)) return undefined
-    const member = this.options.directory.members(call.service).find(({ id }) => id === local.id)
+    const member = this.options.directory.find(call.service, local.id)
     if (member !== undefined) service.localRuns++
     return member
   }
 
   private async attempt (call: Call, member: Member, body: Body, answer: Answer, tried: Set<string>): Promise<Outcome> {
-    const mayHedge = call.profile.retry.hedge && call.idempotent && body.replayable && call.attempt === 0
+    const mayHedge = call.profile.retry.hedge && call.idempotent && body.empty && call.attempt === 0
     if (!mayHedge) return await this.send(call, member, body, answer)
     return await this.sendHedged(call, member, body, answer, tried)
   }
@@ -102,7 +122,7 @@
     const settled = await Promise.race([first, clock.sleep(service.hedgeDelay.milliseconds, late.signal)])
     late.abort()
     first.then(() => { service.hedgeDelay.record(clock.now() - start) }, () => {})
-    if (settled !== undefined || answer.started || !body.replayable) return await first
+    if (settled !== undefined || answer.started) return await first
     const other = this.chooseHedge(service, member, tried)
     if (other === undefined || !service.budget.take()) return await first
     tried.add(other.id)
--- a/packages/auburnturn/src/core/router/types.ts
+++ b/packages/auburnturn/src/core/router/types.ts
@@ -1,6 +1,7 @@
 import type { Attempt } from '../call/types.js'
 import type { Clock } from '../clock/index.js'
 import type { Directory } from '../membership/index.js'
+import type { Quarantine } from '../quarantine/index.js'
 import type { Random } from '../random/index.js'
 import type { Policy } from '../routing/index.js'
 import type { Target } from '../target/index.js'
@@ -13,4 +14,6 @@
   readonly remote: Attempt
   readonly local?: { readonly id: string, readonly service: string, readonly target: Target }
   readonly policy?: Policy
+  /** Tells which requests are suspect; these run once, at one target. */
+  readonly quarantine?: Quarantine
 }
--- a/packages/auburnturn/src/core/routing/balancer.ts
+++ b/packages/auburnturn/src/core/routing/balancer.ts
@@ -4,7 +4,7 @@
 import type { Random } from '../random/index.js'
 import { chooseAdaptive, slownessOf } from './adaptive.js'
 import { createCandidate, estimateCalls, estimateLatency, isUsable, noteAnswer, noteIncarnation, noteLoad, noteResult, noteSlowness, reset, settle } from './candidate.js'
-import { refreshMs, slowRatio, spareShare, subsetSize } from './constants.js'
+import { errorSmoothing, refreshMs, slowRatio, spareShare, subsetSize, unreachableSmoothing } from './constants.js'
 import { judgeOutcome } from './judge.js'
 import { chooseOwner, chooseSubset } from './subset.js'
 import type { Candidate, Policy, Usual } from './types.js'
@@ -94,7 +94,9 @@
     noteLoad(candidate, outcome.load, now, this.startedAt.get(candidate) ?? now)
     if (result === 'answered') noteAnswer(candidate, now - at)
     noteSlowness(candidate, slowRatio * slownessOf(candidate, this.fastestMs(now), now), now)
-    if (result === 'answered' || result === 'failed') noteResult(candidate, result === 'failed', this.leastErrors(), now)
+    if (result === 'refused' || result === 'abandoned') return
+    const weight = result === 'unreachable' ? unreachableSmoothing : errorSmoothing
+    noteResult(candidate, result !== 'answered', weight, this.leastErrors(), now)
   }
 
   /** Takes in what a probe of a target told. */
--- a/packages/auburnturn/src/core/routing/candidate.ts
+++ b/packages/auburnturn/src/core/routing/candidate.ts
@@ -1,6 +1,6 @@
 import type { Outcome } from '../call/types.js'
 import type { Member } from '../membership/types.js'
-import { closedLifeMs, confirmRatio, ejectionOutcomes, ejectionShare, errorSmoothing, firstEjectionMs, firstMemoryMs, maxEjectionMs, maxMemoryMs, priorAnswers, rampFloor, rampMs, reportLagMs, reportLifeMs, slowRatio, trustRegained, usualWeight } from './constants.js'
+import { closedLifeMs, confirmRatio, ejectionOutcomes, ejectionShare, firstEjectionMs, firstMemoryMs, maxEjectionMs, maxMemoryMs, priorAnswers, rampFloor, rampMs, reportLagMs, reportLifeMs, slowRatio, trustRegained, usualWeight } from './constants.js'
 import type { Candidate, Usual } from './types.js'
 
 /** A target of which nothing is known; `newAt` is when it appeared, `-Infinity` for one that was always there. */
@@ -120,9 +120,9 @@
   candidate.answers *= scale
 }
 
-/** Smooths errors, and ejects the target when it fails far more than the best one does. */
-export function noteResult (candidate: Candidate, failed: boolean, leastErrors: number, now: number): void {
-  candidate.errorShare += errorSmoothing * ((failed ? 1 : 0) - candidate.errorShare)
+/** Smooths errors with the given weight of the newest, and ejects the target when it fails far more than the best one does. */
+export function noteResult (candidate: Candidate, failed: boolean, weight: number, leastErrors: number, now: number): void {
+  candidate.errorShare += weight * ((failed ? 1 : 0) - candidate.errorShare)
   candidate.outcomes++
   if (!failed) {
     if (candidate.errorShare < ejectionShare / 2) candidate.ejections = 0
--- a/packages/auburnturn/src/core/routing/constants.ts
+++ b/packages/auburnturn/src/core/routing/constants.ts
@@ -13,6 +13,9 @@
 /** Answers of the usual latency that are mixed into what was seen of one target. */
 export const priorAnswers = 2
 
+/** The same weight when the connection was refused, which is no chance event. */
+export const unreachableSmoothing = 0.5
+
 /** A target this many times slower than the fastest still counts as equal. */
 export const slowRatio = 2
 
--- a/packages/auburnturn/src/core/routing/judge.ts
+++ b/packages/auburnturn/src/core/routing/judge.ts
@@ -4,6 +4,7 @@
 export type Judgement =
   | 'answered'
   | 'failed' // counts as load, however fast it came
+  | 'unreachable' // nothing listens there
   | 'refused' // told by the target's own admission, not an error
   | 'abandoned' // says nothing: the caller left
 
@@ -11,6 +12,8 @@
 export function judgeOutcome ({ verdict, status }: Outcome): Judgement {
   if (verdict.kind === 'done') return status !== undefined && status >= 500 ? 'failed' : 'answered'
   switch (verdict.cause) {
+    case 'connect-failed':
+      return 'unreachable'
     case 'caller-gone':
     case 'bad-request':
     case 'ticket-refused':
--- a/packages/auburnturn/src/core/target/target.ts
+++ b/packages/auburnturn/src/core/target/target.ts
@@ -1,6 +1,7 @@
 import type { Admission } from '../admission/index.js'
 import type { Answer, Body, Call, Load, Outcome } from '../call/types.js'
 import type { Clock } from '../clock/index.js'
+import type { Quarantine } from '../quarantine/index.js'
 import { mayHaveRun, notRun } from '../verdict/index.js'
 
 /** Sends an admitted call to the upstream. */
@@ -12,12 +13,14 @@
   private readonly clock: Clock
   private readonly admission: Admission
   private readonly run: Run
+  private readonly quarantine: Quarantine | undefined
 
   private constructor (options: TargetOptions) {
     this.incarnation = options.incarnation
     this.clock = options.clock
     this.admission = options.admission
-    this.run = options.run
+    this.quarantine = options.quarantine
+    this.run = options.quarantine?.watch(options.run) ?? options.run
   }
 
   static create (options: TargetOptions): Target {
@@ -26,8 +29,8 @@
 
   /** Admits and runs one call; the outcome carries the load of this moment. */
   async execute (call: Call, body: Body, answer: Answer): Promise<Outcome> {
-    const admittance = await this.admission.admit(call)
-    if (admittance.kind === 'refused') return this.stamp({ verdict: notRun(admittance.cause) })
+    const admittance = await (this.quarantine?.admit(call, body, this.admission) ?? this.admission.admit(call))
+    if (admittance.kind === 'refused') return this.stamp({ verdict: admittance.verdict ?? notRun(admittance.cause) })
     const start = this.clock.now()
     const outcome = await this.run(call, body, answer).catch(() => ({ verdict: mayHaveRun('connection-lost') }))
     admittance.release(outcome.verdict, this.clock.now() - start)
@@ -52,4 +55,6 @@
   readonly clock: Clock
   readonly admission: Admission
   readonly run: Run
+  /** Watches for requests that crash the upstream. */
+  readonly quarantine?: Quarantine
 }
--- a/packages/bench/src/routing/constants.ts
+++ b/packages/bench/src/routing/constants.ts
@@ -30,3 +30,18 @@
 
 /** Bytes that one call and its answer take on the wire, with small bodies. */
 export const callBytes = 1_200
+
+/** Time until a request that crashes its upstream does so, in milliseconds. */
+export const crashMs = 1
+
+/** Time until a crashed upstream is back, in milliseconds. */
+export const downMs = 300
+
+/** Pause after which a caller sends a request again that crashed its upstream, in milliseconds. */
+export const resendMs = 200
+
+/** Time until other nodes hear of a suspect, in milliseconds. */
+export const relayMs = 50
+
+/** The seed of every run. */
+export const seed = 1
--- a/packages/bench/src/routing/figures.ts
+++ b/packages/bench/src/routing/figures.ts
@@ -41,7 +41,8 @@
     },
     messagesPerSecond: Math.max(...nodes.map(({ sentAt }) => countMost(sentAt, 1_000))),
     bytesPerSecond: Math.max(...costs.map(cost => cost.bytes)) / (warmUpMs + measuredMs) * 1_000,
-    perTarget: nodes.map(({ answered }) => answered)
+    crashes: sum(nodes.map(({ upstream }) => upstream.crashes)),
+    perTarget: nodes.filter(({ isTarget }) => isTarget).map(({ answered }) => answered)
   }
 }
 
@@ -50,7 +51,7 @@
   return milliseconds + 2 * callerMs
 }
 
-function quantile (sorted: Float64Array, share: number): number {
+export function quantile (sorted: Float64Array, share: number): number {
   return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? 0
 }
 
--- a/packages/bench/src/routing/run.ts
+++ b/packages/bench/src/routing/run.ts
@@ -1,14 +1,14 @@
 import { Random } from 'auburnturn'
 import type { Answer, Body, Call, Member, Outcome } from 'auburnturn'
-import { callers, callMs, domains, meanMs, measuredMs, sigma, slots, warmUpMs } from './constants.js'
+import { callers, callMs, domains, meanMs, measuredMs, resendMs, sigma, slots, warmUpMs } from './constants.js'
 import { collect } from './figures.js'
 import type { Tally } from './figures.js'
 import { drawExponential, drawLogNormal } from './sampler.js'
-import { TargetNode } from './target-node.js'
+import { killerPath, TargetNode } from './target-node.js'
 import type { Contender, Figures, Scene } from './types.js'
 import { VirtualTime } from './virtual-time.js'
 
-const body: Body = { replayable: true, empty: true, async * read () {} }
+export const body: Body = { replayable: true, empty: true, async * read () {} }
 
 /** Runs one scene with one contender; the same seed gives the same figures. */
 export async function runScene (scene: Scene, contender: Contender, seed: number): Promise<Figures> {
@@ -16,18 +16,18 @@
   const nodes = createNodes(scene, contender, time, seed)
   const tally: Tally = { latencies: [], started: 0, answered: 0, refused: 0, failed: 0, oneHop: 0 }
   for (const event of scene.events) time.setTimer(() => { apply(event.what, event.target, scene, nodes, time) }, event.at)
+  if (scene.killer) resend(scene, nodes, time, Random.create(seed + 1))
   offer(scene, contender, nodes, time, Random.create(seed), tally)
   await time.run(warmUpMs + measuredMs)
-  const cost = collect(scene, contender, nodes, tally)
-  if (process.env.DEBUG !== undefined) for (const node of nodes) console.error(JSON.stringify(node.admission.dump()), JSON.stringify(node.router.dump()))
+  const figures = collect(scene, contender, nodes, tally)
   for (const { prober } of nodes) prober?.close().catch(() => {})
   await time.run(warmUpMs + measuredMs + callMs)
-  return cost
+  return figures
 }
 
 function createNodes (scene: Scene, contender: Contender, time: VirtualTime, seed: number): TargetNode[] {
   const nodes: TargetNode[] = []
-  for (let index = 0; index < scene.targets; index++) {
+  for (let index = 0; index < scene.targets + scene.clients; index++) {
     nodes.push(TargetNode.create({ index, time, scene, random: Random.create(seed + 1_000 + index) }))
   }
   const byId = new Map(nodes.map(node => [node.id, node]))
@@ -47,11 +47,11 @@
 }
 
 function publish (nodes: readonly TargetNode[], stateOf: (index: number) => Member['state'] | undefined, version: number): void {
-  const members = nodes.flatMap(({ id }, index): Member[] => {
-    const state = stateOf(index)
+  const members = nodes.flatMap(({ id, isTarget }, index): Member[] => {
+    const state = isTarget ? stateOf(index) : undefined
     return state === undefined ? [] : [{ id, service: 'orders', region: 'kochi', failureDomain: `kochi-${index % domains}`, ip: '127.0.0.1', peerPort: 1, controlPort: 1, state }]
   })
-  for (const { directory } of nodes) directory.accept({ version, members })
+  for (const { directory } of nodes) directory.accept({ service: 'orders', version, members })
 }
 
 /** Offers calls with exponential gaps until the run ends. */
@@ -73,11 +73,24 @@
   time.setTimer(next, drawExponential(random, gapMs))
 }
 
-function pickEntry ({ skew, targets }: Scene, random: Random): number {
+/** Sends one request again and again; it crashes whichever upstream runs it. */
+function resend (scene: Scene, nodes: readonly TargetNode[], time: VirtualTime, random: Random): void {
+  const { signal } = new AbortController()
+  const next = (): void => {
+    const entry = nodes[random.below(scene.targets)] as TargetNode
+    const call = { ...createCall(0, 0, time.now(), scene.profile, signal, 'killer'), path: killerPath }
+    entry.router.run(call, body, createAnswer()).catch(error => { queueMicrotask(() => { throw error }) })
+    time.setTimer(next, resendMs)
+  }
+  time.setTimer(next, warmUpMs)
+}
+
+function pickEntry ({ skew, targets, clients }: Scene, random: Random): number {
+  if (clients > 0) return targets + random.below(clients)
   return random.fraction() < skew ? 0 : random.below(targets)
 }
 
-function createCall (count: number, workMs: number, now: number, profile: Call['profile'], signal: AbortSignal, caller: string): Call {
+export function createCall (count: number, workMs: number, now: number, profile: Call['profile'], signal: AbortSignal, caller: string): Call {
   return { id: String(count), service: 'orders', method: 'GET', path: `/${workMs}`, headers: [], profile, idempotent: true, deadline: now + callMs, attempt: 0, depth: 1, caller, forwarded: false, signal }
 }
 
@@ -103,6 +116,6 @@
   if (outcome.incarnation === entry.target.incarnation) tally.oneHop++
 }
 
-function createAnswer (): Answer {
+export function createAnswer (): Answer {
   return { started: false, inform () {}, head () {}, data: () => undefined, end () {}, cut () {} }
 }
--- a/packages/bench/src/routing/scenes.ts
+++ b/packages/bench/src/routing/scenes.ts
@@ -26,9 +26,14 @@
   reportAgeMs: 0,
   lies: false,
   skew: 0,
+  clients: 0,
+  killer: false,
   profile: defaults
 }
 
+/** Three targets without any fault. */
+export const plainScene: Scene = { ...plain, name: 'plain', group: 'steady', load: 0.5 }
+
 /** One target is slow from `faultAt` on. */
 function slowTarget (target: number): Speed {
   if (target !== 0) return usual
@@ -78,5 +83,24 @@
   ...forSizes(targets => ({ ...plain, name: `peak 130%, ${targets} targets`, group: 'overload', load: 1.3, targets })),
   ...[0, 10, 100, 1000].map((age): Scene => ({ ...plain, name: `reports ${age} ms old`, group: 'reports', load: 0.8, targets: 4, reportAgeMs: age })),
   { ...plain, name: 'reports that lie', group: 'reports', load: 0.8, targets: 4, lies: true },
+  { ...plain, name: 'crashing request resent', group: 'crashing', load: 0.4, targets: 4, killer: true },
   { ...plain, name: 'callers enter unevenly', group: 'uneven', load: 0.6, targets: 4, skew: 0.7 }
 ]
+
+/** Many callers that embed a router, each with few calls: probes tell them most. */
+export const budgetScenes: readonly Scene[] = [
+  { ...plain, name: 'steady 70%, 24 embedded routers', group: 'steady', load: 0.7, targets: 4, clients: 24 },
+  { ...plain, name: 'noisy every 100 ms, 24 embedded routers', group: 'shifting', load: 0.5, targets: 4, clients: 24, speed: shiftNoise(4, 100) }
+]
+
+/** The scene with another measuring budget, as a multiple of the default. */
+export function withBudget (scene: Scene, multiple: number): Scene {
+  const { messagesPerSecond, bytesPerSecond, coreShare } = defaults.measuring
+  const measuring = { messagesPerSecond: messagesPerSecond * multiple, bytesPerSecond: bytesPerSecond * multiple, coreShare: Math.min(1, coreShare * multiple) }
+  return { ...scene, profile: { ...scene.profile, measuring } }
+}
+
+/** The scene with another threshold below which a node runs calls itself. */
+export function withLocalBelow (scene: Scene, localBelow: number): Scene {
+  return { ...scene, profile: { ...scene.profile, admission: { ...scene.profile.admission, localBelow } } }
+}
--- a/packages/bench/src/routing/target-node.ts
+++ b/packages/bench/src/routing/target-node.ts
@@ -1,13 +1,16 @@
-import { Admission, Directory, MeasuringBudget, Prober, Router, Target, notRun, probeBytes } from 'auburnturn'
+import { Admission, Directory, Logger, MeasuringBudget, Notices, Prober, Quarantine, Router, subscribe, Target, notRun, probeBytes } from 'auburnturn'
 import type { Answer, Attempt, Body, Call, Load, Outcome, Policy, Probe, Random } from 'auburnturn'
-import { domainMs, domains } from './constants.js'
+import { crashMs, domainMs, domains, downMs, relayMs } from './constants.js'
 import type { Scene } from './types.js'
 import { Upstream } from './upstream.js'
 import type { VirtualTime } from './virtual-time.js'
 
+/** The request that crashes whichever upstream runs it. */
+export const killerPath = '/kill'
+
 /** Work of a call at speed 1, in milliseconds, as its path tells; the same wherever the call runs. */
 function readWork ({ path }: Call): number {
-  return Number(path.slice(1))
+  return path === killerPath ? 10 * crashMs : Number(path.slice(1))
 }
 
 /** One node: the real router, admission and target around a fake upstream. */
@@ -17,7 +20,11 @@
   readonly admission: Admission
   readonly upstream: Upstream
   readonly target: Target
-  readonly directory = Directory.create()
+  readonly directory: Directory
+  readonly notices: Notices
+  /** Where the upstream calls on after its own work, in a chain of calls. */
+  next: ((call: Call) => Promise<Outcome>) | undefined
+  private readonly quarantine: Quarantine
   router!: Router
   budget!: MeasuringBudget
   prober: Prober | undefined
@@ -35,9 +42,12 @@
     this.domain = index % domains
     this.time = time
     this.scene = scene
+    this.notices = Notices.create({ clock: time.clock })
+    this.quarantine = Quarantine.create({ clock: time.clock, notices: this.notices })
+    this.directory = Directory.create({ clock: time.clock, logger: Logger.createSilent(), notices: Notices.create({ clock: time.clock }), floorOf: () => 0 })
     this.admission = Admission.create({ clock: time.clock })
     this.upstream = Upstream.create({ time, speed: scene.speed(index, random), failure: scene.failure(index) })
-    this.target = Target.create({ incarnation: `first-${index}`, clock: time.clock, admission: this.admission, run: async call => await this.work(call) })
+    this.target = Target.create({ incarnation: `first-${index}`, clock: time.clock, admission: this.admission, quarantine: this.quarantine, run: async call => await this.work(call) })
   }
 
   static create (options: { index: number, time: VirtualTime, scene: Scene, random: Random }): TargetNode {
@@ -48,7 +58,10 @@
   connect (nodes: ReadonlyMap<string, TargetNode>, policy: Policy, random: Random, probing: boolean): void {
     const { time: { clock }, directory, scene } = this
     const remote: Attempt = async (call, member, body, answer) => await this.send(nodes.get(member.id) as TargetNode, call, body, answer)
-    this.router = Router.create({ clock, random, directory, remote, policy, local: { id: this.id, service: 'orders', target: this.target } })
+    const local = { id: this.id, service: 'orders', target: this.target }
+    const { quarantine } = this
+    this.router = Router.create({ clock, random, directory, remote, policy, quarantine, ...(this.isTarget ? { local } : {}) })
+    if (probing) this.relay(nodes)
     this.budget = MeasuringBudget.create({ clock, random, limits: () => scene.profile.measuring })
     if (!probing) return
     const probe: Probe = async member => await this.probe(nodes.get(member.id) as TargetNode)
@@ -67,7 +80,30 @@
     return (this.history[0] as { load: Load }).load
   }
 
+  /** Whether an upstream stands beside the router; callers that embed one have none. */
+  get isTarget (): boolean {
+    return this.index < this.scene.targets
+  }
+
+  /** Tells the other nodes of suspects, as the relay between nodes does. */
+  private relay (nodes: ReadonlyMap<string, TargetNode>): void {
+    subscribe(this.time.clock, this.notices.changes, ({ kind, subject, expiresAt }) => {
+      const remainingMs = expiresAt - this.time.now()
+      this.time.setTimer(() => {
+        for (const node of nodes.values()) node.notices.add(kind, subject, remainingMs)
+      }, relayMs)
+    }, () => {})
+  }
+
   private async work (call: Call): Promise<Outcome> {
+    if (call.path === killerPath) this.time.setTimer(() => { this.upstream.crash(downMs) }, crashMs)
+    const outcome = await this.runUpstream(call)
+    if (outcome.verdict.kind !== 'done' || this.next === undefined) return outcome
+    const below = await this.next(call)
+    return below.verdict.kind === 'done' ? below : { ...below, status: 502 }
+  }
+
+  private async runUpstream (call: Call): Promise<Outcome> {
     const outcome = await this.upstream.run(readWork(call), call.signal, call.deadline)
     if (outcome.verdict.kind === 'done') this.answered++
     return outcome
--- a/packages/bench/src/routing/types.ts
+++ b/packages/bench/src/routing/types.ts
@@ -20,7 +20,7 @@
 /** A run's setting. Times are milliseconds from the start of the run. */
 export interface Scene {
   readonly name: string
-  readonly group: 'steady' | 'shifting' | 'failing' | 'overload' | 'reports' | 'uneven'
+  readonly group: 'steady' | 'shifting' | 'failing' | 'overload' | 'reports' | 'uneven' | 'crashing'
   readonly targets: number
   /** Calls offered as a share of what all targets can serve. */
   readonly load: number
@@ -33,6 +33,10 @@
   readonly lies: boolean
   /** Share of the calls that enter at the first node; the rest enter evenly. */
   readonly skew: number
+  /** Routers of callers that embed one; calls enter there instead of at the targets' nodes. */
+  readonly clients: number
+  /** Whether a request that crashes its upstream is sent again and again. */
+  readonly killer: boolean
   readonly profile: Profile
 }
 
@@ -56,6 +60,7 @@
   /** The most messages sent to measure in any second by one node. */
   readonly messagesPerSecond: number
   readonly bytesPerSecond: number
+  readonly crashes: number
   /** Calls that each target answered. */
   readonly perTarget: readonly number[]
 }
--- a/packages/bench/src/routing/upstream.ts
+++ b/packages/bench/src/routing/upstream.ts
@@ -5,8 +5,8 @@
 /** How fast an upstream works from now on: 1 is usual, and until when that holds. */
 export type Speed = (now: number) => { readonly factor: number, readonly until: number }
 
-/** Whether an upstream fails at this moment: answers 503 at once, or refuses connections. */
-export type Failure = (now: number) => 'none' | 'fail-fast' | 'refuse'
+/** Whether an upstream fails at this moment: answers 503 at once, refuses connections, or loses them. */
+export type Failure = (now: number) => 'none' | 'fail-fast' | 'refuse' | 'lose'
 
 interface Job { readonly finish: (outcome: Outcome) => void }
 
@@ -38,6 +38,7 @@
     const failure = this.failure(now)
     if (failure === 'refuse') return { verdict: notRun('connect-failed') }
     if (failure === 'fail-fast') return await this.after(failFastMs, { verdict: done, status: 503 })
+    if (failure === 'lose') return await this.after(failFastMs, { verdict: mayHaveRun('connection-lost') })
     const end = this.findEnd(now, workMs)
     return await this.work(Math.min(end, deadline) - now, end <= deadline, signal)
   }
--- a/packages/bench/src/routing/virtual-time.ts
+++ b/packages/bench/src/routing/virtual-time.ts
@@ -52,7 +52,7 @@
         try {
           alarm.action?.()
         } catch (error) {
-          reject(error as Error)
+          reject(new Error('an alarm failed', { cause: error }))
           return
         }
         // A tick set from a microtask runs when every other microtask is done.
