--- a/packages/auburnturn/src/core/routing/subset.ts
+++ b/packages/auburnturn/src/core/routing/subset.ts
@@ -2,20 +2,22 @@
 import { weigh } from './hash.js'
 
 /**
- * The targets of one service that one router uses: `size` of them by rendezvous hash,
- * taken from each failure domain in proportion to its targets, so that no domain is preferred
- * and the loss of one leaves the rest. A change of one member moves at most few.
+ * The targets of one service that one router uses: `size` of them by rendezvous hash, at most a fair share
+ * from each failure domain, so that no domain is preferred and the loss of one leaves the rest.
+ * A change of one member moves at most few.
  */
 export function chooseSubset (members: readonly Member[], router: string, size: number): readonly Member[] {
   if (members.length <= size) return members
-  const domains = rankDomains(members, router)
+  const ranked = members
+    .map(member => ({ member, weight: weigh(router, member.id) }))
+    .sort((one, other) => other.weight - one.weight)
+  const left = shareOut(members, size)
   const picked: Member[] = []
-  const taken = domains.map(() => 0)
-  while (picked.length < size) {
-    const next = findLeastFilled(domains, taken)
-    const index = taken[next] as number
-    picked.push((domains[next] as Member[])[index] as Member)
-    taken[next] = index + 1
+  for (const { member } of ranked) {
+    const room = left.get(member.failureDomain) as number
+    if (room === 0) continue
+    left.set(member.failureDomain, room - 1)
+    if (picked.push(member) === size) break
   }
   return picked
 }
@@ -33,28 +35,9 @@
   return owner
 }
 
-/** The members of each failure domain, highest weight first; domains in an order of this router's own. */
-function rankDomains (members: readonly Member[], router: string): Member[][] {
-  const domains = new Map<string, Array<{ member: Member, weight: number }>>()
-  for (const member of members) {
-    const ranked = domains.get(member.failureDomain) ?? []
-    ranked.push({ member, weight: weigh(router, member.id) })
-    domains.set(member.failureDomain, ranked)
-  }
-  return [...domains]
-    .sort(([one], [other]) => weigh(router, other) - weigh(router, one))
-    .map(([, ranked]) => ranked.sort((one, other) => other.weight - one.weight).map(({ member }) => member))
-}
-
-/** The domain of which the smallest share is taken and that has targets left. */
-function findLeastFilled (domains: readonly Member[][], taken: readonly number[]): number {
-  let least = 0
-  let leastShare = Infinity
-  domains.forEach((domain, index) => {
-    const share = ((taken[index] as number) + 0.5) / domain.length
-    if (share >= leastShare || taken[index] === domain.length) return
-    least = index
-    leastShare = share
-  })
-  return least
+/** The most targets to take from each failure domain: in proportion to its members, rounded up. */
+function shareOut (members: readonly Member[], size: number): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const { failureDomain } of members) counts.set(failureDomain, (counts.get(failureDomain) ?? 0) + 1)
+  return new Map([...counts].map(([domain, count]) => [domain, Math.ceil(size * count / members.length)]))
 }
--- a/packages/auburnturn/src/core/settings/profile.ts
+++ b/packages/auburnturn/src/core/settings/profile.ts
@@ -44,11 +44,11 @@
 })
 
 const measuring = z.strictObject({
-  messagesPerSecond: z.number().min(0).max(10_000).default(20)
+  messagesPerSecond: z.number().min(0).max(10_000).default(5)
     .describe('Messages that one node may send only to measure, a second.'),
-  bytesPerSecond: z.number().min(0).max(1_000_000).default(2_000)
+  bytesPerSecond: z.number().min(0).max(1_000_000).default(1_500)
     .describe('Bytes that one node may send only to measure, a second.'),
-  coreShare: share.default(0.002)
+  coreShare: share.default(0.001)
     .describe('Share of one core that one node may spend on measuring.')
 })
 
--- a/packages/bench/src/routing/contenders.ts
+++ b/packages/bench/src/routing/contenders.ts
@@ -4,6 +4,9 @@
 /** Our policy, with local runs and probes. */
 export const adaptive: Contender = { name: 'adaptive', createPolicy: () => chooseAdaptive, plain: false }
 
+/** Two choices with our hedges: shows what hedges alone bring. Not among the baselines. */
+export const hedgedTwoChoices: Contender = { name: 'two-choices, hedged', createPolicy: () => chooseTwo, plain: true, hedge: true }
+
 /** The policies it is compared with, behind the same admission and retry budget. */
 export const baselines: readonly Contender[] = [
   { name: 'round-robin', createPolicy: chooseRoundRobin, plain: true },
--- /dev/null
+++ b/packages/bench/src/routing/spread.ts
@@ -0,0 +1,51 @@
+import { chooseAdaptive, chooseSubset, createCandidate, Random } from 'auburnturn'
+import type { Candidate, Member } from 'auburnturn'
+
+/** How evenly subsets spread, and how many move when one member leaves. */
+export interface Spread {
+  readonly targets: number
+  readonly routers: number
+  readonly size: number
+  /** Routers of one target. */
+  readonly least: number
+  readonly mean: number
+  readonly most: number
+  /** Share of all router-target pairs that change when one target leaves. */
+  readonly moved: number
+}
+
+/** Failure domains at the target size. */
+const domains = 22
+
+/** Spreads the subsets of `routers` over one service. */
+export function measureSpread (targets: number, routers: number, size: number): Spread {
+  const members = Array.from({ length: targets }, (_, index) => createMember(index))
+  const counts = new Map<string, number>()
+  let moved = 0
+  for (let router = 0; router < routers; router++) {
+    const before = new Set(chooseSubset(members, `router-${router}`, size).map(({ id }) => id))
+    const after = chooseSubset(members.slice(1), `router-${router}`, size)
+    for (const id of before) counts.set(id, (counts.get(id) ?? 0) + 1)
+    moved += after.filter(({ id }) => !before.has(id)).length
+  }
+  const values = members.map(({ id }) => counts.get(id) ?? 0)
+  const used = Math.min(size, targets)
+  return { targets, routers, size, least: Math.min(...values), mean: routers * used / targets, most: Math.max(...values), moved: moved / (routers * used) }
+}
+
+/** Microseconds of processor time for one choice among `count` candidates. */
+export function measureChoice (count: number): number {
+  const random = Random.create(1)
+  const candidates = Array.from({ length: count }, (_, index): Candidate => Object.assign(createCandidate(createMember(index), -Infinity, { latencyMs: 10 }), {
+    inFlight: random.below(8), answers: 10, busyMs: 100, others: random.below(8), load: { running: 10, queued: 0, limit: 20, state: 'serving' as const }
+  }))
+  const rounds = 200_000
+  for (let round = 0; round < rounds / 10; round++) chooseAdaptive(candidates, random, round / 1000)
+  const start = process.hrtime.bigint()
+  for (let round = 0; round < rounds; round++) chooseAdaptive(candidates, random, round / 1000)
+  return Number(process.hrtime.bigint() - start) / 1_000 / rounds
+}
+
+function createMember (index: number): Member {
+  return { id: `target-${index}`, service: 'orders', region: 'kochi', failureDomain: `domain-${index % domains}`, ip: '127.0.0.1', peerPort: 1, controlPort: 1, state: 'live' }
+}
