--- a/packages/auburnturn/src/core/measuring/budget.ts
+++ b/packages/auburnturn/src/core/measuring/budget.ts
@@ -3,6 +3,9 @@
 import { messageCoreMs } from './constants.js'
 import type { MeasuringCost, MeasuringLimits } from './types.js'
 
+/** What a quotient of the limits may fall short of a whole number of messages. */
+const roundingError = 1e-9
+
 /**
  * The token bucket over all that one node sends only to measure. It saves nothing up: each message
  * must wait until the one before it is paid for, so that no second holds more than the limits,
@@ -63,6 +66,6 @@
     if (messagesPerSecond === 0 || bytesPerSecond === 0 || coreShare === 0) return Infinity
     const perSecond = Math.min(messagesPerSecond, bytes === 0 ? Infinity : bytesPerSecond / bytes, 1_000 * coreShare / messageCoreMs)
     // Whole messages, as a second that begins with one holds one more than the quotient.
-    return 1_000 / (perSecond < 1 ? perSecond : Math.floor(perSecond))
+    return 1_000 / (perSecond < 1 ? perSecond : Math.floor(perSecond + roundingError))
   }
 }
--- a/packages/auburnturn/src/core/quarantine/quarantine.ts
+++ b/packages/auburnturn/src/core/quarantine/quarantine.ts
@@ -101,7 +101,14 @@
     const lost = { call, fingerprint, alone: alone && incident.lost.length === 0 }
     incident.lost.push(lost)
     if (incident.confirmed) this.suspect(lost, false)
-    else if (incident.lost.length >= provingLosses && this.inFlight === 0) this.confirm()
+    else if (this.isProof(incident, lost)) this.confirm()
+  }
+
+  /** Many calls lost at once with none left, or a suspect lost while it ran alone. */
+  private isProof ({ lost }: Incident, { call, fingerprint, alone }: Lost): boolean {
+    if (this.inFlight > 0) return false
+    if (lost.length >= provingLosses) return true
+    return alone && this.suspects.judge(fingerprint, call.profile.quarantine.crashes) !== 'usual'
   }
 
   /** An upstream that answers has not crashed: single connections were lost. */
--- /dev/null
+++ b/packages/auburnturn/test/router/router.test.ts
@@ -0,0 +1,127 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { Directory, done, Logger, ManualClock, mayHaveRun, notRun, Notices, profileSchema, Random, RetryBudget, Router } from '../../src/index.js'
+import type { Attempt, Member, Outcome } from '../../src/index.js'
+import { createAnswer, createBody, createCall } from '../fixtures/calls.js'
+
+const router = suite('router')
+
+interface Fixture { readonly clock: ManualClock, readonly router: Router, readonly tried: string[], readonly close: () => Promise<void> }
+
+function createRouter (send: (call: Parameters<Attempt>[0], count: number, answer: Parameters<Attempt>[3], clock: ManualClock) => Promise<Outcome>): Fixture {
+  const clock = ManualClock.create()
+  const directory = Directory.create({ clock, logger: Logger.createSilent(), notices: Notices.create({ clock }), floorOf: () => 0 })
+  const members = [0, 1, 2].map((index): Member => ({ id: `orders-${index}`, service: 'orders', region: 'kochi', failureDomain: 'a', ip: '127.0.0.1', peerPort: 1, controlPort: 1, state: 'live' }))
+  directory.accept({ service: 'orders', version: 1, members })
+  const tried: string[] = []
+  const remote: Attempt = async (call, member, _body, answer) => {
+    tried.push(member.id)
+    return await send(call, tried.length, answer, clock)
+  }
+  return { clock, tried, router: Router.create({ clock, random: Random.create(1), directory, remote }), close: async () => { await directory.close() } }
+}
+
+const refused: Outcome = { verdict: notRun('overloaded') }
+const lost: Outcome = { verdict: mayHaveRun('connection-lost') }
+
+router('a refusal as not run is tried once more elsewhere', async () => {
+  const fixture = createRouter(async (_call, count) => count === 1 ? refused : { verdict: done })
+  const outcome = await fixture.router.run(createCall({ idempotent: false }), createBody(), createAnswer())
+  assert.is(outcome.verdict.kind, 'done')
+  assert.is(new Set(fixture.tried).size, 2)
+  await fixture.close()
+})
+
+router('a call that must not repeat is not sent again once it may have run', async () => {
+  const fixture = createRouter(async () => lost)
+  const outcome = await fixture.router.run(createCall({ idempotent: false }), createBody(), createAnswer())
+  assert.equal(outcome.verdict, lost.verdict)
+  assert.is(fixture.tried.length, 1)
+  await fixture.close()
+})
+
+router('one layer of a chain retries', async () => {
+  const depth = 10
+  let leaf = 0
+  const fixtures: Fixture[] = []
+  for (let layer = 0; layer < depth; layer++) {
+    const below = fixtures[layer - 1]
+    fixtures.push(createRouter(async call => {
+      if (below === undefined) {
+        leaf++
+        return refused
+      }
+      return await below.router.run({ ...call }, createBody(), createAnswer())
+    }))
+  }
+  const outcome = await (fixtures[depth - 1] as Fixture).router.run(createCall(), createBody(), createAnswer())
+  assert.is(leaf, 2)
+  assert.is(outcome.exhausted, true)
+  for (const fixture of fixtures) await fixture.close()
+})
+
+router('a call that a layer above has sent before is not sent again', async () => {
+  const fixture = createRouter(async () => refused)
+  await fixture.router.run(createCall({ attempt: 1 }), createBody(), createAnswer())
+  assert.is(fixture.tried.length, 1)
+  await fixture.close()
+})
+
+router('retries stay within their share while everything is refused', async () => {
+  const fixture = createRouter(async () => refused)
+  const calls = 1_000
+  for (let call = 0; call < calls; call++) await fixture.router.run(createCall(), createBody(), createAnswer())
+  const retries = fixture.tried.length - calls
+  assert.ok(retries <= calls * 0.1, `${retries} retries`)
+  assert.ok(retries > calls * 0.09, `${retries} retries`)
+  await fixture.close()
+})
+
+router('a budget saves up a bounded number of retries', () => {
+  const budget = RetryBudget.create()
+  for (let call = 0; call < 100_000; call++) budget.earn(0.1)
+  let taken = 0
+  while (budget.take()) taken++
+  assert.is(taken, 100)
+})
+
+router('a late call at a slow target is sent elsewhere and the loser is cancelled', async () => {
+  const idle = { running: 1, queued: 0, limit: 20, state: 'serving' as const }
+  let slowId = ''
+  let cancelled = 0
+  const fixture = createRouter(async (call, count, answer, clock) => {
+    const id = fixture.tried[count - 1] as string
+    if (id !== slowId) {
+      await clock.sleep(5)
+      answer.head(200, 'OK', [])
+      return { verdict: done, status: 200, load: idle }
+    }
+    await clock.sleep(10_000, call.signal)
+    cancelled++
+    return { verdict: mayHaveRun('caller-gone') }
+  })
+  const profile = profileSchema.parse({ retry: { hedge: true } })
+  for (let call = 0; call < 60; call++) {
+    const answer = createAnswer()
+    const run = fixture.router.run(createCall({ profile, deadline: 100_000 }), createBody(), answer)
+    await fixture.clock.advance(5)
+    await run
+    assert.equal(answer.heads, [200])
+  }
+  slowId = fixture.tried.at(-1) as string
+  const runs = [0, 1, 2, 3].map(async () => {
+    const answer = createAnswer()
+    const outcome = await fixture.router.run(createCall({ profile, deadline: 100_000 }), createBody(), answer)
+    return { outcome, heads: answer.heads }
+  })
+  await fixture.clock.advance(500)
+  const ended = await Promise.all(runs)
+  assert.ok(cancelled > 0)
+  for (const { outcome, heads } of ended) {
+    assert.is(outcome.verdict.kind, 'done')
+    assert.equal(heads, [200])
+  }
+  await fixture.close()
+})
+
+router.run()
--- /dev/null
+++ b/packages/auburnturn/test/routing/balancer.test.ts
@@ -0,0 +1,143 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { Balancer, chooseSubset, Directory, done, Logger, ManualClock, mayHaveRun, notRun, Notices, Random } from '../../src/index.js'
+import type { Load, Member, Outcome } from '../../src/index.js'
+
+const balancer = suite('balancer')
+
+const idle: Load = { running: 0, queued: 0, limit: 20, state: 'serving' }
+
+function createMember (index: number, failureDomain = `domain-${index % 3}`): Member {
+  return { id: `orders-${index}`, service: 'orders', region: 'kochi', failureDomain, ip: '127.0.0.1', peerPort: 1, controlPort: 1, state: 'live' }
+}
+
+function createFleet (size: number): { clock: ManualClock, balancer: Balancer, publish: (size: number) => void, close: () => Promise<void> } {
+  const clock = ManualClock.create()
+  const notices = Notices.create({ clock })
+  const directory = Directory.create({ clock, logger: Logger.createSilent(), notices, floorOf: () => 0 })
+  let version = 0
+  const publish = (count: number): void => {
+    directory.accept({ service: 'orders', version: ++version, members: Array.from({ length: count }, (_, index) => createMember(index)) })
+  }
+  publish(size)
+  const fresh = Balancer.create({ service: 'orders', clock, random: Random.create(1), directory })
+  return { clock, balancer: fresh, publish, close: async () => { await directory.close() } }
+}
+
+/** Sends `count` calls one after another; `serve` tells how each target answers and after how long. */
+async function send (fleet: ReturnType<typeof createFleet>, count: number, serve: (id: string) => { ms: number, outcome: Outcome }): Promise<Map<string, number>> {
+  const sent = new Map<string, number>()
+  for (let call = 0; call < count; call++) {
+    const member = fleet.balancer.choose(new Set()) as Member
+    sent.set(member.id, (sent.get(member.id) ?? 0) + 1)
+    const started = fleet.balancer.started(member)
+    const { ms, outcome } = serve(member.id)
+    fleet.clock.after(ms, () => { fleet.balancer.finished(started, outcome) })
+    await fleet.clock.advance(1)
+  }
+  await fleet.clock.advance(1_000)
+  return sent
+}
+
+balancer('a straggler is left within a few answers and tried again later', async () => {
+  const fleet = createFleet(3)
+  let slow = true
+  const serve = (id: string): { ms: number, outcome: Outcome } => ({ ms: slow && id === 'orders-0' ? 100 : 5, outcome: { verdict: done, load: idle } })
+  const first = await send(fleet, 300, serve)
+  assert.ok((first.get('orders-0') ?? 0) <= 15, `${first.get('orders-0') ?? 0} calls reached the straggler`)
+  slow = false
+  const later = await send(fleet, 600, serve)
+  assert.ok((later.get('orders-0') ?? 0) >= 120, `${later.get('orders-0') ?? 0} calls reached it after it recovered`)
+  await fleet.close()
+})
+
+balancer('an upstream that fails fast draws no traffic', async () => {
+  for (const outcome of [{ verdict: done, status: 503 }, { verdict: mayHaveRun('connection-lost') }, { verdict: notRun('connect-failed') }]) {
+    const fleet = createFleet(3)
+    const sent = await send(fleet, 300, id => id === 'orders-0' ? { ms: 0.1, outcome } : { ms: 5, outcome: { verdict: done, status: 200 } })
+    assert.ok((sent.get('orders-0') ?? 0) <= 12, `${sent.get('orders-0') ?? 0} calls for ${outcome.verdict.kind}`)
+    await fleet.close()
+  }
+})
+
+balancer('targets are all kept when most fail', async () => {
+  const fleet = createFleet(3)
+  const sent = await send(fleet, 300, () => ({ ms: 1, outcome: { verdict: done, status: 503 } }))
+  assert.is(sent.size, 3)
+  for (const count of sent.values()) assert.ok(count > 50)
+  await fleet.close()
+})
+
+balancer('a refusal that says draining keeps further calls away', async () => {
+  const fleet = createFleet(3)
+  const draining: Outcome = { verdict: notRun('admission-closed'), load: { ...idle, state: 'draining' } }
+  const sent = await send(fleet, 100, id => id === 'orders-0' ? { ms: 1, outcome: draining } : { ms: 5, outcome: { verdict: done, load: idle } })
+  assert.ok((sent.get('orders-0') ?? 0) <= 2)
+  await fleet.close()
+})
+
+balancer('a new member starts with a small share', async () => {
+  const fleet = createFleet(2)
+  const serve = (): { ms: number, outcome: Outcome } => ({ ms: 10, outcome: { verdict: done } })
+  await send(fleet, 50, serve)
+  fleet.publish(3)
+  fleet.balancer.refresh()
+  const sent = await send(fleet, 300, serve)
+  assert.ok((sent.get('orders-2') ?? 0) > 0)
+  assert.ok((sent.get('orders-2') ?? 0) < 60, `${sent.get('orders-2') ?? 0} of 300`)
+  await fleet.close()
+})
+
+balancer('a new incarnation starts with a small share', async () => {
+  const fleet = createFleet(2)
+  await send(fleet, 50, id => ({ ms: 10, outcome: { verdict: done, incarnation: `first-${id}` } }))
+  const serve = (id: string): { ms: number, outcome: Outcome } => ({ ms: 10, outcome: { verdict: done, incarnation: id === 'orders-0' ? 'second' : `first-${id}` } })
+  const sent = await send(fleet, 300, serve)
+  assert.ok((sent.get('orders-0') ?? 0) < 100, `${sent.get('orders-0') ?? 0} of 300`)
+  await fleet.close()
+})
+
+balancer('a report that a refusal contradicts counts no longer', async () => {
+  const fleet = createFleet(2)
+  const [one, two] = [createMember(0), createMember(1)]
+  fleet.balancer.reported(one, { ...idle, running: 2 }, undefined)
+  fleet.balancer.reported(two, { ...idle, running: 19 }, undefined)
+  assert.is(fleet.balancer.choose(new Set())?.id, 'orders-0')
+  fleet.balancer.finished(fleet.balancer.started(two), { verdict: notRun('overloaded') })
+  const dump = fleet.balancer.dump() as Array<{ id: string, trust: number }>
+  assert.is(dump.find(({ id }) => id === 'orders-1')?.trust, 0)
+  await fleet.close()
+})
+
+balancer('a report loses its weight with age', async () => {
+  const fleet = createFleet(2)
+  fleet.balancer.reported(createMember(0), { ...idle, running: 15 }, undefined)
+  assert.is(fleet.balancer.choose(new Set())?.id, 'orders-1')
+  fleet.balancer.started(createMember(1))
+  await fleet.clock.advance(1_000)
+  assert.is(fleet.balancer.choose(new Set())?.id, 'orders-0')
+  await fleet.close()
+})
+
+balancer('subsets spread evenly over targets and domains and move little', () => {
+  const members = Array.from({ length: 60 }, (_, index) => createMember(index, `domain-${index % 7}`))
+  const counts = new Map<string, number>()
+  let moved = 0
+  for (let router = 0; router < 300; router++) {
+    const subset = chooseSubset(members, `router-${router}`, 10)
+    assert.is(new Set(subset).size, 10)
+    const perDomain = new Map<string, number>()
+    for (const { id, failureDomain } of subset) {
+      counts.set(id, (counts.get(id) ?? 0) + 1)
+      perDomain.set(failureDomain, (perDomain.get(failureDomain) ?? 0) + 1)
+    }
+    assert.ok(Math.max(...perDomain.values()) <= 2)
+    const after = chooseSubset(members.slice(1), `router-${router}`, 10)
+    moved += after.filter(member => !subset.includes(member)).length
+  }
+  for (const count of counts.values()) assert.ok(count >= 20 && count <= 90, `${count} routers of one target, 50 expected`)
+  assert.is(counts.size, 60)
+  assert.ok(moved < 300 * 10 * 0.05, `${moved} pairs moved`)
+})
+
+balancer.run()
