--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -1,12 +1,11 @@
 import { randomBytes } from 'node:crypto'
 import { Admission } from '../admission/index.js'
-import { headerNames } from '../call/index.js'
-import type { Answer, Body, RawHeaders } from '../call/types.js'
+import type { Answer, Body } from '../call/types.js'
 import { Clock } from '../clock/index.js'
 import { Store } from '../configuration/index.js'
 import { ControlClients, ControlServer } from '../control/index.js'
 import type { Routes } from '../control/index.js'
-import { Exchange, formatLoad, Listener } from '../http/index.js'
+import { Exchange, Listener } from '../http/index.js'
 import { Logger } from '../logger/index.js'
 import { Directory } from '../membership/index.js'
 import { Metrics } from '../metrics/index.js'
@@ -21,12 +20,18 @@
 import { Supervisor } from '../supervisor/index.js'
 import { Target } from '../target/index.js'
 import { CallTracker } from './call-tracker.js'
+import { createAnswerHeaders } from './answer-headers.js'
+import { createCallIds } from './call-ids.js'
 import { identifyCall } from './identify.js'
 import { OwnMembership } from './own-membership.js'
-import { Peers } from './peers.js'
+import { describeToUpstream, Peers } from './peers.js'
 import { followConfiguration, followMembers } from './readers.js'
 import { addRouting } from './routing.js'
 import { showNode } from './show-node.js'
+import { isTicketRequest, TicketOffice } from './tickets.js'
+
+/** Time between the refusal of every call and the end of idle connections, in milliseconds. */
+const closeLingerMs = 50
 
 /** What a node is given from outside; all have working defaults. */
 export interface NodeOptions {
@@ -38,6 +43,7 @@
 /** The process beside one upstream. */
 export class Node {
   readonly incarnation = randomBytes(8).toString('hex')
+  private readonly nextId = createCallIds(this.incarnation)
   readonly store: Store
   readonly directory: Directory
   readonly notices: Notices
@@ -53,6 +59,7 @@
   private readonly supervisor: Supervisor
   private readonly admission: Admission
   private readonly quarantine: Quarantine
+  private readonly tickets: TicketOffice
   private closing = false
   private started = false
   private readonly ports = { callers: 0, peers: 0, control: 0, operator: 0 }
@@ -74,6 +81,8 @@
     this.tracker = CallTracker.create({ clock: this.clock, metrics: this.metrics })
     this.admission = Admission.create({ clock: this.clock })
     this.quarantine = Quarantine.create({ clock: this.clock, notices: this.notices })
+    const { id, service } = settings
+    this.tickets = TicketOffice.create({ id, service, directory: this.directory, random: this.random, controlClients: this.controlClients })
     this.supervisor = Supervisor.create({ clock: this.clock, logger: this.logger.label('supervisor') })
   }
 
@@ -100,16 +109,23 @@
     return this.started ? 'serving' : 'starting'
   }
 
-  /** Refuses new work as not run, and resolves when other nodes had time to hear of it and nothing is in flight. */
+  /**
+   * Refuses new work for the own upstream as not run, and resolves when other nodes had time to hear of it
+   * and nothing runs there. Calls to other targets still pass: what runs on the upstream may need them.
+   */
   async drain (): Promise<void> {
     this.leave()
     await this.clock.sleep(this.store.profileOf(this.settings.service).drain.newWorkMs)
-    await this.tracker.settle()
+    await this.tracker.settleUpstream()
   }
 
   /** Refuses new work as not run, lets what is in flight end, then closes every part. */
   async close (): Promise<void> {
     this.leave()
+    await this.tracker.settleUpstream()
+    this.tracker.refuse()
+    // A request that is on its way on an open connection is refused as not run rather than reset.
+    if (this.started) await this.clock.sleep(closeLingerMs)
     await this.tracker.settle()
     await this.supervisor.close()
   }
@@ -130,7 +146,6 @@
   private leave (): void {
     if (this.closing) return
     this.closing = true
-    this.tracker.refuse()
     this.admission.drain()
     const self = this.directory.find(this.settings.service, this.settings.id)
     if (self !== undefined) this.directory.announceLeaving(self, this.incarnation)
@@ -139,9 +154,10 @@
   private async start (): Promise<void> {
     const { settings, clock, logger, store, directory } = this
     const platform = Platform.create(settings.platform.map(({ ip, port }) => `http://${ip}:${port}`))
-    const peers = Peers.create({ clock, directory, connections: settings.limits.connectionsPerTarget })
+    const peers = Peers.create({ clock, directory, connections: settings.limits.connectionsPerTarget, headerBytes: settings.limits.headerBytes })
     const upstream = this.createUpstream()
-    const target = Target.create({ incarnation: this.incarnation, clock, admission: this.admission, quarantine: this.quarantine, run: this.tracker.trackAttempt('upstream', async (call, body: Body, answer: Answer) => await upstream.send(call, body, answer)) })
+    const target = this.createTarget(upstream)
+    this.controlRoutes.push(this.tickets.routes(target))
     const router = this.createRouter(peers, target)
     // First, so that it closes last: the drain can be watched.
     await this.supervisor.add('operator', async () => await this.openOperator())
@@ -151,6 +167,7 @@
     await this.supervisor.add('members', async () => followMembers({ platform, directory, clock, logger }))
     await this.supervisor.add('upstream', async () => upstream)
     await this.supervisor.add('peers', async () => peers)
+    await this.supervisor.add('target', async () => ({ close: async () => {}, dump: () => target.dump() }))
     await this.supervisor.add('router', async () => ({ close: async () => {}, dump: () => router.dump() }))
     await this.supervisor.add('controlClients', async () => this.controlClients)
     await this.supervisor.add('quarantine', async () => this.quarantine)
@@ -170,8 +187,19 @@
 
   private createUpstream (): Exchange {
     const { ip, port } = this.settings.upstream
-    const { connectMs } = this.store.profileOf(this.settings.service).timeouts
-    return Exchange.create({ origin: `http://${ip}:${port}`, connections: this.settings.limits.callerConnections, connectMs, clock: this.clock })
+    return Exchange.create({ origin: `http://${ip}:${port}`, connections: this.settings.limits.callerConnections, clock: this.clock })
+  }
+
+  private createTarget (upstream: Exchange): Target {
+    return Target.create({
+      id: this.settings.id,
+      incarnation: this.incarnation,
+      clock: this.clock,
+      admission: this.admission,
+      quarantine: this.quarantine,
+      run: this.tracker.trackAttempt('upstream', async (call, body: Body, answer: Answer) => await upstream.send(call, body, answer, describeToUpstream(call, this.clock))),
+      fetchTicket: async (service, withinMs) => await this.tickets.fetchElsewhere(service, withinMs)
+    })
   }
 
   private createRouter (peers: Peers, target: Target): Router {
@@ -181,18 +209,19 @@
 
   private async listen (name: 'callers' | 'peers', forwarded: boolean, router: Router, target: Target): Promise<void> {
     const { clock, store, directory, settings, logger, incarnation } = this
-    const answerHeaders = (): RawHeaders => forwarded
-      ? [headerNames.load, formatLoad(target.load), headerNames.incarnation, incarnation]
-      : []
+    const headers = createAnswerHeaders({ target, incarnation, forwarded })
     await this.supervisor.add(name, async () => {
       const listener = await Listener.create({
         ...settings[name],
         connections: settings.limits.callerConnections,
         headerBytes: settings.limits.headerBytes,
-        answerHeaders,
+        clock,
+        ...headers,
         logger: logger.label(name),
-        identify: (request, signal) => identifyCall(request, signal, { clock, store, directory, forwarded }),
-        serve: this.tracker.track(async (call, body, answer) => await router.run(call, body, answer))
+        identify: (request, signal) => identifyCall(request, signal, { clock, store, directory, forwarded, nextId: this.nextId }),
+        serve: this.tracker.track(async (call, body, answer) => !forwarded && isTicketRequest(call)
+          ? await this.tickets.answer(call, answer, target, tried => router.choose(call, tried))
+          : await router.run(call, body, answer))
       })
       this.ports[name] = listener.port
       return listener
--- a/packages/auburnturn/src/core/router/router.ts
+++ b/packages/auburnturn/src/core/router/router.ts
@@ -1,9 +1,11 @@
 import type { Answer, Body, Call, Outcome } from '../call/types.js'
 import type { Member } from '../membership/index.js'
 import { Balancer } from '../routing/index.js'
-import { isRetryable, notRun } from '../verdict/index.js'
+import { accumulate, isRetryable, notRun } from '../verdict/index.js'
 import { joinOutcomes, Race } from './race.js'
 import { ServiceState } from './service-state.js'
+import { runTicketed } from './ticketed.js'
+import type { TicketedRoute } from './ticketed.js'
 import type { RouterOptions } from './types.js'
 
 /** Routes calls of any service. */
@@ -22,6 +24,7 @@
   /** Runs `call` to its outcome; the answer is written only by the attempt that succeeds. */
   async run (call: Call, body: Body, answer: Answer): Promise<Outcome> {
     if (call.forwarded) return await this.runHere(call, body, answer)
+    if (call.ticket !== undefined) return await runTicketed(call, call.ticket, body, answer, this.ticketedRoute)
     const { quarantine } = this.options
     if (quarantine?.hasSuspects === true) {
       const treatment = await quarantine.judge(call, body)
@@ -31,6 +34,12 @@
     return await this.runUsual(call, body, answer)
   }
 
+  /** The target that a call would be sent to now, none of those in `tried`. */
+  choose (call: Call, tried: ReadonlySet<string>): Member | undefined {
+    const service = this.stateOf(call.service)
+    return this.chooseLocal(call, service, tried) ?? service.balancer.choose(tried)
+  }
+
   /** Reads the members of a service again at its next call. */
   refresh (service: string): void {
     this.services.get(service)?.balancer.refresh()
@@ -52,6 +61,7 @@
 
   private async runUsual (call: Call, body: Body, answer: Answer): Promise<Outcome> {
     const tried = new Set<string>()
+    const visited: Member[] = []
     const service = this.stateOf(call.service)
     service.budget.earn(call.profile.retry.share)
     let outcome: Outcome = { verdict: notRun('no-target') }
@@ -59,12 +69,26 @@
       const member = this.choose(call, tried)
       if (member === undefined) return outcome
       tried.add(member.id)
-      outcome = await this.attempt(attempt === call.attempt ? call : { ...call, attempt }, member, body, answer, tried)
-      if (!isRetryable(outcome.verdict, call.idempotent)) return outcome
+      visited.push(member)
+      const { verdict, ...rest } = await this.attempt(attempt === call.attempt ? call : { ...call, attempt }, member, body, answer, tried)
+      outcome = { ...rest, verdict: accumulate(outcome.verdict, verdict) }
+      if (!isRetryable(verdict, call.idempotent)) return outcome
       if (!this.mayRetry(call, body, answer, outcome, attempt + 1)) return { ...outcome, exhausted: true }
+      for (const earlier of visited) if (this.hasMoved(earlier)) tried.delete(earlier.id)
     }
   }
 
+  /** Whether the list gives another address for a member than it did; nothing was tried there yet. */
+  private hasMoved ({ service, id, ip, peerPort }: Member): boolean {
+    const now = this.options.directory.find(service, id)
+    return now !== undefined && (now.ip !== ip || now.peerPort !== peerPort)
+  }
+
+  private readonly ticketedRoute: TicketedRoute = {
+    members: service => this.options.directory.members(service),
+    attempt: async (call, member, body, answer) => await this.send(call, member, body, answer)
+  }
+
   private async runHere (call: Call, body: Body, answer: Answer): Promise<Outcome> {
     const { local } = this.options
     if (local === undefined || local.service !== call.service) return { verdict: notRun('no-target') }
@@ -89,11 +113,6 @@
     return this.stateOf(call.service).budget.take()
   }
 
-  private choose (call: Call, tried: ReadonlySet<string>): Member | undefined {
-    const service = this.stateOf(call.service)
-    return this.chooseLocal(call, service, tried) ?? service.balancer.choose(tried)
-  }
-
   /** This node's own target when it has room to spare and is not slower than the others. */
   private chooseLocal (call: Call, service: ServiceState, tried: ReadonlySet<string>): Member | undefined {
     const { local } = this.options
