--- a/packages/auburnturn/src/core/call/constants.ts
+++ b/packages/auburnturn/src/core/call/constants.ts
@@ -10,8 +10,10 @@
   verdict: 'auburnturn-verdict',
   /** The cause of a verdict that is not `done`. */
   cause: 'auburnturn-cause',
-  /** Attempts made so far at this call by all layers. */
+  /** Attempts made before this one at this call by all layers; 0 for the first. */
   attempt: 'auburnturn-attempt',
+  /** `no` on a refusal that a layer below has already sent again: the layers above must not. */
+  retry: 'auburnturn-retry',
   /** How deep in a chain of calls this call is; 1 for the first. */
   depth: 'auburnturn-depth',
   /** A node's load, on answers between nodes. */
--- a/packages/auburnturn/src/core/http/attempt.ts
+++ b/packages/auburnturn/src/core/http/attempt.ts
@@ -184,7 +184,8 @@
       ...(status === undefined ? {} : { status }),
       ...(peer?.load === undefined ? {} : { load: peer.load }),
       ...(peer?.incarnation === undefined ? {} : { incarnation: peer.incarnation }),
-      ...(peer?.successor === undefined ? {} : { successor: peer.successor })
+      ...(peer?.successor === undefined ? {} : { successor: peer.successor }),
+      ...(peer?.exhausted === undefined ? {} : { exhausted: peer.exhausted })
     })
   }
 }
--- a/packages/auburnturn/src/core/http/peer-answer.ts
+++ b/packages/auburnturn/src/core/http/peer-answer.ts
@@ -13,6 +13,8 @@
   readonly load?: Load
   readonly incarnation?: string
   readonly successor?: string
+  /** True when no layer above may send the call again. */
+  readonly exhausted?: boolean
 }
 
 /** Reads a node's head; undefined when it is not a node that answers. */
@@ -23,11 +25,13 @@
   const load = parseLoad(findHeader(headers, headerNames.load))
   const incarnation = findHeader(headers, headerNames.incarnation)
   const successor = refusal === undefined ? undefined : findHeader(headers, headerNames.ticket)
+  const exhausted = refusal !== undefined && findHeader(headers, headerNames.retry) === 'no'
   return {
     ...(refusal === undefined ? {} : { refusal }),
     ...(load === undefined ? {} : { load }),
     ...(incarnation === undefined ? {} : { incarnation }),
-    ...(successor === undefined ? {} : { successor })
+    ...(successor === undefined ? {} : { successor }),
+    ...(exhausted ? { exhausted } : {})
   }
 }
 
--- a/packages/auburnturn/src/core/node/answer-headers.ts
+++ b/packages/auburnturn/src/core/node/answer-headers.ts
@@ -10,7 +10,11 @@
     : ['via', viaValue]
   return {
     answerHeaders: () => [...nodeHeaders(), headerNames.verdict, 'done'],
-    refusalHeaders: ({ successor }) => successor === undefined ? nodeHeaders() : [...nodeHeaders(), headerNames.ticket, successor]
+    refusalHeaders: ({ successor, exhausted }) => [
+      ...nodeHeaders(),
+      ...(successor === undefined ? [] : [headerNames.ticket, successor]),
+      ...(exhausted === true ? [headerNames.retry, 'no'] : [])
+    ]
   }
 }
 
--- a/packages/auburnturn/src/core/node/peers.ts
+++ b/packages/auburnturn/src/core/node/peers.ts
@@ -51,7 +51,7 @@
       headerNames.callId, call.id,
       headerNames.caller, call.caller,
       headerNames.timeout, formatRemaining(call, this.clock),
-      headerNames.attempt, String(call.attempt + 1),
+      headerNames.attempt, String(call.attempt),
       headerNames.depth, String(call.depth - 1),
       headerNames.idempotent, call.idempotent ? 'yes' : 'no'
     ]
--- a/packages/auburnturn/src/core/quarantine/constants.ts
+++ b/packages/auburnturn/src/core/quarantine/constants.ts
@@ -4,7 +4,7 @@
 /** Lost calls within this time of the first belong to one crash, in milliseconds. */
 export const incidentMs = 10
 
-/** Calls lost together, with none left in flight, that prove a crash. */
+/** Calls that were in flight together and all lost, from which a crash is proved. */
 export const provingLosses = 3
 
 /** A refused connection within this time of a lost call proves a crash, in milliseconds. */
--- a/packages/auburnturn/src/core/quarantine/quarantine.ts
+++ b/packages/auburnturn/src/core/quarantine/quarantine.ts
@@ -14,7 +14,15 @@
 interface Lost { readonly call: Call, readonly fingerprint: string, readonly alone: boolean }
 
 /** Calls that were lost together, until it is known whether the upstream crashed. */
-interface Incident { readonly at: number, readonly lost: Lost[], confirmed: boolean }
+interface Incident {
+  readonly at: number
+  /** Calls on the upstream when the first was lost. */
+  readonly inFlight: number
+  /** Calls lost, those that can't be told apart included. */
+  count: number
+  readonly lost: Lost[]
+  confirmed: boolean
+}
 
 /**
  * Finds requests that crash the upstream beside this node. What was in flight at a crash is suspect and
@@ -71,8 +79,12 @@
       this.inFlight++
       const alone = this.inFlight === 1
       const suspect = this.hasSuspects
-      const outcome = await run(call, body, answer).finally(() => { this.inFlight-- })
-      if (isLost(outcome)) await this.noteLost(call, body, alone)
+      const outcome = await run(call, body, answer).catch(error => {
+        this.inFlight--
+        throw error
+      })
+      const running = this.inFlight--
+      if (isLost(outcome)) await this.noteLost(call, body, alone, running)
       else if (outcome.verdict.kind === 'not-run' && outcome.verdict.cause === 'connect-failed') this.confirm()
       else if (outcome.verdict.kind === 'done') this.noteDone()
       if (suspect && outcome.verdict.kind === 'done') await this.clear(call, body)
@@ -94,20 +106,21 @@
     return { crashes: this.crashes, refusals: this.refusals, ...this.suspects.dump() }
   }
 
-  private async noteLost (call: Call, body: Body, alone: boolean): Promise<void> {
-    const incident = this.currentIncident()
+  private async noteLost (call: Call, body: Body, alone: boolean, running: number): Promise<void> {
+    const incident = this.currentIncident(running)
+    incident.count++
     const fingerprint = await fingerprintOf(call, body)
     if (fingerprint === undefined || incident.lost.length >= maxSuspects) return
-    const lost = { call, fingerprint, alone: alone && incident.lost.length === 0 }
+    const lost = { call, fingerprint, alone: alone && incident.inFlight === 1 }
     incident.lost.push(lost)
     if (incident.confirmed) this.suspect(lost, false)
     else if (this.isProof(incident, lost)) this.confirm()
   }
 
-  /** Many calls lost at once with none left, or a suspect lost while it ran alone. */
-  private isProof ({ lost }: Incident, { call, fingerprint, alone }: Lost): boolean {
+  /** Several calls that ran at once and were all lost, or a suspect lost while it ran alone. */
+  private isProof ({ count, inFlight }: Incident, { call, fingerprint, alone }: Lost): boolean {
     if (this.inFlight > 0) return false
-    if (lost.length >= provingLosses) return true
+    if (inFlight >= provingLosses && count >= inFlight) return true
     return alone && this.suspects.judge(fingerprint, call.profile.quarantine.crashes) !== 'usual'
   }
 
@@ -116,9 +129,9 @@
     if (this.incident !== undefined && !this.incident.confirmed) this.incident = undefined
   }
 
-  private currentIncident (): Incident {
+  private currentIncident (running: number): Incident {
     const now = this.clock.now()
-    if (this.incident === undefined || now - this.incident.at > incidentMs) this.incident = { at: now, lost: [], confirmed: false }
+    if (this.incident === undefined || now - this.incident.at > incidentMs) this.incident = { at: now, inFlight: running, count: 0, lost: [], confirmed: false }
     return this.incident
   }
 
@@ -128,8 +141,7 @@
     if (incident === undefined || incident.confirmed || this.clock.now() - incident.at > confirmMs) return
     incident.confirmed = true
     this.crashes++
-    const single = incident.lost.length === 1
-    for (const lost of incident.lost) this.suspect(lost, single && lost.alone)
+    for (const lost of incident.lost) this.suspect(lost, lost.alone)
   }
 
   private suspect ({ call, fingerprint }: Lost, alone: boolean): void {
--- a/packages/auburnturn/src/core/router/router.ts
+++ b/packages/auburnturn/src/core/router/router.ts
@@ -1,6 +1,6 @@
 import type { Answer, Body, Call, Outcome } from '../call/types.js'
 import type { Member } from '../membership/index.js'
-import { Balancer } from '../routing/index.js'
+import { Balancer, judgeOutcome } from '../routing/index.js'
 import { accumulate, isRetryable, notRun } from '../verdict/index.js'
 import { joinOutcomes, Race } from './race.js'
 import { ServiceState } from './service-state.js'
@@ -108,6 +108,7 @@
   /** Whether this layer may send `call` once more; takes from the budget. */
   private mayRetry (call: Call, body: Body, answer: Answer, outcome: Outcome, attempt: number): boolean {
     if (answer.started || !body.replayable || call.signal.aborted) return false
+    if (judgeOutcome(outcome) === 'abandoned') return false
     if (outcome.exhausted === true || call.attempt > 0 || attempt >= call.profile.retry.attempts) return false
     if (this.options.clock.now() >= call.deadline) return false
     return this.stateOf(call.service).budget.take()
--- a/packages/auburnturn/src/core/routing/judge.ts
+++ b/packages/auburnturn/src/core/routing/judge.ts
@@ -6,7 +6,7 @@
   | 'failed' // counts as load, however fast it came
   | 'unreachable' // nothing listens there
   | 'refused' // told by the target's own admission, not an error
-  | 'abandoned' // says nothing: the caller left
+  | 'abandoned' // says nothing of the target: the caller left or the request is at fault
 
 /** Reads an outcome as a sign of its target's health. */
 export function judgeOutcome ({ verdict, status }: Outcome): Judgement {
@@ -15,12 +15,15 @@
     case 'connect-failed':
       return 'unreachable'
     case 'caller-gone':
+    case 'caller-idle':
+    case 'body-too-large':
     case 'bad-request':
     case 'ticket-refused':
     case 'ticket-running':
     case 'ticket-lost':
     case 'quarantined':
       return 'abandoned'
+    case 'connection-unavailable':
     case 'overloaded':
     case 'queue-timeout':
     case 'deadline-expired':
--- a/packages/auburnturn/test/quarantine/quarantine.test.ts
+++ b/packages/auburnturn/test/quarantine/quarantine.test.ts
@@ -98,6 +98,16 @@
   await guard.close()
 })
 
+quarantine('connections lost one after another accuse nobody', async () => {
+  const clock = ManualClock.create()
+  const notices = Notices.create({ clock })
+  const guard = Quarantine.create({ clock, notices })
+  const run = guard.watch(async () => ({ verdict: mayHaveRun('connection-lost') }))
+  for (let call = 0; call < 10; call++) await run(killer, createBody(), createAnswer())
+  assert.equal(notices.list(), [])
+  await guard.close()
+})
+
 quarantine('a fingerprint tells bodies and keys apart', async () => {
   const order = createCall({ method: 'POST', path: '/orders' })
   const print = async (text: string, headers: string[] = []): Promise<string | undefined> => await fingerprintOf({ ...order, headers }, createBody(text))
--- a/packages/auburnturn/test/router/router.test.ts
+++ b/packages/auburnturn/test/router/router.test.ts
@@ -1,6 +1,6 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { Directory, done, Logger, ManualClock, mayHaveRun, notRun, Notices, profileSchema, Random, RetryBudget, Router } from '../../src/index.js'
+import { Admission, Directory, done, Logger, ManualClock, mayHaveRun, notRun, Notices, profileSchema, Random, RetryBudget, Router, Target } from '../../src/index.js'
 import type { Attempt, Member, Outcome } from '../../src/index.js'
 import { createAnswer, createBody, createCall } from '../fixtures/calls.js'
 
@@ -77,6 +77,42 @@
   await fixture.close()
 })
 
+router('a node runs a call itself below the threshold, and passes it on above or when its target fails', async () => {
+  const clock = ManualClock.create()
+  const directory = Directory.create({ clock, logger: Logger.createSilent(), notices: Notices.create({ clock }), floorOf: () => 0 })
+  const members = [0, 1].map((index): Member => ({ id: `orders-${index}`, service: 'orders', region: 'kochi', failureDomain: 'a', ip: '127.0.0.1', peerPort: 1, controlPort: 1, state: 'live' }))
+  directory.accept({ service: 'orders', version: 1, members })
+  const ran: string[] = []
+  let local: Outcome = { verdict: done, status: 200 }
+  const run = async (): Promise<Outcome> => {
+    ran.push('here')
+    await clock.sleep(10)
+    return local
+  }
+  const remote: Attempt = async () => {
+    ran.push('there')
+    await clock.sleep(10)
+    return { verdict: done, status: 200 }
+  }
+  const target = Target.create({ incarnation: 'first', clock, admission: Admission.create({ clock }), run })
+  const both = Router.create({ clock, random: Random.create(1), directory, remote, local: { id: 'orders-0', service: 'orders', target } })
+  const profile = profileSchema.parse({ admission: { slots: 4, localBelow: 0.5 }, retry: { hedge: false } })
+  const send = async (count: number): Promise<void> => {
+    const calls = Array.from({ length: count }, async () => await both.run(createCall({ profile, deadline: 1_000_000 }), createBody(), createAnswer()))
+    await clock.advance(50)
+    await Promise.all(calls)
+  }
+  await send(1)
+  assert.equal(ran.splice(0), ['here'])
+  await send(6)
+  assert.ok(ran.includes('there'))
+  assert.ok(ran.splice(0).filter(place => place === 'here').length >= 2)
+  local = { verdict: done, status: 503 }
+  for (let call = 0; call < 30; call++) await send(1)
+  assert.ok(ran.slice(-20).filter(place => place === 'here').length <= 1, ran.join(' '))
+  await directory.close()
+})
+
 router('a budget saves up a bounded number of retries', () => {
   const budget = RetryBudget.create()
   for (let call = 0; call < 100_000; call++) budget.earn(0.1)
--- a/packages/bench/src/routing/constants.ts
+++ b/packages/bench/src/routing/constants.ts
@@ -7,6 +7,9 @@
 /** Spread of the logarithm of service times; 99 in 100 are below 6.2 times the mean. */
 export const sigma = 1
 
+/** Work that 99 in 100 calls stay below, in milliseconds. */
+export const longMs = 62
+
 /** One way between a caller and a node, in milliseconds. */
 export const callerMs = 8
 
--- a/packages/bench/src/routing/figures.ts
+++ b/packages/bench/src/routing/figures.ts
@@ -1,11 +1,20 @@
 import { probeBytes } from 'auburnturn'
-import { callBytes, callerMs, meanMs, measuredMs, slots } from './constants.js'
+import { callBytes, callerMs, longMs, meanMs, measuredMs, slots } from './constants.js'
 import type { TargetNode } from './target-node.js'
-import type { Contender, Figures, Scene } from './types.js'
+import type { Contender, Figures, Scene, Slowest } from './types.js'
+
+/** One answered call under a noisy neighbour. */
+export interface Trace {
+  readonly latencyMs: number
+  readonly workMs: number
+  /** Whether the neighbour was on the target that answered when the call entered. */
+  readonly sentIntoNoise: boolean
+}
 
 /** What is counted while a run goes on. */
 export interface Tally {
   readonly latencies: number[]
+  readonly traces: Trace[]
   started: number
   answered: number
   refused: number
@@ -45,6 +54,7 @@
     messagesAllowed: scene.profile.measuring.messagesPerSecond,
     bytesAllowed: scene.profile.measuring.bytesPerSecond,
     probeShare: sum(costs.map(cost => cost.bytes)) / (firsts * callBytes),
+    ...(tally.traces.length === 0 ? {} : { slowest: explainSlowest(tally.traces, quantile(sorted, 0.99)) }),
     crashes: sum(nodes.map(({ upstream }) => upstream.crashes)),
     perTarget: nodes.filter(({ isTarget }) => isTarget).map(({ answered }) => answered)
   }
@@ -73,3 +83,14 @@
 function sum (values: readonly number[]): number {
   return values.reduce((total, value) => total + value, 0)
 }
+
+function explainSlowest (traces: readonly Trace[], thresholdMs: number): Slowest {
+  const slow = traces.filter(({ latencyMs }) => latencyMs > thresholdMs)
+  const isLong = ({ workMs }: Trace): boolean => workMs > longMs
+  const share = (accept: (trace: Trace) => boolean): number => slow.filter(accept).length / Math.max(1, slow.length)
+  return {
+    long: share(isLong),
+    caught: share(trace => !isLong(trace) && !trace.sentIntoNoise),
+    sent: share(trace => !isLong(trace) && trace.sentIntoNoise)
+  }
+}
--- a/packages/bench/src/routing/index.ts
+++ b/packages/bench/src/routing/index.ts
@@ -9,7 +9,7 @@
 import { runScene } from './run.js'
 import { budgetScenes, scenes, withBudget, withLocalBelow } from './scenes.js'
 import { measureChoice, measureSpread } from './spread.js'
-import { formatDepth, formatJudgements, formatLocal, formatScenes, formatSummary, formatTable } from './table.js'
+import { formatDepth, formatHedges, formatJudgements, formatLocal, formatScenes, formatSlowest, formatSummary, formatTable } from './table.js'
 import type { Figures, Scene } from './types.js'
 
 /** Multiples of the default measuring budget. */
@@ -47,6 +47,8 @@
   const sections = {
     summary: formatSummary(comparisons),
     targets: formatJudgements(judgements),
+    slowest: formatSlowest(comparisons),
+    hedges: formatHedges(comparisons),
     budget: formatTable(['scene', ...multiples.map(multiple => `${multiple}x`)], budget.map(({ scene, runs }) => [scene, ...runs.map(({ p99 }) => p99.toFixed(1))])),
     local: formatLocal(local),
     depth: formatDepth(depth),
--- a/packages/bench/src/routing/run.ts
+++ b/packages/bench/src/routing/run.ts
@@ -4,7 +4,7 @@
 import { collect } from './figures.js'
 import type { Tally } from './figures.js'
 import { drawExponential, drawLogNormal } from './sampler.js'
-import { killerPath, TargetNode } from './target-node.js'
+import { killerPath, readWork, TargetNode } from './target-node.js'
 import type { Contender, Figures, Scene } from './types.js'
 import { VirtualTime } from './virtual-time.js'
 
@@ -14,7 +14,7 @@
 export async function runScene (scene: Scene, contender: Contender, seed: number): Promise<Figures> {
   const time = VirtualTime.create()
   const nodes = createNodes(scene, contender, time, seed)
-  const tally: Tally = { latencies: [], started: 0, answered: 0, refused: 0, failed: 0, oneHop: 0 }
+  const tally: Tally = { latencies: [], traces: [], started: 0, answered: 0, refused: 0, failed: 0, oneHop: 0 }
   for (const event of scene.events) time.setTimer(() => { apply(event.what, event.target, scene, nodes, time) }, event.at)
   if (scene.killer) resend(scene, nodes, time, Random.create(seed + 1))
   offer(scene, contender, nodes, time, Random.create(seed), tally)
@@ -67,7 +67,7 @@
     const controller = new AbortController()
     const workMs = drawLogNormal(works, meanMs, sigma)
     const call = createCall(count++, workMs, time.now(), profile, controller.signal, `caller-${random.below(callers)}`)
-    follow(call, entry, time, tally).catch(error => { queueMicrotask(() => { throw error }) })
+    follow(call, entry, time, scene, tally).catch(error => { queueMicrotask(() => { throw error }) })
     time.setTimer(next, drawExponential(random, gapMs))
   }
   time.setTimer(next, drawExponential(random, gapMs))
@@ -94,12 +94,16 @@
   return { id: String(count), service: 'orders', method: 'GET', path: `/${workMs}`, headers: [], profile, idempotent: true, deadline: now + callMs, attempt: 0, depth: 1, caller, forwarded: false, signal }
 }
 
-async function follow (call: Call, entry: TargetNode, time: VirtualTime, tally: Tally): Promise<void> {
+async function follow (call: Call, entry: TargetNode, time: VirtualTime, scene: Scene, tally: Tally): Promise<void> {
   const start = time.now()
   const counted = start >= warmUpMs
   if (counted) tally.started++
   const outcome = await entry.router.run(call, body, createAnswer())
-  if (counted) note(outcome, entry, time.now() - start, tally)
+  if (!counted) return
+  note(outcome, entry, time.now() - start, tally)
+  if (scene.noisyTarget === undefined || outcome.verdict.kind !== 'done') return
+  const sentIntoNoise = outcome.incarnation === `first-${scene.noisyTarget(start)}`
+  tally.traces.push({ latencyMs: time.now() - start, workMs: readWork(call), sentIntoNoise })
 }
 
 function note (outcome: Outcome, entry: TargetNode, latencyMs: number, tally: Tally): void {
--- a/packages/bench/src/routing/scenes.ts
+++ b/packages/bench/src/routing/scenes.ts
@@ -41,12 +41,14 @@
 }
 
 /** A noisy neighbour that sits on one target at a time and moves every `periodMs`. */
-export function shiftNoise (targets: number, periodMs: number): Scene['speed'] {
-  return target => now => {
-    const period = Math.floor(now / periodMs + 1e-9)
-    const until = (period + 1) * periodMs
-    return { factor: mix(period) % targets === target ? 1 / noiseFactor : 1, until }
-  }
+function shiftNoise (targets: number, periodMs: number): Pick<Scene, 'speed' | 'noisyTarget'> {
+  const periodOf = (now: number): number => Math.floor(now / periodMs + 1e-9)
+  const noisyTarget = (now: number): number => mix(periodOf(now)) % targets
+  const speed = (target: number): Speed => now => ({
+    factor: noisyTarget(now) === target ? 1 / noiseFactor : 1,
+    until: (periodOf(now) + 1) * periodMs
+  })
+  return { speed, noisyTarget }
 }
 
 /** Spreads consecutive integers evenly over 32 bits (a xor-shift-multiply hash). */
@@ -76,7 +78,7 @@
 export const scenes: readonly Scene[] = [
   ...[0.5, 0.7, 0.9].flatMap(load => forSizes(targets => ({ ...plain, name: `steady ${load * 100}%, ${targets} targets`, group: 'steady', load, targets }))),
   ...forSizes(targets => ({ ...plain, name: `straggler 10x, ${targets} targets`, group: 'shifting', load: 0.5, targets, speed: slowTarget })),
-  ...[5, 20, 100].flatMap(period => forSizes((targets): Scene => ({ ...plain, name: `noisy every ${period} ms, ${targets} targets`, group: 'shifting', load: 0.5, targets, speed: shiftNoise(targets, period) }))),
+  ...[5, 20, 100].flatMap(period => forSizes((targets): Scene => ({ ...plain, name: `noisy every ${period} ms, ${targets} targets`, group: 'shifting', load: 0.5, targets, ...shiftNoise(targets, period) }))),
   ...forSizes(targets => ({ ...plain, name: `fail-fast, ${targets} targets`, group: 'failing', load: 0.5, targets, failure: failFast })),
   ...forSizes(targets => ({ ...plain, name: `drain when busy, ${targets} targets`, group: 'failing', load: 0.6, targets, events: [{ at: faultAt, what: 'drain', target: 0 }] })),
   ...forSizes(targets => ({ ...plain, name: `cold start, ${targets} targets`, group: 'failing', load: 0.5, targets, speed: coldStart(faultAt), events: [{ at: faultAt, what: 'join', target: 0 }] })),
@@ -90,7 +92,7 @@
 /** Many callers that embed a router, each with few calls: probes tell them most. */
 export const budgetScenes: readonly Scene[] = [
   { ...plain, name: 'steady 70%, 24 embedded routers', group: 'steady', load: 0.7, targets: 4, clients: 24 },
-  { ...plain, name: 'noisy every 100 ms, 24 embedded routers', group: 'shifting', load: 0.5, targets: 4, clients: 24, speed: shiftNoise(4, 100) }
+  { ...plain, name: 'noisy every 100 ms, 24 embedded routers', group: 'shifting', load: 0.5, targets: 4, clients: 24, ...shiftNoise(4, 100) }
 ]
 
 /** The scene with another measuring budget, as a multiple of the default. */
--- a/packages/bench/src/routing/table.ts
+++ b/packages/bench/src/routing/table.ts
@@ -23,6 +23,22 @@
   return formatTable(['scene', 'p50 ms', 'p99 ms', 'p99.9 ms', 'best baseline p99', 'ratio', 'two choices p99', 'ratio', 'goodput', 'not answered', 'retries', 'one hop'], rows)
 }
 
+/** Why the calls above p99 were slow under noisy neighbours, for ours and two choices. */
+export function formatSlowest (comparisons: readonly Comparison[]): string {
+  const rows = comparisons.flatMap(({ ours, baselines }) => [ours, baselines.find(({ contender }) => contender === 'two-choices')])
+    .flatMap(figures => figures?.slowest === undefined ? [] : [[figures.scene, figures.contender, ms(figures.p99), percent(figures.slowest.long), percent(figures.slowest.caught), percent(figures.slowest.sent)]])
+  return formatTable(['scene', 'policy', 'p99 ms', 'long by themselves', 'caught by the neighbour', 'sent to it'], rows)
+}
+
+/** Two choices with and without our hedges. */
+export function formatHedges (comparisons: readonly Comparison[]): string {
+  const rows = comparisons.flatMap(({ scene, ours, baselines, hedged }) => {
+    const two = baselines.find(({ contender }) => contender === 'two-choices')
+    return hedged === undefined || two === undefined ? [] : [[scene.name, ms(ours.p99), ms(two.p99), ms(hedged.p99), percent(hedged.retries)]]
+  })
+  return formatTable(['scene', 'ours p99 ms', 'two choices p99 ms', 'two choices with our hedges p99 ms', 'its retries'], rows)
+}
+
 export function formatDepth (rows: readonly DepthFigures[]): string {
   return formatTable(['depth', 'who retries', 'calls', 'answered', 'retries per first attempt', 'calls at the last layer per call', 'p99 ms'],
     rows.map(row => [String(row.depth), row.retrying, String(row.calls), percent(row.answered), percent(row.retries), row.amplification.toFixed(2), ms(row.p99)]))
--- a/packages/bench/src/routing/target-node.ts
+++ b/packages/bench/src/routing/target-node.ts
@@ -9,7 +9,7 @@
 export const killerPath = '/kill'
 
 /** Work of a call at speed 1, in milliseconds, as its path tells; the same wherever the call runs. */
-function readWork ({ path }: Call): number {
+export function readWork ({ path }: Call): number {
   return path === killerPath ? 10 * crashMs : Number(path.slice(1))
 }
 
--- a/packages/bench/src/routing/types.ts
+++ b/packages/bench/src/routing/types.ts
@@ -34,6 +34,8 @@
   readonly lies: boolean
   /** Share of the calls that enter at the first node; the rest enter evenly. */
   readonly skew: number
+  /** Which target a noisy neighbour is on at a moment, if there is one. */
+  readonly noisyTarget?: (now: number) => number
   /** Routers of callers that embed one; calls enter there instead of at the targets' nodes. */
   readonly clients: number
   /** Whether a request that crashes its upstream is sent again and again. */
@@ -41,6 +43,16 @@
   readonly profile: Profile
 }
 
+/** What made calls slow under a noisy neighbour. */
+export interface Slowest {
+  /** More work than 99 in 100 calls have. */
+  readonly long: number
+  /** The neighbour came to the target while they ran there. */
+  readonly caught: number
+  /** They were sent to a target that the neighbour was on. */
+  readonly sent: number
+}
+
 /** What came of one run. */
 export interface Figures {
   readonly scene: string
@@ -67,6 +79,8 @@
   /** Bytes sent to measure as a share of those of the calls. */
   readonly probeShare: number
   readonly crashes: number
+  /** Why the slowest of the calls were slow, as shares of the calls above p99. */
+  readonly slowest?: Slowest
   /** Calls that each target answered. */
   readonly perTarget: readonly number[]
 }
