--- a/packages/auburnturn/src/core/call/types.ts
+++ b/packages/auburnturn/src/core/call/types.ts
@@ -88,6 +88,8 @@
   readonly successor?: string
   /** The targets that were tried, when the caller asked for them. */
   readonly way?: string
+  /** True when a layer below has done what retrying it may: no layer above sends the call again. */
+  readonly exhausted?: boolean
 }
 
 /** Tries a call once at one member. */
--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -14,6 +14,7 @@
 import { Operator } from '../operator/index.js'
 import type { NodeState } from '../operator/index.js'
 import { Platform } from '../platform/index.js'
+import { Quarantine } from '../quarantine/index.js'
 import { Random } from '../random/index.js'
 import { Router } from '../router/index.js'
 import type { NodeSettings } from '../settings/index.js'
@@ -26,6 +27,7 @@
 import { OwnMembership } from './own-membership.js'
 import { describeToUpstream, Peers } from './peers.js'
 import { followConfiguration, followMembers } from './readers.js'
+import { addRouting } from './routing.js'
 import { showNode } from './show-node.js'
 import { isTicketRequest, TicketOffice } from './tickets.js'
 import { recordWay } from './way.js'
@@ -58,6 +60,7 @@
   private readonly tracker: CallTracker
   private readonly supervisor: Supervisor
   private readonly admission: Admission
+  private readonly quarantine: Quarantine
   private readonly tickets: TicketOffice
   private closing = false
   private started = false
@@ -79,6 +82,7 @@
     this.metrics = Metrics.create({ clock: this.clock })
     this.tracker = CallTracker.create({ clock: this.clock, metrics: this.metrics })
     this.admission = Admission.create({ clock: this.clock })
+    this.quarantine = Quarantine.create({ clock: this.clock, notices: this.notices })
     const { id, service } = settings
     this.tickets = TicketOffice.create({ id, service, directory: this.directory, random: this.random, controlClients: this.controlClients })
     this.supervisor = Supervisor.create({ clock: this.clock, logger: this.logger.label('supervisor') })
@@ -168,6 +172,8 @@
     await this.supervisor.add('target', async () => ({ close: async () => {}, dump: () => target.dump() }))
     await this.supervisor.add('router', async () => ({ close: async () => {}, dump: () => router.dump() }))
     await this.supervisor.add('controlClients', async () => this.controlClients)
+    await this.supervisor.add('quarantine', async () => this.quarantine)
+    await addRouting({ ...this.parts, router, target, clients: this.controlClients, routes: this.controlRoutes, self: settings, limits: () => store.profileOf(settings.service).measuring })
     await this.supervisor.add('ownMembership', async () => this.createOwnMembership())
     await this.supervisor.add('control', async () => await this.openControl())
     await this.listen('peers', true, router, target)
@@ -176,6 +182,11 @@
     this.started = true
   }
 
+  private get parts () {
+    const { clock, random, logger, directory, supervisor, admission, metrics } = this
+    return { clock, random, logger: logger.label('routing'), directory, supervisor, admission, metrics }
+  }
+
   private createUpstream (): Exchange {
     const { ip, port } = this.settings.upstream
     return Exchange.create({ origin: `http://${ip}:${port}`, connections: this.settings.limits.callerConnections, clock: this.clock })
@@ -187,6 +198,7 @@
       incarnation: this.incarnation,
       clock: this.clock,
       admission: this.admission,
+      quarantine: this.quarantine,
       run: this.tracker.trackAttempt('upstream', async (call, body: Body, answer: Answer) => await upstream.send(call, body, answer, describeToUpstream(call, this.clock)), () => this.settings.id),
       fetchTicket: async (service, withinMs) => await this.tickets.fetchElsewhere(service, withinMs)
     })
@@ -194,7 +206,7 @@
 
   private createRouter (peers: Peers, target: Target): Router {
     const { id, service } = this.settings
-    return Router.create({ clock: this.clock, random: this.random, directory: this.directory, remote: this.tracker.trackAttempt('peer', peers.attempt, member => member.id), local: { id, service, target } })
+    return Router.create({ clock: this.clock, random: this.random, directory: this.directory, quarantine: this.quarantine, remote: this.tracker.trackAttempt('peer', peers.attempt, member => member.id), local: { id, service, target } })
   }
 
   private async listen (name: 'callers' | 'peers', forwarded: boolean, router: Router, target: Target): Promise<void> {
