Wire the relay and the platform reader into the node

Cause: each node watched the platform on its own. Change: elected readers watch; others hear from the relay; a starting node asks platform and peers before it takes calls.

--- a/packages/auburnturn/src/core/configuration/freshness.ts
+++ b/packages/auburnturn/src/core/configuration/freshness.ts
@@ -7,7 +7,7 @@
   private confirmation: Confirmation | undefined
   private heardAt: number | undefined
   private answeredAt: number | undefined
-  private behindBy = 0
+  private behind = 0
 
   private constructor (clock: Clock) {
     this.clock = clock
@@ -31,7 +31,7 @@
   /** The platform answered this node now; `behindBy` versions less than known, or 0. */
   noteAnswer (behindBy: number): void {
     this.answeredAt = this.clock.now()
-    this.behindBy = behindBy
+    this.behind = behindBy
     this.hear(0)
   }
 
@@ -39,6 +39,9 @@
   get heardMs (): number | undefined { return this.ageOf(this.heardAt) }
   get answeredMs (): number | undefined { return this.ageOf(this.answeredAt) }
 
+  /** How many versions the platform's last answer to this node was behind what is known. */
+  get behindBy (): number { return this.behind }
+
   dump (): Record<string, unknown> {
     return {
       confirmedAgeMs: this.confirmedMs ?? null,
--- /dev/null
+++ b/packages/auburnturn/src/core/node/configuration.ts
@@ -0,0 +1,113 @@
+import type { Clock } from '../clock/index.js'
+import type { Store } from '../configuration/index.js'
+import type { ControlClients, Routes } from '../control/index.js'
+import type { Logger } from '../logger/index.js'
+import type { Directory } from '../membership/index.js'
+import type { Metrics } from '../metrics/index.js'
+import type { Notices } from '../notices/index.js'
+import { PlatformReader, ReadShare } from '../platform/index.js'
+import type { Platform } from '../platform/index.js'
+import type { Random } from '../random/index.js'
+import { Relay, Roster } from '../relay/index.js'
+import { startMs } from '../relay/constants.js'
+import type { NodeSettings } from '../settings/index.js'
+import type { Part } from '../supervisor/types.js'
+
+/** What the configuration of a node is made of. */
+export interface ConfigurationOptions {
+  readonly settings: NodeSettings
+  readonly clock: Clock
+  readonly random: Random
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly clients: ControlClients
+  readonly store: Store
+  readonly directory: Directory
+  readonly notices: Notices
+}
+
+/** Keeps configuration and member lists current: from the platform by few nodes, between nodes by the relay. */
+export class Configuration implements Part {
+  readonly relay: Relay
+  readonly roster: Roster
+  private readonly options: ConfigurationOptions
+  private reader: PlatformReader | undefined
+
+  private constructor (options: ConfigurationOptions) {
+    const { settings, clock, random, logger, metrics, clients, store, directory, notices } = options
+    this.options = options
+    this.roster = Roster.create({ digest: store.digest, clock })
+    this.roster.observe((_entry, _changes, list) => { directory.accept(list) })
+    const { id, region, failureDomain, control } = settings
+    this.relay = Relay.create({
+      self: { id, region, failureDomain, ip: control.ip, controlPort: control.port },
+      clock,
+      random,
+      logger: logger.label('relay'),
+      metrics,
+      clients,
+      store,
+      roster: this.roster,
+      notices
+    })
+  }
+
+  static create (options: ConfigurationOptions): Configuration {
+    return new Configuration(options)
+  }
+
+  get routes (): Routes {
+    return this.relay.routes
+  }
+
+  /** Starts to read and relay. Resolves when platform and peers were asked, or have been silent for too long. */
+  async start (platform: Platform): Promise<void> {
+    const { settings, clock, random, logger, metrics, store } = this.options
+    this.relay.start()
+    const { fleetSize, readsPerSecond } = settings.platformReads
+    const share = ReadShare.create({ clock, random, perSecond: readsPerSecond, fleet: () => Math.max(fleetSize, this.roster.size) })
+    this.reader = PlatformReader.create({
+      platform,
+      store,
+      clock,
+      random,
+      logger: logger.label('platform'),
+      metrics,
+      share,
+      takeList: list => { this.roster.acceptList(list) },
+      isReader: () => this.relay.readership.role === 'reader',
+      isInformed: () => this.roster.size > 0
+    })
+    await this.waitForAnswers(this.reader)
+  }
+
+  async close (): Promise<void> {
+    await this.reader?.close()
+    await this.relay.close()
+  }
+
+  dump (): unknown {
+    return { reader: this.reader?.dump(), relay: this.relay.dump() }
+  }
+
+  private async waitForAnswers (reader: PlatformReader): Promise<void> {
+    const { clock, logger } = this.options
+    const waiting = new AbortController()
+    const answers = this.hearBoth(reader, waiting.signal).then(() => 'answered' as const)
+    const limit = clock.sleep(startMs, waiting.signal).then(() => 'silent' as const)
+    const outcome = await Promise.race([answers, limit])
+    waiting.abort()
+    if (outcome === 'silent') logger.warn('started-alone', { waitedMs: startMs, services: this.roster.size })
+  }
+
+  /** The platform or a peer makes the members known; then a peer is asked for what the platform may not have. */
+  private async hearBoth (reader: PlatformReader, signal: AbortSignal): Promise<void> {
+    await Promise.race([reader.firstRead, this.waitUntilInformed(signal)])
+    if (this.relay.topology.home.length > 1) await this.relay.askPeers()
+  }
+
+  private async waitUntilInformed (signal: AbortSignal): Promise<void> {
+    const checkMs = 50
+    while (this.roster.size === 0 && !signal.aborted) await this.options.clock.sleep(checkMs, signal)
+  }
+}
--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -18,10 +18,10 @@
 import type { NodeSettings } from '../settings/index.js'
 import { Supervisor } from '../supervisor/index.js'
 import { Target } from '../target/index.js'
+import { Configuration } from './configuration.js'
 import { identifyCall } from './identify.js'
 import { OwnMembership } from './own-membership.js'
 import { Peers } from './peers.js'
-import { followConfiguration, followMembers } from './readers.js'
 
 /** What a node is given from outside; all have working defaults. */
 export interface NodeOptions {
@@ -46,6 +46,7 @@
   private readonly metrics = Metrics.create()
   private readonly supervisor: Supervisor
   private readonly admission: Admission
+  private readonly configuration: Configuration
   private closing = false
   private readonly ports = { callers: 0, peers: 0, control: 0, operator: 0 }
 
@@ -63,6 +64,7 @@
       floorOf: service => this.store.profileOf(service).membership.floor
     })
     this.admission = Admission.create({ clock: this.clock })
+    this.configuration = this.createConfiguration()
     this.supervisor = Supervisor.create({ clock: this.clock, logger: this.logger.label('supervisor') })
   }
 
@@ -97,6 +99,7 @@
       node: { id: this.settings.id, service: this.settings.service, incarnation: this.incarnation },
       configuration: this.store.dump(),
       membership: this.directory.dump(),
+      relay: this.configuration.relay.dump(),
       notices: this.notices.dump(),
       admission: this.admission.dump(),
       metrics: this.metrics.dump(),
@@ -105,7 +108,7 @@
   }
 
   private async start (): Promise<void> {
-    const { settings, clock, logger, store, directory } = this
+    const { settings, clock, directory, configuration } = this
     const platform = Platform.create(settings.platform.map(({ ip, port }) => `http://${ip}:${port}`))
     const peers = Peers.create({ clock, directory, connections: settings.limits.connectionsPerTarget })
     const upstream = this.createUpstream()
@@ -113,19 +116,26 @@
     const router = this.createRouter(peers, target)
     await this.supervisor.add('membership', async () => this.directory)
     await this.supervisor.add('platform', async () => platform)
-    await this.supervisor.add('configuration', async () => followConfiguration({ platform, store, clock, logger }))
-    await this.supervisor.add('members', async () => followMembers({ platform, directory, clock, logger }))
+    await this.supervisor.add('controlClients', async () => this.controlClients)
+    this.controlRoutes.push(configuration.routes)
+    await this.supervisor.add('control', async () => await this.openControl())
+    await this.supervisor.add('configuration', async () => configuration)
+    // No call is taken before platform and peers were asked what is in force.
+    await configuration.start(platform)
     await this.supervisor.add('upstream', async () => upstream)
     await this.supervisor.add('peers', async () => peers)
     await this.supervisor.add('router', async () => ({ close: async () => {}, dump: () => router.dump() }))
-    await this.supervisor.add('controlClients', async () => this.controlClients)
     await this.supervisor.add('ownMembership', async () => this.createOwnMembership())
-    await this.supervisor.add('control', async () => await this.openControl())
     await this.listen('peers', true, router, target)
     await this.listen('callers', false, router, target)
     await this.supervisor.add('operator', async () => await this.openOperator())
   }
 
+  private createConfiguration (): Configuration {
+    const { settings, clock, random, logger, metrics, controlClients: clients, store, directory, notices } = this
+    return Configuration.create({ settings, clock, random, logger, metrics, clients, store, directory, notices })
+  }
+
   private createUpstream (): Exchange {
     const { ip, port } = this.settings.upstream
     const { connectMs } = this.store.profileOf(this.settings.service).timeouts
--- a/packages/auburnturn/src/core/notices/types.ts
+++ b/packages/auburnturn/src/core/notices/types.ts
@@ -1,8 +1,12 @@
+/** Every kind of notice; others that a peer sends are dropped. */
+export const noticeKinds = [
+  'leaving', // subject: SERVICE/MEMBER/INCARNATION
+  'started', // subject: SERVICE/MEMBER/INCARNATION
+  'suspect' // subject: fingerprint of a request that was in flight at a crash
+] as const
+
 /** What a notice is about. */
-export type NoticeKind =
-  | 'leaving' // subject: SERVICE/MEMBER/INCARNATION
-  | 'started' // subject: SERVICE/MEMBER/INCARNATION
-  | 'suspect' // subject: fingerprint of a request that was in flight at a crash
+export type NoticeKind = typeof noticeKinds[number]
 
 /** A fact that is forgotten after a while. */
 export interface Notice {
--- a/packages/auburnturn/src/core/platform/platform.ts
+++ b/packages/auburnturn/src/core/platform/platform.ts
@@ -1,45 +1,17 @@
 import { Pool } from 'undici'
-import { z } from 'zod'
+import type { z } from 'zod'
 import { Fault } from '../errors/index.js'
-import { watchGraceMs, watchMs } from './constants.js'
+import { maxPageBytes, watchGraceMs, watchMs } from './constants.js'
+import { memberPageSchema, pageSchema } from './schemas.js'
 import type { ConfigurationPage, MemberPage } from './types.js'
 
-const pageSchema = z.object({
-  revision: z.int().min(0),
-  entries: z.array(z.object({
-    key: z.string(),
-    version: z.int().min(0),
-    text: z.string().nullish().transform(text => text ?? undefined)
-  }))
-})
-
-const port = z.int().min(0).max(65_535)
-
-const memberPageSchema = z.object({
-  revision: z.int().min(0),
-  lists: z.array(z.object({
-    service: z.string(),
-    version: z.int().min(0),
-    members: z.array(z.object({
-      id: z.string(),
-      service: z.string(),
-      region: z.string(),
-      failureDomain: z.string(),
-      ip: z.string(),
-      peerPort: port,
-      controlPort: port,
-      state: z.enum(['live', 'leaving'])
-    }))
-  }))
-})
-
 /** Reads configuration and membership over HTTP; every method rejects with a `platform-unreachable` fault. */
 export class Platform {
   private readonly pools: readonly Pool[]
   private current = 0
 
   private constructor (origins: readonly string[]) {
-    this.pools = origins.map(origin => new Pool(origin, { connections: 4, headersTimeout: watchMs + watchGraceMs, bodyTimeout: watchGraceMs }))
+    this.pools = origins.map(origin => new Pool(origin, { connections: 4, headersTimeout: watchMs + watchGraceMs, bodyTimeout: watchGraceMs, maxResponseSize: maxPageBytes }))
   }
 
   /** `origins` are equal entrances to the same platform, such as `http://127.0.0.1:8500`. */
--- a/packages/auburnturn/src/core/relay/constants.ts
+++ b/packages/auburnturn/src/core/relay/constants.ts
@@ -45,3 +45,6 @@
 
 /** Longest wait of a starting node for peers and platform, in milliseconds. */
 export const startMs = 5_000
+
+/** Services whose member lists are held. */
+export const maxServices = 20_000
--- a/packages/auburnturn/src/core/relay/messages.ts
+++ b/packages/auburnturn/src/core/relay/messages.ts
@@ -3,7 +3,8 @@
 import type { Digest, Entry, Freshness } from '../configuration/index.js'
 import { CompareRequestSchema, EntrySchema, FreshnessSchema, NoticeSchema, VersionSchema } from '../control/gen/auburnturn/v1/relay_pb.js'
 import type { CompareRequest, Entry as EntryMessage, Freshness as FreshnessMessage, Notice as NoticeMessage, Version } from '../control/gen/auburnturn/v1/relay_pb.js'
-import type { Notice, NoticeKind, Notices } from '../notices/index.js'
+import { noticeKinds } from '../notices/index.js'
+import type { Notice, Notices } from '../notices/index.js'
 
 const maxAgeMs = 0xffff_ffff
 
@@ -42,10 +43,11 @@
   return create(NoticeSchema, { kind, subject, remainingMs: Math.max(0, Math.round(expiresAt - now)) })
 }
 
-/** Takes the notices of a message; the list drops kinds it does not know. */
+/** Takes the notices of a message, but for kinds it does not know. */
 export function takeNotices (notices: Notices, messages: readonly NoticeMessage[]): void {
   for (const { kind, subject, remainingMs } of messages) {
-    if (kind === 'leaving' || kind === 'suspect') notices.add(kind satisfies NoticeKind, subject, remainingMs)
+    const known = noticeKinds.find(one => one === kind)
+    if (known !== undefined) notices.add(known, subject, remainingMs)
   }
 }
 
--- a/packages/auburnturn/src/core/relay/relay.ts
+++ b/packages/auburnturn/src/core/relay/relay.ts
@@ -1,5 +1,5 @@
-import type { Disposable } from '@most/types'
-import type { Clock } from '../clock/index.js'
+import { subscribe } from '../clock/index.js'
+import type { Cancel, Clock } from '../clock/index.js'
 import type { Store } from '../configuration/index.js'
 import { Relay as RelayService } from '../control/index.js'
 import type { ControlClients, Routes } from '../control/index.js'
@@ -13,7 +13,6 @@
 import { Budget } from './budget.js'
 import { coalesceMs } from './constants.js'
 import { Link } from './link.js'
-import { listen } from './listen.js'
 import { Outbox } from './outbox.js'
 import type { Origin } from './outbox.js'
 import { Readership } from './readership.js'
@@ -50,7 +49,7 @@
   private readonly closing = new AbortController()
   private readonly apartRegions = new Set<string>()
   private origin: Origin | undefined
-  private readonly subscriptions: Disposable[] = []
+  private subscriptions: readonly Cancel[] = []
   private tasks: Array<Promise<void>> = []
 
   private constructor (options: RelayOptions) {
@@ -84,16 +83,17 @@
 
   /** Starts to push and repair. */
   start (): void {
-    const { store, roster, notices, clock } = this.options
+    const { store, roster, notices, clock, logger } = this.options
     const { signal } = this.closing
-    roster.observe((id, member, entry) => {
-      this.topology.set(id, member)
+    roster.observe((entry, changes) => {
+      for (const [id, member] of changes) this.topology.set(id, member)
       this.queue(origin => { this.outbox.addEntry(origin, entry) })
     })
-    this.subscriptions.push(
-      listen(store.updates, clock.scheduler, entry => { this.queue(origin => { this.outbox.addEntry(origin, entry) }) }),
-      listen(notices.changes, clock.scheduler, notice => { this.queue(origin => { this.outbox.addNotice(origin, notice) }) })
-    )
+    const fail = (error: Error): void => { logger.error('relay-failed', { error: String(error) }) }
+    this.subscriptions = [
+      subscribe(clock, store.updates, entry => { this.queue(origin => { this.outbox.addEntry(origin, entry) }) }, fail),
+      subscribe(clock, notices.changes, notice => { this.queue(origin => { this.outbox.addNotice(origin, notice) }) }, fail)
+    ]
     this.tasks = [this.pushLoop(signal), this.repair.run(signal)]
   }
 
@@ -110,7 +110,7 @@
   async close (): Promise<void> {
     this.closing.abort()
     this.link.close()
-    for (const subscription of this.subscriptions) subscription.dispose()
+    for (const cancel of this.subscriptions) cancel()
     await Promise.all(this.tasks)
   }
 
--- a/packages/auburnturn/src/core/relay/roster.ts
+++ b/packages/auburnturn/src/core/relay/roster.ts
@@ -1,26 +1,29 @@
 import type { Clock } from '../clock/index.js'
-import { Tombstones } from '../configuration/index.js'
+import { compareEditions } from '../configuration/index.js'
 import type { Acceptance, Digest, Entry, EntrySource, Replica } from '../configuration/index.js'
-import { compareEditions } from '../configuration/edition.js'
 import type { Member, MemberList } from '../membership/index.js'
+import { parseMembers } from '../platform/index.js'
+import { maxServices } from './constants.js'
 
-const prefix = 'member/'
+const prefix = 'members/'
 
-/** Called with every member that came, changed or (with undefined) went. */
-type Observe = (id: string, member: Member | undefined, entry: Entry) => void
+/** Members that came or changed, and (undefined) those that went. */
+export type MemberChanges = ReadonlyMap<string, Member | undefined>
 
-interface Row { readonly entry: Entry, readonly member: Member | undefined }
+/** Called with every list that was new here. */
+type Observe = (entry: Entry, changes: MemberChanges, list: MemberList) => void
 
-/** The platform's member list as single versioned entries, so that the relay carries only what changed. */
+interface Row { readonly entry: Entry, readonly members: ReadonlyMap<string, Member> }
+
+/** The platform's member lists as versioned entries, one a service, that the relay carries like any other. */
 export class Roster implements Replica {
   private readonly digest: Digest
   private readonly clock: Clock
   private readonly rows = new Map<string, Row>()
-  private readonly tombstones = Tombstones.create()
-  private readonly observers = new Set<Observe>()
+  private readonly observers: Observe[] = []
   private highest = 0
   private changedAt: number | undefined
-  private live = 0
+  private members = 0
 
   private constructor (digest: Digest, clock: Clock) {
     this.digest = digest
@@ -32,22 +35,17 @@
   }
 
   observe (observe: Observe): void {
-    this.observers.add(observe)
+    this.observers.push(observe)
   }
 
-  /** Highest list version that a known change came from. */
+  /** Highest version of any list. */
   get version (): number {
     return this.highest
   }
 
+  /** Members over all services. */
   get size (): number {
-    return this.live
-  }
-
-  members (): Member[] {
-    const members: Member[] = []
-    for (const { member } of this.rows.values()) if (member !== undefined) members.push(member)
-    return members
+    return this.members
   }
 
   owns (key: string): boolean {
@@ -58,56 +56,37 @@
     return this.rows.get(key)?.entry
   }
 
-  /** Takes what changed against the list held; false for a list older than one known. */
-  acceptList ({ version, members }: MemberList): boolean {
-    if (version < this.highest) return false
-    const listed = new Set<string>()
-    for (const member of members) {
-      const key = prefix + member.id
-      listed.add(key)
-      const text = JSON.stringify(orderFields(member))
-      if (this.rows.get(key)?.entry.text !== text) this.accept({ key, version, text }, 'platform')
-    }
-    for (const [key, { member }] of this.rows) {
-      if (member !== undefined && !listed.has(key)) this.accept({ key, version, text: undefined }, 'platform')
-    }
-    this.highest = Math.max(this.highest, version)
-    return true
+  /** Takes one list of the platform. */
+  acceptList ({ service, version, members }: MemberList): Acceptance {
+    return this.accept({ key: prefix + service, version, text: JSON.stringify(members.map(orderFields)) }, 'platform')
   }
 
-  accept (entry: Entry, source: EntrySource): Acceptance {
+  accept (entry: Entry, _source: EntrySource): Acceptance {
     const before = this.rows.get(entry.key)
-    if (before === undefined && source === 'peer' && entry.version <= this.tombstones.floor) return 'older'
     const order = compareEditions(before?.entry, entry)
     if (order === 'same') return 'known'
     if (order === 'older') return 'older'
     if (order === 'conflict-lost') return 'conflict'
-    const member = entry.text === undefined ? undefined : parseMember(entry.text)
-    if (entry.text !== undefined && member === undefined) return 'rejected'
-    this.put(entry, member, before)
+    const members = entry.text === undefined ? [] : parseMembers(entry.text)
+    if (members === undefined || (before === undefined && this.rows.size >= maxServices)) return 'rejected'
+    this.put(entry, new Map(members.map(member => [member.id, member])), before?.members ?? new Map())
     return 'accepted'
   }
 
   dump (): unknown {
-    return { version: this.highest, members: this.live, removed: this.tombstones.size, changedAgeMs: this.changedAt === undefined ? null : this.clock.now() - this.changedAt }
+    return { version: this.highest, services: this.rows.size, members: this.members, changedAgeMs: this.changedAt === undefined ? null : this.clock.now() - this.changedAt }
   }
 
-  private put (entry: Entry, member: Member | undefined, before: Row | undefined): void {
-    this.rows.set(entry.key, { entry, member })
+  private put (entry: Entry, members: ReadonlyMap<string, Member>, before: ReadonlyMap<string, Member>): void {
+    this.rows.set(entry.key, { entry, members })
     this.digest.set(entry)
     this.highest = Math.max(this.highest, entry.version)
     this.changedAt = this.clock.now()
-    this.live += Number(member !== undefined) - Number(before?.member !== undefined)
-    if (member === undefined) this.bury(entry)
-    else this.tombstones.delete(entry.key)
-    for (const observe of this.observers) observe(entry.key.slice(prefix.length), member, entry)
-  }
-
-  private bury (entry: Entry): void {
-    for (const key of this.tombstones.add(entry.key, entry.version)) {
-      this.rows.delete(key)
-      this.digest.delete(key)
-    }
+    this.members += members.size - before.size
+    const gone = [...before.keys()].filter(id => !members.has(id)).map((id): [string, undefined] => [id, undefined])
+    const changes = new Map<string, Member | undefined>([...gone, ...members])
+    const list = { service: entry.key.slice(prefix.length), version: entry.version, members: [...members.values()] }
+    for (const observe of this.observers) observe(entry, changes, list)
   }
 }
 
@@ -115,14 +94,3 @@
 function orderFields ({ id, service, region, failureDomain, ip, peerPort, controlPort, state }: Member): Member {
   return { id, service, region, failureDomain, ip, peerPort, controlPort, state }
 }
-
-function parseMember (text: string): Member | undefined {
-  try {
-    const value = JSON.parse(text) as Member
-    const whole = [value.id, value.service, value.region, value.failureDomain, value.ip, value.state].every(field => typeof field === 'string') &&
-      Number.isInteger(value.peerPort) && Number.isInteger(value.controlPort)
-    return whole ? value : undefined
-  } catch {
-    return undefined
-  }
-}
--- a/packages/auburnturn/src/core/relay/topology.ts
+++ b/packages/auburnturn/src/core/relay/topology.ts
@@ -1,6 +1,5 @@
 import type { Clock } from '../clock/index.js'
 import { hashText } from '../configuration/index.js'
-import type { Member } from '../membership/index.js'
 import { fanOut, shrinkHoldMs } from './constants.js'
 
 /** What the relay needs to know of another node. */
@@ -43,7 +42,7 @@
   }
 
   /** Takes a member that came or changed; undefined for one that went. */
-  set (id: string, member: Member | Peer | undefined, formerDomain = member?.failureDomain): void {
+  set (id: string, member: Peer | undefined, formerDomain = member?.failureDomain): void {
     // A list that has lost this node does not take it out of its own view.
     if (id === this.self.id && member === undefined) return
     for (const [name, domain] of this.domains) {
@@ -51,8 +50,7 @@
     }
     if (member === undefined) return
     const domain = this.domainOf(member.failureDomain)
-    const { region, failureDomain, ip, controlPort } = member
-    domain.members.set(id, { peer: { id, region, failureDomain, ip, controlPort }, rank: hashText(`${failureDomain}\n${id}`) })
+    domain.members.set(id, { peer: member, rank: hashText(`${member.failureDomain}\n${id}`) })
     domain.sorted = undefined
   }
 
--- a/packages/auburnturn/src/core/settings/settings.ts
+++ b/packages/auburnturn/src/core/settings/settings.ts
@@ -23,6 +23,13 @@
   upstream: address,
   /** The platform's configuration and membership service. */
   platform: z.array(address).min(1).max(8),
+  /** Bound on what the whole fleet reads of the platform. */
+  platformReads: z.strictObject({
+    /** Nodes expected in the whole fleet; a starting node knows no other figure. */
+    fleetSize: z.int().min(1).max(1_000_000).default(1),
+    /** Reads a second of all nodes together. */
+    readsPerSecond: z.number().min(1).max(100_000).default(200)
+  }).prefault({}),
   /** Services this node's callers use; their members are followed. Empty means all. */
   calls: z.array(z.string()).max(200).default([]),
   limits: z.strictObject({
