Keep a peer that closes from ending the process; tests over many nodes

Cause: connect-node's session manager loses its error listener while it destroys a session; a node died when a peer closed (seen in configuration.test: GOAWAY without any open streams). Change: own session with a lasting listener and byte counts.

--- a/packages/auburnturn/src/core/control/clients.ts
+++ b/packages/auburnturn/src/core/control/clients.ts
@@ -1,19 +1,22 @@
 import type { DescService } from '@bufbuild/protobuf'
 import { createClient } from '@connectrpc/connect'
 import type { Client, Transport } from '@connectrpc/connect'
-import { compressionGzip, createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
+import { compressionGzip, createConnectTransport } from '@connectrpc/connect-node'
 import type { Part } from '../supervisor/types.js'
-import { answerMs, idleConnectionMs, maxMessageBytes } from './constants.js'
+import { answerMs, maxMessageBytes } from './constants.js'
+import { Session } from './session.js'
+import type { ControlTraffic } from './types.js'
 
 /** Where a node listens for control messages. */
 export interface ControlAddress { readonly ip: string, readonly controlPort: number }
 
-interface Connection { readonly sessions: Http2SessionManager, readonly transport: Transport }
+interface Connection { readonly session: Session, readonly transport: Transport }
 
 /** One kept connection to each node that control messages go to. */
 export class ControlClients implements Part {
   private readonly connections = new Map<string, Connection>()
   private messages = 0
+  private droppedBytes = 0
 
   private constructor () {}
 
@@ -26,24 +29,38 @@
     return createClient(service, this.connectionOf(address).transport)
   }
 
+  /** Bytes both ways and messages sent. */
+  get traffic (): ControlTraffic {
+    let bytes = this.droppedBytes
+    for (const { session } of this.connections.values()) bytes += session.bytes
+    return { bytes, messages: this.messages }
+  }
+
   async close (): Promise<void> {
-    for (const { sessions } of this.connections.values()) sessions.abort()
-    this.connections.clear()
+    for (const { session } of this.connections.values()) session.close()
   }
 
   dump (): unknown {
-    return { peers: [...this.connections.keys()], messages: this.messages }
+    const open = [...this.connections].filter(([, { session }]) => session.isOpen).map(([origin]) => origin)
+    return { open, ...this.traffic }
   }
 
   private connectionOf ({ ip, controlPort }: ControlAddress): Connection {
     const baseUrl = `http://${ip.includes(':') ? `[${ip}]` : ip}:${controlPort}`
     const known = this.connections.get(baseUrl)
     if (known !== undefined) return known
-    const sessions = new Http2SessionManager(baseUrl, { idleConnectionTimeoutMs: idleConnectionMs })
+    this.forgetIdle()
+    const fresh = this.connect(baseUrl)
+    this.connections.set(baseUrl, fresh)
+    return fresh
+  }
+
+  private connect (baseUrl: string): Connection {
+    const session = Session.create(baseUrl)
     const transport = createConnectTransport({
       baseUrl,
       httpVersion: '2',
-      sessionManager: sessions,
+      sessionManager: session,
       useBinaryFormat: true,
       sendCompression: compressionGzip,
       acceptCompression: [compressionGzip],
@@ -54,8 +71,15 @@
         return await next(request)
       }]
     })
-    const fresh = { sessions, transport }
-    this.connections.set(baseUrl, fresh)
-    return fresh
+    return { session, transport }
+  }
+
+  /** Keeps the map as small as the connections in use, however many peers come and go. */
+  private forgetIdle (): void {
+    for (const [origin, { session }] of this.connections) {
+      if (session.isBusy) continue
+      this.droppedBytes += session.bytes
+      this.connections.delete(origin)
+    }
   }
 }
--- /dev/null
+++ b/packages/auburnturn/src/core/control/session.ts
@@ -0,0 +1,95 @@
+import { connect, constants } from 'node:http2'
+import type { ClientHttp2Session, ClientHttp2Stream, ClientSessionRequestOptions, OutgoingHttpHeaders } from 'node:http2'
+import { connect as openSocket } from 'node:net'
+import type { Socket } from 'node:net'
+import { connectionMs, idleConnectionMs } from './constants.js'
+
+/**
+ * One HTTP/2 connection to a peer, opened when a message needs it and closed when idle.
+ * connect-node's own manager drops its error listener while a session is being destroyed,
+ * so that a peer that closes ends the process; this one keeps its listener.
+ */
+export class Session {
+  readonly authority: string
+  private open: ClientHttp2Session | undefined
+  private socket: Socket | undefined
+  private opening: Promise<ClientHttp2Session> | undefined
+  private closedBytes = 0
+  private closed = false
+
+  private constructor (authority: string) {
+    this.authority = authority
+  }
+
+  /** `authority` is the peer's origin, such as `http://127.0.0.1:7001`. */
+  static create (authority: string): Session {
+    return new Session(authority)
+  }
+
+  /** Bytes of all connections so far, both ways. */
+  get bytes (): number {
+    return this.closedBytes + (this.open === undefined ? 0 : (this.socket?.bytesRead ?? 0) + (this.socket?.bytesWritten ?? 0))
+  }
+
+  get isOpen (): boolean {
+    return this.open !== undefined
+  }
+
+  /** Whether a connection is open or being opened. */
+  get isBusy (): boolean {
+    return this.open !== undefined || this.opening !== undefined
+  }
+
+  /** Opens a stream; rejects when the peer can't be reached. */
+  async request (method: string, path: string, headers: OutgoingHttpHeaders, options: Omit<ClientSessionRequestOptions, 'signal'>): Promise<ClientHttp2Stream> {
+    const session = this.open ?? await (this.opening ??= this.connect())
+    const stream = session.request({ ...headers, [constants.HTTP2_HEADER_METHOD]: method, [constants.HTTP2_HEADER_PATH]: path }, options)
+    session.ref()
+    stream.once('close', () => { if (!session.destroyed) session.unref() })
+    return stream
+  }
+
+  /** Part of the interface; this session sends no pings whose answers it would stand for. */
+  notifyResponseByteRead (): void {}
+
+  close (): void {
+    this.closed = true
+    this.open?.destroy()
+  }
+
+  private async connect (): Promise<ClientHttp2Session> {
+    try {
+      const session = await this.dial()
+      if (this.closed) session.destroy()
+      return session
+    } finally {
+      this.opening = undefined
+    }
+  }
+
+  private async dial (): Promise<ClientHttp2Session> {
+    return await new Promise((resolve, reject) => {
+      const { hostname, port } = new URL(this.authority)
+      const socket = openSocket(Number(port), hostname.replace(/^\[|\]$/g, ''))
+      const session = connect(this.authority, { createConnection: () => socket })
+      session.on('error', reject)
+      session.setTimeout(connectionMs, () => { session.destroy(new Error('the peer did not accept the connection')) })
+      session.once('connect', () => {
+        this.open = session
+        this.socket = socket
+        session.setTimeout(idleConnectionMs, () => { session.close() })
+        resolve(session)
+      })
+      session.once('goaway', () => { this.leave(session) })
+      session.once('close', () => {
+        this.leave(session)
+        this.closedBytes += socket.bytesRead + socket.bytesWritten
+        reject(new Error('the connection was closed'))
+      })
+    })
+  }
+
+  private leave (session: ClientHttp2Session): void {
+    if (this.open === session) this.open = undefined
+  }
+}
--- a/packages/auburnturn/src/core/platform/constants.ts
+++ b/packages/auburnturn/src/core/platform/constants.ts
@@ -30,3 +30,6 @@
 
 /** The platform is reported as silent after this long, in milliseconds. */
 export const silentMs = 30_000
+
+/** Shortest mean time between two turns of a node that is not elected, in milliseconds. */
+export const minTurnMs = 1_000
--- a/packages/auburnturn/src/core/platform/read-share.ts
+++ b/packages/auburnturn/src/core/platform/read-share.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../clock/index.js'
 import type { Random } from '../random/index.js'
-import { unelectedShare } from './constants.js'
+import { minTurnMs, unelectedShare } from './constants.js'
 
 interface Parts {
   readonly clock: Clock
@@ -34,7 +34,7 @@
   /** Mean time between two turns of one node, in milliseconds. */
   get turnMs (): number {
     const { fleet, perSecond } = this.parts
-    return 1000 * readsPerTurn * Math.max(1, fleet()) / (perSecond * unelectedShare)
+    return 1000 * readsPerTurn * fleet() / (perSecond * unelectedShare)
   }
 
   /** Milliseconds until the next turn; 0 when it is due. */
@@ -42,9 +42,9 @@
     return Math.max(0, this.nextAt - this.parts.clock.now())
   }
 
-  /** Takes the turn that is due. The next one is half to one and a half mean times away. */
-  take (): void {
+  /** Takes the turn that is due. The next one is half to one and a half mean times away, and never sooner than `pauseMs`. */
+  take (pauseMs = minTurnMs): void {
     const { clock, random } = this.parts
-    this.nextAt = clock.now() + this.turnMs * (0.5 + random.fraction())
+    this.nextAt = clock.now() + Math.max(pauseMs, this.turnMs) * (0.5 + random.fraction())
   }
 }
--- a/packages/auburnturn/src/core/platform/reader.ts
+++ b/packages/auburnturn/src/core/platform/reader.ts
@@ -83,22 +83,26 @@
     return this.options.isInformed() && this.options.isReader()
   }
 
+  private get backoffMs (): number {
+    return Math.min(maxBackoffMs, firstBackoffMs * 2 ** Math.min(this.failures, 10))
+  }
+
   private async run (): Promise<void> {
     const { clock, share } = this.options
     const { signal } = this.closing
     while (!signal.aborted) {
       if (this.isElected) await this.watch(signal)
       else if (this.isServed) await clock.sleep(roleCheckMs, signal)
-      else if (share.waitMs > 0) await clock.sleep(Math.min(roleCheckMs, share.waitMs), signal)
+      else if (share.waitMs > 0) await clock.sleep(Math.max(1, Math.min(roleCheckMs, share.waitMs)), signal)
       else await this.readOnce(signal)
     }
   }
 
   /** One turn of a node that is not elected. */
   private async readOnce (signal: AbortSignal): Promise<void> {
-    this.options.share.take()
-    await this.attempt('members', this.readMembers, 0, signal)
-    if (!signal.aborted) await this.attempt('configuration', this.readConfiguration, 0, signal)
+    const fine = await this.attempt('members', this.readMembers, 0, signal) &&
+      await this.attempt('configuration', this.readConfiguration, 0, signal)
+    this.options.share.take(fine ? undefined : this.backoffMs)
   }
 
   /** Watches both kinds until this node is no longer elected. */
@@ -114,8 +118,7 @@
     while (this.isElected && !signal.aborted) {
       const startedAt = clock.now()
       const fine = await this.attempt(kind, read, watchMs, signal)
-      const backoffMs = Math.min(maxBackoffMs, firstBackoffMs * 2 ** Math.min(this.failures, 10)) * (0.5 + random.fraction() / 2)
-      const pauseMs = fine ? readerPauseMs - (clock.now() - startedAt) : backoffMs
+      const pauseMs = fine ? readerPauseMs - (clock.now() - startedAt) : this.backoffMs * (0.5 + random.fraction() / 2)
       if (pauseMs > 0 && !signal.aborted) await clock.sleep(pauseMs, signal)
     }
   }
--- a/packages/auburnturn/src/core/relay/budget.ts
+++ b/packages/auburnturn/src/core/relay/budget.ts
@@ -43,7 +43,7 @@
 
   /** Resolves as soon as a message may be sent, or `signal` aborts. */
   async open (signal: AbortSignal): Promise<void> {
-    while (!this.isOpen && !signal.aborted) await this.clock.sleep(1000 * (1 - this.tokens) / this.perSecond, signal)
+    while (!this.isOpen && !signal.aborted) await this.clock.sleep(Math.max(1, 1000 * -this.tokens / this.perSecond), signal)
   }
 
   /** Mean over the last whole window. */
--- a/packages/stand-ins/src/platform-service.ts
+++ b/packages/stand-ins/src/platform-service.ts
@@ -9,6 +9,14 @@
 export class PlatformService {
   /** Requests answered or waiting since the start. */
   reads = 0
+  /** Every request is cut off while set. */
+  down = false
+  /** Pause before every answer, in milliseconds. */
+  delayMs = 0
+  /** New publications stay hidden while set, as from a service that lags. */
+  private frozen: ReadonlyMap<string, Entry> | undefined
+  private frozenRevision = 0
+  private readonly history: Entry[] = []
   private readonly server: Server
   private readonly entries = new Map<string, Entry>()
   private readonly watches = new Set<Watch>()
@@ -20,7 +28,9 @@
     this.server = createServer((request, response) => {
       const url = new URL(request.url ?? '/', 'http://platform')
       this.reads++
-      this.route(url, response)
+      if (this.down) response.destroy()
+      else if (this.delayMs > 0) setTimeout(() => { this.route(url, response) }, this.delayMs)
+      else this.route(url, response)
     })
   }
 
@@ -37,10 +47,39 @@
   /** Publishes one configuration entry; undefined removes it. */
   publish (key: string, text: string | undefined): void {
     this.revision++
-    this.entries.set(key, { key, version: this.revision, text })
+    const entry = { key, version: this.revision, text }
+    this.history.push(entry)
+    this.entries.set(key, entry)
     this.wake()
   }
 
+  /** Answers from what is published now until `thaw`. */
+  freeze (): void {
+    this.frozen = new Map(this.entries)
+    this.frozenRevision = this.revision
+  }
+
+  thaw (): void {
+    this.frozen = undefined
+    this.wake()
+  }
+
+  /** Loses everything published after `revision`, as a service restored from a copy does. */
+  rollBack (revision: number): void {
+    this.revision = revision
+    const kept = this.history.filter(entry => entry.version <= revision)
+    this.history.splice(0, this.history.length, ...kept)
+    this.entries.clear()
+    for (const entry of kept) this.entries.set(entry.key, entry)
+    this.wake()
+  }
+
+  /** Cuts every request that waits, and those to come while `down` is set. */
+  goDown (): void {
+    this.down = true
+    this.server.closeAllConnections()
+  }
+
   /** Replaces the lists of all services; only lists that differ get a new version. */
   setMembers (members: readonly Member[]): void {
     this.membersRevision++
@@ -61,7 +100,7 @@
     const after = Number(url.searchParams.get('after') ?? 0)
     const waitMs = Number(url.searchParams.get('waitMs') ?? 0)
     if (url.pathname === '/v1/configuration') {
-      return this.answerWhen(response, waitMs, () => this.revision > after, () => this.readConfiguration(after))
+      return this.answerWhen(response, waitMs, () => this.shownRevision > after, () => this.readConfiguration(after))
     }
     if (url.pathname === '/v1/members') {
       return this.answerWhen(response, waitMs, () => this.membersRevision > after, () => this.readMembers(after))
@@ -69,9 +108,13 @@
     response.writeHead(404).end()
   }
 
+  private get shownRevision (): number {
+    return this.frozen === undefined ? this.revision : this.frozenRevision
+  }
+
   private readConfiguration (after: number): unknown {
-    const entries = [...this.entries.values()].filter(entry => entry.version > after)
-    return { revision: this.revision, entries: entries.map(entry => ({ ...entry, text: entry.text ?? null })) }
+    const entries = [...(this.frozen ?? this.entries).values()].filter(entry => entry.version > after)
+    return { revision: this.shownRevision, entries: entries.map(entry => ({ ...entry, text: entry.text ?? null })) }
   }
 
   private readMembers (after: number): unknown {
--- /dev/null
+++ b/packages/stand-ins/test/configuration.test.ts
@@ -0,0 +1,119 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { Fleet, placeNodes } from './fixtures/fleet.js'
+
+const configuration = suite('configuration over many nodes')
+
+const domains = ['kochi-a', 'kochi-b', 'kazanlak-a']
+
+configuration('a change comes into force on every node, though few nodes read', async () => {
+  const fleet = await Fleet.create(placeNodes(domains, 6))
+  await fleet.until('all know the first profile', () => fleet.allHave(1000))
+  await fleet.pass(5_000)
+  const before = fleet.platform.reads
+  fleet.publishTimeout(2000)
+  await fleet.until('all know the change', () => fleet.allHave(2000), 10_000)
+  const readers = fleet.nodes.filter(node => (node.dump().relay as { role: string }).role === 'reader')
+  assert.is(readers.length, 2 * domains.length)
+  assert.ok(fleet.platform.reads - before <= 4 * readers.length, `${fleet.platform.reads - before} reads`)
+  await fleet.close()
+})
+
+configuration('a service that is down leaves the last good one in force, and says for how long', async () => {
+  const fleet = await Fleet.create(placeNodes(domains, 3))
+  await fleet.until('all know the first profile', () => fleet.allHave(1000))
+  fleet.platform.goDown()
+  await fleet.pass(60_000)
+  assert.ok(fleet.allHave(1000))
+  for (const node of fleet.nodes) {
+    const { platformSilentMs } = node.dump().configuration as { platformSilentMs: number }
+    assert.ok(platformSilentMs > 30_000, `silent for ${platformSilentMs} ms`)
+  }
+  assert.ok(fleet.lines.some(line => line.includes('event=platform-silent')))
+  fleet.platform.down = false
+  fleet.publishTimeout(3000)
+  await fleet.until('all know the change made while it was down', () => fleet.allHave(3000))
+  await fleet.close()
+})
+
+configuration('a node that starts while the service is down hears the newest from its peers', async () => {
+  const fleet = await Fleet.create(placeNodes(['kochi-a'], 6))
+  fleet.publishTimeout(2000)
+  await fleet.until('all know the change', () => fleet.allHave(2000))
+  await fleet.drive((fleet.nodes[2] as { close: () => Promise<void> }).close())
+  fleet.platform.goDown()
+  const late = await fleet.startNode(2)
+  await fleet.until('the new node knows it', () => fleet.allHave(2000, [late]), 10_000)
+  assert.is((late.dump().configuration as { source: string }).source, 'peer')
+  await fleet.close()
+})
+
+configuration('a rolled-back service takes nothing back, not even for a node that restarts', async () => {
+  const fleet = await Fleet.create(placeNodes(['kochi-a', 'kochi-b'], 3))
+  fleet.publishTimeout(2000)
+  await fleet.until('all know the change', () => fleet.allHave(2000))
+  fleet.platform.rollBack(2)
+  await fleet.pass(30_000)
+  assert.ok(fleet.allHave(2000))
+  await fleet.drive((fleet.nodes[1] as { close: () => Promise<void> }).close())
+  const late = await fleet.startNode(1)
+  assert.equal(fleet.timeouts([late]), [2000], 'when it starts to take calls')
+  await fleet.pass(30_000)
+  assert.ok(fleet.allHave(2000))
+  assert.ok(fleet.lines.some(line => line.includes('event=platform-stale')))
+  fleet.publishTimeout(3000)
+  fleet.publishTimeout(4000)
+  await fleet.until('versions beyond the newest count again', () => fleet.allHave(4000))
+  await fleet.close()
+})
+
+configuration('a removed service stays removed when an older copy comes back', async () => {
+  const fleet = await Fleet.create(placeNodes(['kochi-a'], 4))
+  await fleet.until('all know the service', () => fleet.nodes.every(node => node.store.hasService('orders')))
+  fleet.platform.publish('service/orders', undefined)
+  await fleet.until('all know the removal', () => fleet.nodes.every(node => !node.store.hasService('orders')))
+  fleet.platform.rollBack(2)
+  await fleet.pass(30_000)
+  assert.ok(fleet.nodes.every(node => !node.store.hasService('orders')))
+  await fleet.close()
+})
+
+configuration('a reader that falls silent is replaced without a vote', async () => {
+  const fleet = await Fleet.create(placeNodes(['kochi-a'], 8))
+  await fleet.until('all know the first profile', () => fleet.allHave(1000))
+  const isReader = (index: number): boolean => (fleet.nodes[index]?.dump().relay as { role: string }).role === 'reader'
+  const readers = [...fleet.nodes.keys()].filter(isReader)
+  assert.is(readers.length, 2)
+  await fleet.drive(Promise.all(readers.map(async index => { await fleet.nodes[index]?.close() })))
+  const rest = fleet.nodes.filter((_node, index) => !readers.includes(index))
+  fleet.publishTimeout(2000)
+  await fleet.until('the others know the change', () => fleet.allHave(2000, rest), 60_000)
+  await fleet.close()
+})
+
+configuration('a refused document stays out everywhere with its reason in the dump', async () => {
+  const fleet = await Fleet.create(placeNodes(['kochi-a'], 4))
+  await fleet.until('all know the first profile', () => fleet.allHave(1000))
+  fleet.platform.publish('profile/calm', '{ "timeouts": { "callMs": "soon" } }')
+  const refusals = (): unknown[] => fleet.nodes.map(node => (node.dump().configuration as { rejected: Array<{ key: string, version: number }> }).rejected[0])
+  await fleet.until('all show the refusal', () => refusals().every(refusal => refusal !== undefined))
+  assert.ok(fleet.allHave(1000))
+  await fleet.drive((fleet.nodes[1] as { close: () => Promise<void> }).close())
+  const late = await fleet.startNode(1)
+  await fleet.until('a node that starts after it hears the last good one from its peers', () => fleet.allHave(1000, [late]))
+  await fleet.close()
+})
+
+configuration('all nodes that restart together start with the newest and read little', async () => {
+  const fleet = await Fleet.create(placeNodes(domains, 6))
+  fleet.publishTimeout(2000)
+  await fleet.until('all know the change', () => fleet.allHave(2000))
+  await fleet.drive(Promise.all(fleet.nodes.map(async node => { await node.close() })))
+  const before = fleet.platform.reads
+  await fleet.drive(Promise.all(fleet.nodes.map(async (_node, index) => await fleet.startNode(index))))
+  await fleet.until('all know the change again', () => fleet.allHave(2000), 20_000)
+  assert.ok(fleet.platform.reads - before <= 4 * fleet.nodes.length, `${fleet.platform.reads - before} reads`)
+  await fleet.close()
+})
+
+configuration.run()
