--- a/packages/auburnturn/src/core/logger/logger.ts
+++ b/packages/auburnturn/src/core/logger/logger.ts
@@ -1,6 +1,11 @@
-import { Roarr } from 'roarr'
+import './enable-roarr.js'
+import { Roarr, ROARR } from 'roarr'
+import { formatEvent } from './format.js'
 import type { Fields, Level } from './types.js'
 
+// Lines are formatted and written here; roarr's own JSON output stays off.
+ROARR.write = () => {}
+
 type Write = (line: string) => void
 
 const rank: Record<Level, number> = { debug: 20, info: 30, warn: 40, error: 50 }
@@ -39,23 +44,10 @@
 
   private emit (level: Level, event: string, fields: Fields): void {
     if (rank[level] < rank[this.level]) return
-    // roarr's own output stays off unless ROARR_LOG is set, so the line is written here.
     const roarr = Roarr.child(message => {
-      this.write(formatLine(message.time, level, this.subsystem, event, fields))
+      this.write(formatEvent(message.time, level, this.subsystem, event, fields))
       return message
     })
     roarr[level](event)
   }
 }
-
-function formatLine (time: number, level: Level, subsystem: string, event: string, fields: Fields): string {
-  const pairs = [`time=${new Date(time).toISOString()}`, `level=${level}`, `subsystem=${subsystem}`, `event=${event}`]
-  for (const [key, value] of Object.entries(fields)) {
-    if (value !== undefined) pairs.push(`${key}=${quoteValue(String(value))}`)
-  }
-  return pairs.join(' ')
-}
-
-function quoteValue (value: string): string {
-  return /^[\w.:/+@-]+$/.test(value) ? value : JSON.stringify(value)
-}
--- a/packages/auburnturn/src/core/platform/constants.ts
+++ b/packages/auburnturn/src/core/platform/constants.ts
@@ -7,7 +7,7 @@
 /** Largest answer of the platform, in bytes. */
 export const maxPageBytes = 67_108_864
 
-/** Shortest time between two reads of one kind by an elected reader, in milliseconds. */
+/** Mean time between two reads of one kind by an elected reader at most, in milliseconds. */
 export const readerPauseMs = 500
 
 /** Part of the fleet's reads that nodes which are not elected share. */
@@ -33,3 +33,6 @@
 
 /** Shortest mean time between two turns of a node that is not elected, in milliseconds. */
 export const minTurnMs = 1_000
+
+/** Reads of one kind that an elected reader may make at once after a quiet time. */
+export const readerBurst = 4
--- a/packages/auburnturn/src/core/platform/reader.ts
+++ b/packages/auburnturn/src/core/platform/reader.ts
@@ -5,7 +5,7 @@
 import type { Metrics } from '../metrics/index.js'
 import type { Random } from '../random/index.js'
 import type { Part } from '../supervisor/types.js'
-import { firstBackoffMs, maxBackoffMs, readerPauseMs, roleCheckMs, silentMs, unconfirmedMs, watchMs, wholeReadMs } from './constants.js'
+import { firstBackoffMs, maxBackoffMs, readerBurst, readerPauseMs, roleCheckMs, silentMs, unconfirmedMs, watchMs, wholeReadMs } from './constants.js'
 import type { Platform } from './platform.js'
 import type { ReadShare } from './read-share.js'
 
@@ -115,10 +115,12 @@
 
   private async watchOne (kind: string, read: Read, signal: AbortSignal): Promise<void> {
     const { clock, random } = this.options
+    let nextAt = clock.now()
     while (this.isElected && !signal.aborted) {
-      const startedAt = clock.now()
+      // A burst of changes is read at once; a stream of them comes in pages.
+      nextAt = Math.max(nextAt, clock.now() - readerBurst * readerPauseMs) + readerPauseMs
       const fine = await this.attempt(kind, read, watchMs, signal)
-      const pauseMs = fine ? readerPauseMs - (clock.now() - startedAt) : this.backoffMs * (0.5 + random.fraction() / 2)
+      const pauseMs = fine ? nextAt - clock.now() : this.backoffMs * (0.5 + random.fraction() / 2)
       if (pauseMs > 0 && !signal.aborted) await clock.sleep(pauseMs, signal)
     }
   }
--- a/packages/auburnturn/src/core/relay/link.ts
+++ b/packages/auburnturn/src/core/relay/link.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import { toBinary } from '@bufbuild/protobuf'
 import type { DescMessage, MessageShape } from '@bufbuild/protobuf'
 import type { Client } from '@connectrpc/connect'
@@ -28,6 +29,8 @@
 
   private constructor (parts: Parts) {
     this.parts = parts
+    // One listener for each message under way.
+    setMaxListeners(0, this.closing.signal)
   }
 
   static create (parts: Parts): Link {
--- a/packages/stand-ins/src/platform-service.ts
+++ b/packages/stand-ins/src/platform-service.ts
@@ -5,6 +5,14 @@
 
 interface Watch { readonly answer: () => void }
 
+/** Runs `action` after a while; the result cancels it. */
+type After = (milliseconds: number, action: () => void) => () => void
+
+const afterRealTime: After = (milliseconds, action) => {
+  const timer = setTimeout(action, milliseconds)
+  return () => { clearTimeout(timer) }
+}
+
 /** The platform's read-and-watch service, held in memory. */
 export class PlatformService {
   /** Requests answered or waiting since the start. */
@@ -24,18 +32,22 @@
   private readonly lists = new Map<string, MemberList>()
   private membersRevision = 0
 
-  private constructor () {
+  private readonly after: After
+
+  private constructor (after: After) {
+    this.after = after
     this.server = createServer((request, response) => {
       const url = new URL(request.url ?? '/', 'http://platform')
       this.reads++
       if (this.down) response.destroy()
-      else if (this.delayMs > 0) setTimeout(() => { this.route(url, response) }, this.delayMs)
+      else if (this.delayMs > 0) this.after(this.delayMs, () => { this.route(url, response) })
       else this.route(url, response)
     })
   }
 
-  static async create (port = 0): Promise<PlatformService> {
-    const service = new PlatformService()
+  /** `after` measures how long watches are held; real time unless given. */
+  static async create (port = 0, after = afterRealTime): Promise<PlatformService> {
+    const service = new PlatformService(after)
     await new Promise<void>(resolve => { service.server.listen(port, '127.0.0.1', resolve) })
     return service
   }
@@ -129,16 +141,16 @@
 
   private answerWhen (response: ServerResponse, waitMs: number, ready: () => boolean, read: () => unknown): void {
     const answer = (): void => {
-      clearTimeout(timer)
+      cancel()
       this.watches.delete(watch)
       if (response.destroyed) return
       response.writeHead(200, { 'content-type': 'application/json' })
       response.end(JSON.stringify(read()))
     }
     const watch: Watch = { answer }
-    const timer = setTimeout(answer, waitMs)
+    const cancel = this.after(waitMs, answer)
     response.on('close', () => {
-      clearTimeout(timer)
+      cancel()
       this.watches.delete(watch)
     })
     if (ready() || waitMs === 0) answer()
