--- a/packages/auburnturn/src/core/supervisor/close-within.ts
+++ b/packages/auburnturn/src/core/supervisor/close-within.ts
@@ -11,7 +11,8 @@
 export async function closeWithin (part: Part, milliseconds: number, clock: Clock): Promise<CloseOutcome> {
   const settled = new AbortController()
   const closing = close(part).finally(() => { settled.abort() })
-  const late = clock.sleep(milliseconds, settled.signal).then((): CloseOutcome => ({ kind: 'late' }))
+  // The sleep also ends when the part has closed, and then before `closing` does.
+  const late = clock.sleep(milliseconds, settled.signal).then(async (): Promise<CloseOutcome> => settled.signal.aborted ? await closing : { kind: 'late' })
   return await Promise.race([closing, late])
 }
 
--- /dev/null
+++ b/packages/auburnturn/test/supervisor/close-within.test.ts
@@ -0,0 +1,20 @@
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { closeWithin } from '../../src/core/supervisor/close-within.js'
+import { ManualClock } from '../../src/index.js'
+
+const closing = suite('close within')
+
+closing('a part that closes in time is not called late', async () => {
+  const outcome = await closeWithin({ close: async () => {} }, 5_000, ManualClock.create())
+  assert.is(outcome.kind, 'closed')
+})
+
+closing('a part that never closes is late after the limit', async () => {
+  const clock = ManualClock.create()
+  const outcome = closeWithin({ close: async () => { await new Promise(() => {}) } }, 5_000, clock)
+  await clock.advance(5_000)
+  assert.is((await outcome).kind, 'late')
+})
+
+closing.run()
