--- a/packages/auburnturn/src/core/clock/index.ts
+++ b/packages/auburnturn/src/core/clock/index.ts
@@ -4,5 +4,7 @@
  */
 export { Clock } from './clock.js'
 export { ManualClock } from './manual-clock.js'
+export { TimerWheel } from './timer-wheel.js'
+export type { Timeout } from './timer-wheel.js'
 export { subscribe } from './subscribe.js'
 export type { Cancel } from './clock.js'
--- a/packages/auburnturn/src/core/node/call-tracker.ts
+++ b/packages/auburnturn/src/core/node/call-tracker.ts
@@ -26,7 +26,8 @@
   private readonly calls = new Map<string, Times>()
   private closing = false
   private latestDeadline = 0
-  private emptied: () => void = () => {}
+  private upstreamAttempts = 0
+  private readonly waiting = new Set<() => void>()
 
   private constructor (clock: Clock, metrics: Metrics) {
     this.clock = clock
@@ -41,7 +42,8 @@
   /** Counts and times every call that `serve` takes; refuses it as not run after `refuse`. */
   track (serve: Serve): Serve {
     return async (call, body, answer) => {
-      if (this.closing) return this.count({ verdict: notRun('admission-closed') })
+      // Whether a call with a ticket ran is for the target to say, not for the door.
+      if (this.closing && call.ticket === undefined) return this.count({ verdict: notRun('admission-closed') })
       const start = this.clock.now()
       const times: Times = { heldSince: start, queuedMs: 0, outsideMs: 0, attempts: 0 }
       this.calls.set(call.id, times)
@@ -61,10 +63,13 @@
       const start = this.clock.now()
       this.metrics.count('attempts_total', { destination })
       if (times !== undefined) times.attempts++
+      if (destination === 'upstream') this.upstreamAttempts++
       if (times !== undefined && destination === 'upstream') times.queuedMs += start - times.heldSince
       try {
         return await attempt(call, ...rest)
       } finally {
+        if (destination === 'upstream') this.upstreamAttempts--
+        this.wake()
         if (times !== undefined) {
           times.heldSince = this.clock.now()
           times.outsideMs += times.heldSince - start
@@ -78,20 +83,38 @@
     this.closing = true
   }
 
+  /** Resolves when nothing runs on the own upstream, or when the last deadline has passed. */
+  async settleUpstream (): Promise<void> {
+    await this.waitUntil(() => this.upstreamAttempts === 0)
+  }
+
   /** Resolves when no call is in flight, or when the last deadline has passed. */
   async settle (): Promise<void> {
-    if (this.calls.size === 0) return
-    const settled = new AbortController()
-    const emptied = new Promise<void>(resolve => { this.emptied = resolve })
-    const late = this.clock.sleep(this.latestDeadline - this.clock.now() + graceMs, settled.signal)
-    await Promise.race([emptied, late])
-    settled.abort()
+    await this.waitUntil(() => this.calls.size === 0)
   }
 
   dump (): unknown {
     return { inFlight: this.calls.size, refusing: this.closing }
   }
 
+  private async waitUntil (isSettled: () => boolean): Promise<void> {
+    if (isSettled()) return
+    await new Promise<void>(resolve => {
+      const finish = (): void => {
+        cancel()
+        this.waiting.delete(check)
+        resolve()
+      }
+      const check = (): void => { if (isSettled()) finish() }
+      const cancel = this.clock.after(this.latestDeadline - this.clock.now() + graceMs, finish)
+      this.waiting.add(check)
+    })
+  }
+
+  private wake (): void {
+    for (const check of this.waiting) check()
+  }
+
   private count (outcome: Outcome): Outcome {
     const { verdict } = outcome
     this.metrics.count('calls_total', verdict.kind === 'done' ? { verdict: verdict.kind } : { verdict: verdict.kind, cause: verdict.cause })
@@ -104,6 +127,6 @@
     this.metrics.record('call_queue_seconds', queuedMs)
     this.metrics.record('call_added_seconds', totalMs - outsideMs - queuedMs)
     if (attempts > 1) this.metrics.count('retries_total', {}, attempts - 1)
-    if (this.calls.size === 0) this.emptied()
+    this.wake()
   }
 }
--- a/packages/auburnturn/src/core/relay/answers.ts
+++ b/packages/auburnturn/src/core/relay/answers.ts
@@ -1,9 +1,9 @@
 import { create, toBinary } from '@bufbuild/protobuf'
 import type { Digest, Entry, Freshness, Replica } from '../configuration/index.js'
 import { CompareResponseSchema, PushRequestSchema, RepairRequestSchema, RepairResponseSchema } from '../control/gen/auburnturn/v1/relay_pb.js'
-import type { CompareRequest, CompareResponse, PushRequest, RepairRequest, RepairResponse } from '../control/gen/auburnturn/v1/relay_pb.js'
+import type { CompareRequest, CompareResponse, Notice as NoticeMessage, PushRequest, RepairRequest, RepairResponse } from '../control/gen/auburnturn/v1/relay_pb.js'
 import type { Clock } from '../clock/index.js'
-import type { Notices } from '../notices/index.js'
+import type { Notice, Notices } from '../notices/index.js'
 import type { Budget } from './budget.js'
 import { batchBytes, overheadBytes } from './constants.js'
 import { compareVersion, digestNotices, packEntry, packFreshness, packNotice, packVersion, takeFreshness, takeNotices, unpackEntry } from './messages.js'
@@ -20,8 +20,10 @@
 interface Parts extends Holdings {
   readonly clock: Clock
   readonly budget: Budget
-  /** Called around everything that comes from a peer; news found by `take` are passed on under `origin`. */
-  readonly receive: (origin: Origin | undefined, take: () => void) => void
+  /** Called around everything that comes from a peer. */
+  readonly receive: (take: () => void) => void
+  /** Passes on what came down a tree. */
+  readonly forward: (origin: Origin, entries: readonly Entry[], notices: readonly Notice[]) => void
   /** Notes that a node was heard. */
   readonly hear: (sender: string, answeredMs: number | undefined) => void
 }
@@ -41,11 +43,12 @@
   push (request: PushRequest): Record<string, never> {
     const { receive, notices, budget } = this.parts
     budget.spend(toBinary(PushRequestSchema, request).length + overheadBytes)
-    const origin = request.root === '' ? undefined : { root: request.root, rootDomain: request.rootDomain }
-    receive(origin, () => {
-      this.take(request.entries.map(unpackEntry))
+    const entries = request.entries.map(unpackEntry)
+    receive(() => {
+      this.take(entries)
       takeNotices(notices, request.notices)
     })
+    if (request.root !== '') this.forward({ root: request.root, rootDomain: request.rootDomain }, entries, request.notices)
     return {}
   }
 
@@ -88,6 +91,16 @@
     return answer
   }
 
+  /** Passes on what is in force here too; what was refused as older goes no further. */
+  private forward (origin: Origin, entries: readonly Entry[], messages: readonly NoticeMessage[]): void {
+    const { notices, forward } = this.parts
+    const current = entries.map(({ key, version }) => ({ held: this.find(key), version }))
+      .flatMap(({ held, version }) => held !== undefined && held.version === version ? [held] : [])
+    const told = new Set(messages.map(({ kind, subject }) => `${kind}/${subject}`))
+    const known = told.size === 0 ? [] : notices.list().filter(({ kind, subject }) => told.has(`${kind}/${subject}`))
+    forward(origin, current, known)
+  }
+
   /** Offers entries of a peer to the replica that each belongs to. */
   take (entries: readonly Entry[]): void {
     for (const entry of entries) this.parts.replicas.find(replica => replica.owns(entry.key))?.accept(entry, 'peer')
--- a/packages/auburnturn/src/core/relay/constants.ts
+++ b/packages/auburnturn/src/core/relay/constants.ts
@@ -48,3 +48,6 @@
 
 /** Services whose member lists are held. */
 export const maxServices = 20_000
+
+/** Keys remembered as sent, over all trees. */
+export const maxSent = 4_096
--- a/packages/auburnturn/src/core/relay/outbox.ts
+++ b/packages/auburnturn/src/core/relay/outbox.ts
@@ -1,5 +1,6 @@
 import type { Entry } from '../configuration/index.js'
 import type { Notice } from '../notices/index.js'
+import { maxSent } from './constants.js'
 
 /** Where news entered: the root of the tree that carries it. */
 export interface Origin { readonly root: string, readonly rootDomain: string }
@@ -12,6 +13,8 @@
 /** News waiting to be sent; of several editions of a key only the last one is kept. */
 export class Outbox {
   private readonly piles = new Map<string, Pile>()
+  /** The edition of each key that last went down each tree. */
+  private readonly sent = new Map<string, string>()
   private wake: (() => void) | undefined
 
   private constructor () {}
@@ -20,12 +23,14 @@
     return new Outbox()
   }
 
+  /** Nothing goes down the same tree twice. Several trees carry one entry, so that a gap in one is filled by another. */
   addEntry (origin: Origin, entry: Entry): void {
-    this.pileOf(origin).entries.set(entry.key, entry)
+    if (this.isNew(origin, entry.key, `${entry.version} ${entry.good?.version ?? ''}`)) this.pileOf(origin).entries.set(entry.key, entry)
   }
 
   addNotice (origin: Origin, notice: Notice): void {
-    this.pileOf(origin).notices.set(`${notice.kind}/${notice.subject}`, notice)
+    const key = `${notice.kind}/${notice.subject}`
+    if (this.isNew(origin, key, String(notice.expiresAt))) this.pileOf(origin).notices.set(key, notice)
   }
 
   /** Resolves when there is something to send, or `signal` aborts. */
@@ -50,6 +55,16 @@
     return batches
   }
 
+  private isNew ({ root }: Origin, key: string, edition: string): boolean {
+    const sentKey = `${root}\n${key}`
+    if (this.sent.get(sentKey) === edition) return false
+    this.sent.delete(sentKey)
+    this.sent.set(sentKey, edition)
+    const [oldest] = this.sent.keys()
+    if (this.sent.size > maxSent && oldest !== undefined) this.sent.delete(oldest)
+    return true
+  }
+
   private pileOf ({ root, rootDomain }: Origin): Pile {
     const key = `${rootDomain}\n${root}`
     const known = this.piles.get(key)
--- a/packages/auburnturn/src/core/relay/relay.ts
+++ b/packages/auburnturn/src/core/relay/relay.ts
@@ -1,11 +1,11 @@
 import { subscribe } from '../clock/index.js'
 import type { Cancel, Clock } from '../clock/index.js'
-import type { Store } from '../configuration/index.js'
+import type { Entry, Store } from '../configuration/index.js'
 import { Relay as RelayService } from '../control/index.js'
 import type { ControlClients, Routes } from '../control/index.js'
 import type { Logger } from '../logger/index.js'
 import type { Metrics } from '../metrics/index.js'
-import type { Notices } from '../notices/index.js'
+import type { Notice, Notices } from '../notices/index.js'
 import type { Random } from '../random/index.js'
 import type { Part } from '../supervisor/types.js'
 import { Answers } from './answers.js'
@@ -63,7 +63,7 @@
     this.link = Link.create({ clock, clients, budget, readership, topology })
     this.spread = Spread.create({ clock, topology, readership, link: this.link })
     const holdings: Holdings = { replicas: [store, roster], digest: store.digest, notices, freshness: store.freshness }
-    this.answers = Answers.create({ ...holdings, clock, budget, receive: (origin, take) => { this.receive(origin, take) }, hear: (sender, answeredMs) => { this.hear(sender, answeredMs) } })
+    this.answers = Answers.create({ ...holdings, clock, budget, receive: take => { this.receive(undefined, take) }, forward: (origin, entries, news) => { this.forward(origin, entries, news) }, hear: (sender, answeredMs) => { this.hear(sender, answeredMs) } })
     this.repair = Repair.create({ ...holdings, clock, random, topology, readership, link: this.link, budget, answers: this.answers, receive: take => { this.receiveRepair(take) } })
   }
 
@@ -141,11 +141,16 @@
     }
   }
 
-  /** Queues news under the origin of the message that is being taken, if any. */
+  /** Queues what entered here. What came down a tree is forwarded by itself. */
   private queue (add: (origin: Origin) => void): void {
     if (this.origin !== undefined) add(this.origin)
   }
 
+  private forward (origin: Origin, entries: readonly Entry[], news: readonly Notice[]): void {
+    for (const entry of entries) this.outbox.addEntry(origin, entry)
+    for (const notice of news) this.outbox.addNotice(origin, notice)
+  }
+
   private receive (origin: Origin | undefined, take: () => void): void {
     const own = this.origin
     this.origin = origin
