--- a/packages/auburnturn/src/core/control/clients.ts
+++ b/packages/auburnturn/src/core/control/clients.ts
@@ -2,6 +2,7 @@
 import { createClient } from '@connectrpc/connect'
 import type { Client, Transport } from '@connectrpc/connect'
 import { compressionGzip, createConnectTransport } from '@connectrpc/connect-node'
+import { Fault } from '../errors/index.js'
 import type { Part } from '../supervisor/types.js'
 import { answerMs, maxMessageBytes } from './constants.js'
 import { Session } from './session.js'
@@ -10,6 +11,9 @@
 /** Where a node listens for control messages. */
 export interface ControlAddress { readonly ip: string, readonly controlPort: number }
 
+/** Whether messages may be sent to an address; tests part a fleet with it. */
+export type Reachability = (address: ControlAddress) => boolean
+
 interface Connection { readonly session: Session, readonly transport: Transport }
 
 /** One kept connection to each node that control messages go to. */
@@ -18,14 +22,20 @@
   private messages = 0
   private droppedBytes = 0
 
-  private constructor () {}
+  private readonly isReachable: Reachability
+
+  private constructor (isReachable: Reachability) {
+    this.isReachable = isReachable
+  }
 
-  static create (): ControlClients {
-    return new ControlClients()
+  /** Messages to addresses that are not reachable fail at once; all are unless `isReachable` is given. */
+  static create (isReachable: Reachability = () => true): ControlClients {
+    return new ControlClients(isReachable)
   }
 
-  /** A client of `service` at one node; its calls reject with a `ConnectError`. */
+  /** A client of `service` at one node; its calls reject with a `ConnectError`. Throws a `node-unreachable` fault. */
   clientOf<Service extends DescService> (service: Service, address: ControlAddress): Client<Service> {
+    if (!this.isReachable(address)) throw Fault.create('node-unreachable', `${address.ip}:${address.controlPort}`)
     return createClient(service, this.connectionOf(address).transport)
   }
 
--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -33,6 +33,7 @@
   readonly clock?: Clock
   readonly logger?: Logger
   readonly random?: Random
+  readonly controlClients?: ControlClients
 }
 
 /** The process beside one upstream. */
@@ -42,7 +43,7 @@
   readonly store: Store
   readonly directory: Directory
   readonly notices: Notices
-  private readonly controlClients = ControlClients.create()
+  private readonly controlClients: ControlClients
   /** Handlers of control messages, added by each part before the server starts. */
   private readonly controlRoutes: Routes[] = []
   private readonly settings: NodeSettings
@@ -63,6 +64,7 @@
     this.settings = settings
     this.clock = options.clock ?? Clock.create()
     this.logger = (options.logger ?? Logger.create(settings.log.level)).label('node')
+    this.controlClients = options.controlClients ?? ControlClients.create()
     this.random = options.random ?? Random.create(randomBytes(4).readInt32LE())
     this.store = Store.create({ clock: this.clock, logger: this.logger.label('configuration') })
     this.notices = Notices.create({ clock: this.clock })
--- a/packages/stand-ins/test/configuration.test.ts
+++ b/packages/stand-ins/test/configuration.test.ts
@@ -19,6 +19,18 @@
   await fleet.close()
 })
 
+configuration('the trees alone reach every node, before any comparison could', async () => {
+  const fleet = await Fleet.create(placeNodes(['kochi-a', 'kazanlak-a'], 20))
+  await fleet.until('the lists are known everywhere', () => fleet.nodes.every(node => (node.dump().relay as { peers: number }).peers === 20))
+  await fleet.pass(3_000)
+  for (let callMs = 2001; callMs < 2006; callMs++) {
+    fleet.publishTimeout(callMs)
+    await fleet.until('all know the change', () => fleet.allHave(callMs), 800)
+    await fleet.pass(2_000)
+  }
+  await fleet.close()
+})
+
 configuration('a service that is down leaves the last good one in force, and says for how long', async () => {
   const fleet = await Fleet.create(placeNodes(domains, 3))
   await fleet.until('all know the first profile', () => fleet.allHave(1000))
@@ -117,4 +129,40 @@
   await fleet.close()
 })
 
+configuration('regions that lose each other for an hour agree again after it', async () => {
+  const places = placeNodes(['kochi-a', 'kazanlak-a'], 4)
+  const fleet = await Fleet.create(places)
+  await fleet.until('all know the first profile', () => fleet.allHave(1000))
+  await fleet.pass(5_000)
+  const [kochi, kazanlak] = [fleet.nodes.slice(0, 4), fleet.nodes.slice(4)]
+  // The platform answers only one side, and no control message crosses.
+  fleet.part(index => index < 4 ? 'kochi' : 'kazanlak')
+  fleet.platform.goDown()
+  await fleet.pass(30_000)
+  kochi[0]?.store.accept({ key: 'profile/calm', version: 100, text: '{ "timeouts": { "callMs": 5000 } }' }, 'platform')
+  await fleet.until('one side knows the change', () => fleet.allHave(5000, kochi))
+  await fleet.pass(60_000)
+  assert.ok(fleet.allHave(1000, kazanlak))
+  assert.ok(fleet.lines.some(line => line.includes('event=region-apart')))
+  fleet.rejoin()
+  await fleet.until('the other side knows it', () => fleet.allHave(5000), 60_000)
+  await fleet.until('both say so', () => fleet.lines.some(line => line.includes('event=region-rejoined')), 60_000)
+  await fleet.close()
+})
+
+configuration('a node that was paused wakes up with an old view and keeps to the newest', async () => {
+  const fleet = await Fleet.create(placeNodes(['kochi-a'], 4))
+  await fleet.until('all know the first profile', () => fleet.allHave(1000))
+  fleet.publishTimeout(2000)
+  await fleet.until('all know the change', () => fleet.allHave(2000))
+  fleet.clock.jump(600_000)
+  fleet.platform.rollBack(2)
+  await fleet.pass(20_000)
+  assert.ok(fleet.allHave(2000))
+  fleet.publishTimeout(2500)
+  fleet.publishTimeout(3000)
+  await fleet.until('all know what came after', () => fleet.allHave(3000))
+  await fleet.close()
+})
+
 configuration.run()
