--- a/packages/auburnturn/src/core/metrics/recorder.ts
+++ b/packages/auburnturn/src/core/metrics/recorder.ts
@@ -1,4 +1,5 @@
-import { build } from 'hdr-histogram-js'
+// The package's index also loads its WebAssembly and pako: 7 MB of resident memory.
+import { build } from 'hdr-histogram-js/dist/HistogramBuilder.js'
 import type { Histogram } from 'hdr-histogram-js'
 import { highestMicroseconds, percentiles, windowMs } from './constants.js'
 import type { DurationSummary } from './types.js'
