--- a/packages/auburnturn/src/core/relay/constants.ts
+++ b/packages/auburnturn/src/core/relay/constants.ts
@@ -13,6 +13,9 @@
 /** News that arrive within this time travel together, in milliseconds. */
 export const coalesceMs = 10
 
+/** Shortest time between two sendings of news by one node, in milliseconds. */
+export const flushGapMs = 100
+
 /** Longest wait for the answer to one relay message, in milliseconds. */
 export const answerMs = 1_000
 
--- a/packages/auburnturn/src/core/relay/outbox.ts
+++ b/packages/auburnturn/src/core/relay/outbox.ts
@@ -2,7 +2,7 @@
 import type { Notice } from '../notices/index.js'
 import { maxSent } from './constants.js'
 
-/** Where news entered: the root of the tree that carries it. */
+/** Where news entered: the root of the tree that carries it, or '' for this node's own notices. */
 export interface Origin { readonly root: string, readonly rootDomain: string }
 
 /** News with one origin. */
--- a/packages/auburnturn/src/core/relay/relay.ts
+++ b/packages/auburnturn/src/core/relay/relay.ts
@@ -11,7 +11,7 @@
 import { Answers } from './answers.js'
 import type { Holdings } from './answers.js'
 import { Budget } from './budget.js'
-import { coalesceMs } from './constants.js'
+import { coalesceMs, flushGapMs } from './constants.js'
 import { Link } from './link.js'
 import { Outbox } from './outbox.js'
 import type { Origin } from './outbox.js'
@@ -92,7 +92,7 @@
     const fail = (error: Error): void => { logger.error('relay-failed', { error: String(error) }) }
     this.subscriptions = [
       subscribe(clock, store.updates, entry => { this.queue(origin => { this.outbox.addEntry(origin, entry) }) }, fail),
-      subscribe(clock, notices.changes, notice => { this.queue(origin => { this.outbox.addNotice(origin, notice) }) }, fail)
+      subscribe(clock, notices.changes, notice => { this.queue(({ rootDomain }) => { this.outbox.addNotice({ root: '', rootDomain }, notice) }) }, fail)
     ]
     this.tasks = [this.pushLoop(signal), this.repair.run(signal)]
   }
@@ -131,11 +131,15 @@
   }
 
   private async pushLoop (signal: AbortSignal): Promise<void> {
+    const { clock } = this.options
+    let flushedAt = Number.NEGATIVE_INFINITY
     while (!signal.aborted) {
       await this.outbox.ready(signal)
-      await this.options.clock.sleep(coalesceMs, signal)
+      // The first news goes at once, a stream of them in few messages.
+      await clock.sleep(Math.max(coalesceMs, flushedAt + flushGapMs - clock.now()), signal)
       await this.budget.open(signal)
       if (signal.aborted) return
+      flushedAt = clock.now()
       // Not awaited: a child that does not answer must not hold up later news.
       for (const batch of this.outbox.take()) this.spread.send(batch).catch(error => { this.options.logger.error('push-failed', { error: String(error) }) })
     }
--- a/packages/auburnturn/src/core/relay/spread.ts
+++ b/packages/auburnturn/src/core/relay/spread.ts
@@ -30,6 +30,26 @@
 
   /** Sends a batch to every child; resolves when all have answered or failed. */
   async send (batch: Batch): Promise<void> {
+    if (batch.root === '') await this.sendUp(batch)
+    else await this.sendTree(batch)
+  }
+
+  /**
+   * Hands this node's own news to the first candidate that answers, which sends them down with those of others:
+   * when all nodes start together, one tree carries their notices in few messages.
+   */
+  private async sendUp (batch: Batch): Promise<void> {
+    const { topology, readership, clock } = this.parts
+    const { failureDomain, id } = topology.self
+    for (const candidate of readership.candidates) {
+      if (candidate.id === id) break
+      const messages = splitBatch(batch, { root: candidate.id, rootDomain: failureDomain }, clock.now())
+      if (!readership.isSilent(candidate.id) && await this.deliver(candidate, messages)) return
+    }
+    await this.sendTree({ ...batch, root: id, rootDomain: failureDomain })
+  }
+
+  private async sendTree (batch: Batch): Promise<void> {
     const { topology, readership, clock } = this.parts
     const origin = withOwnRoot(batch, topology)
     const messages = splitBatch(batch, origin, clock.now())
--- /dev/null
+++ b/packages/bench/test/capacity.test.ts
@@ -0,0 +1,19 @@
+import { readFileSync } from 'node:fs'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { fillPage, pageFile } from '../src/capacity/page.js'
+import { makeTables } from '../src/capacity/tables.js'
+
+const capacity = suite('capacity page')
+
+capacity('its tables are those of the committed results', () => {
+  const page = readFileSync(pageFile, 'utf8')
+  assert.is(fillPage(page, makeTables()), page, 'run `npm run capacity`')
+})
+
+capacity('a changed table and a lost marker are both noticed', () => {
+  assert.is(fillPage('a\n<!-- x -->\nold\n<!-- /x -->\n', new Map([['x', 'new']])), 'a\n<!-- x -->\nnew\n<!-- /x -->\n')
+  assert.throws(() => fillPage('no markers', new Map([['x', 'new']])), /no markers for x/)
+})
+
+capacity.run()
--- a/packages/stand-ins/test/configuration.test.ts
+++ b/packages/stand-ins/test/configuration.test.ts
@@ -31,6 +31,17 @@
   await fleet.close()
 })
 
+configuration('a notice of one node reaches every node and is forgotten in time', async () => {
+  const fleet = await Fleet.create(placeNodes(['kochi-a', 'kazanlak-a'], 10))
+  await fleet.until('the lists are known everywhere', () => fleet.nodes.every(node => (node.dump().relay as { peers: number }).peers === 10))
+  await fleet.pass(3_000)
+  fleet.nodes[13]?.notices.add('suspect', 'abc', 20_000)
+  await fleet.until('all have heard it', () => fleet.nodes.every(node => node.notices.has('suspect', 'abc')), 1_500)
+  await fleet.pass(30_000)
+  assert.not.ok(fleet.nodes.some(node => node.notices.has('suspect', 'abc')))
+  await fleet.close()
+})
+
 configuration('a service that is down leaves the last good one in force, and says for how long', async () => {
   const fleet = await Fleet.create(placeNodes(domains, 3))
   await fleet.until('all know the first profile', () => fleet.allHave(1000))
