--- a/packages/auburnturn/src/core/configuration/refusals.ts
+++ b/packages/auburnturn/src/core/configuration/refusals.ts
@@ -41,6 +41,10 @@
     this.rejected.delete(key)
   }
 
+  get rejectedCount (): number { return this.rejected.size }
+  get conflictCount (): number { return this.conflicts.size }
+  get olderCount (): number { return this.older.platform + this.older.peer }
+
   dump (): Record<string, unknown> {
     return { rejected: [...this.rejected.values()], conflicts: [...this.conflicts.values()], olderOffered: { ...this.older } }
   }
--- a/packages/auburnturn/src/core/configuration/store.ts
+++ b/packages/auburnturn/src/core/configuration/store.ts
@@ -30,12 +30,12 @@
   readonly updates: Stream<Entry>
   readonly digest: Digest
   readonly freshness: Freshness
+  readonly refusals = Refusals.create()
   private readonly emitChange: (entry: Entry) => void
   private readonly emitUpdate: (entry: Entry) => void
   private readonly clock: Clock
   private readonly logger: Logger
   private readonly held = new Map<string, Held>()
-  private readonly refusals = Refusals.create()
   private readonly tombstones: Tombstones
   /** The profile that was last in force for a service, for when its choice can't be resolved. */
   private readonly lastProfiles = new Map<string, Profile>()
--- a/packages/auburnturn/src/core/node/configuration.ts
+++ b/packages/auburnturn/src/core/node/configuration.ts
@@ -12,6 +12,7 @@
 import { startMs } from '../relay/constants.js'
 import type { NodeSettings } from '../settings/index.js'
 import type { Part } from '../supervisor/types.js'
+import { showConfiguration } from './show-configuration.js'
 
 /** What the configuration of a node is made of. */
 export interface ConfigurationOptions {
@@ -64,6 +65,7 @@
   async start (platform: Platform): Promise<void> {
     const { settings, clock, random, logger, metrics, store } = this.options
     this.relay.start()
+    showConfiguration(this.options.metrics, { store: this.options.store, relay: this.relay })
     const { fleetSize, readsPerSecond } = settings.platformReads
     const share = ReadShare.create({ clock, random, perSecond: readsPerSecond, fleet: () => Math.max(fleetSize, this.roster.size) })
     this.reader = PlatformReader.create({
--- a/packages/auburnturn/src/core/platform/reader.ts
+++ b/packages/auburnturn/src/core/platform/reader.ts
@@ -127,7 +127,7 @@
 
   private async attempt (kind: string, read: Read, waitMs: number, signal: AbortSignal): Promise<boolean> {
     this.reads++
-    this.options.metrics.count(`platform_reads_total{kind="${kind}"}`)
+    this.options.metrics.count('platform_reads_total', { kind })
     try {
       await read(waitMs, signal)
       this.noteSuccess(kind)
@@ -184,7 +184,7 @@
     const { clock, logger, metrics } = this.options
     this.failures++
     this.silentSince ??= clock.now()
-    metrics.count(`platform_read_failures_total{kind="${kind}"}`)
+    metrics.count('platform_read_failures_total', { kind })
     logger.debug('platform-read-failed', { kind, error: String(error) })
     if (this.reported || clock.now() - this.silentSince < silentMs) return
     this.reported = true
--- a/packages/auburnturn/src/core/relay/budget.ts
+++ b/packages/auburnturn/src/core/relay/budget.ts
@@ -52,6 +52,10 @@
     return this.lastRate
   }
 
+  get totalBytes (): number {
+    return this.total
+  }
+
   dump (): Record<string, number> {
     return { bytesPerSecond: Math.round(this.rate), limitBytesPerSecond: this.perSecond, totalBytes: this.total, tokens: Math.floor(this.tokens) }
   }
--- a/packages/auburnturn/src/core/relay/relay.ts
+++ b/packages/auburnturn/src/core/relay/relay.ts
@@ -107,6 +107,16 @@
     return false
   }
 
+  /** Bytes of all relay messages so far, both ways. */
+  get totalBytes (): number {
+    return this.budget.totalBytes
+  }
+
+  /** Regions that no message passes to or from. */
+  get apartCount (): number {
+    return this.link.apart.size
+  }
+
   async close (): Promise<void> {
     this.closing.abort()
     this.link.close()
@@ -183,7 +193,7 @@
     for (const [region, ageMs] of apart) {
       if (this.apartRegions.has(region)) continue
       this.apartRegions.add(region)
-      metrics.count(`regions_apart_total{region="${region}"}`)
+      metrics.count('regions_apart_total', { region })
       logger.warn('region-apart', { region, ageMs: Math.round(ageMs) })
     }
     for (const region of this.apartRegions) {
