--- a/packages/auburnturn/src/core/relay/answers.ts
+++ b/packages/auburnturn/src/core/relay/answers.ts
@@ -4,6 +4,7 @@
 import type { CompareRequest, CompareResponse, Notice as NoticeMessage, PushRequest, RepairRequest, RepairResponse } from '../control/gen/auburnturn/v1/relay_pb.js'
 import type { Clock } from '../clock/index.js'
 import type { Notice, Notices } from '../notices/index.js'
+import type { Random } from '../random/index.js'
 import type { Budget } from './budget.js'
 import { comparedNotices, overheadBytes, repairBytes } from './constants.js'
 import { compareVersion, digestNotices, packEntry, packFreshness, packNotice, packVersion, takeFreshness, takeNotices, unpackEntry } from './messages.js'
@@ -19,6 +20,7 @@
 
 interface Parts extends Holdings {
   readonly clock: Clock
+  readonly random: Random
   readonly budget: Budget
   /** Called around entries, and around notices, that come down a tree. */
   readonly receive: (take: () => void) => void
@@ -32,7 +34,6 @@
 /** Answers the relay messages of peers. */
 export class Answers {
   private readonly parts: Parts
-  private turn = 0
 
   private constructor (parts: Parts) {
     this.parts = parts
@@ -60,7 +61,7 @@
     const answer = create(CompareResponseSchema, {
       buckets: equal ? [] : [...digest.buckets],
       freshness: packFreshness(freshness),
-      notices: request.notices === digestNotices(notices) ? [] : this.nextNotices().map(notice => packNotice(notice, clock.now()))
+      notices: request.notices === digestNotices(notices) ? [] : this.drawNotices().map(notice => packNotice(notice, clock.now()))
     })
     budget.spend(toBinary(CompareResponseSchema, answer).length + overheadBytes)
     return answer
@@ -91,11 +92,12 @@
     return answer
   }
 
-  /** The next few notices in turn, so that each comes up after some comparisons. */
-  private nextNotices (): Notice[] {
+  /** A few notices from a place drawn each time, so that no peer is offered the same ones again and again. */
+  private drawNotices (): Notice[] {
     const list = this.parts.notices.list()
-    const start = list.length <= comparedNotices ? 0 : this.turn++ * comparedNotices % list.length
-    return list.slice(start, start + comparedNotices)
+    if (list.length <= comparedNotices) return list
+    const start = this.parts.random.below(list.length)
+    return [...list.slice(start), ...list.slice(0, start)].slice(0, comparedNotices)
   }
 
   /** Passes on what is in force here too; what was refused as older goes no further. */
--- a/packages/auburnturn/src/core/relay/constants.ts
+++ b/packages/auburnturn/src/core/relay/constants.ts
@@ -19,7 +19,7 @@
 /** The same for notices alone: when many nodes start together, theirs travel in few messages. */
 export const noticeGapMs = 500
 
-/** Notices in the answer to a comparison, in turn. */
+/** Notices in the answer to a comparison. */
 export const comparedNotices = 50
 
 /** Longest wait for the answer to one relay message, in milliseconds. */
--- a/packages/auburnturn/src/core/relay/relay.ts
+++ b/packages/auburnturn/src/core/relay/relay.ts
@@ -64,7 +64,7 @@
     this.link = Link.create({ clock, clients, budget, readership, topology })
     this.spread = Spread.create({ clock, topology, readership, link: this.link })
     const holdings: Holdings = { replicas: [store, roster], digest: store.digest, notices, freshness: store.freshness }
-    this.answers = Answers.create({ ...holdings, clock, budget, receive: take => { this.receive(undefined, take) }, receiveNotices: take => { this.hush(take) }, forward: (origin, entries, news) => { this.forward(origin, entries, news) }, hear: (sender, answeredMs) => { this.hear(sender, answeredMs) } })
+    this.answers = Answers.create({ ...holdings, clock, random, budget, receive: take => { this.receive(undefined, take) }, receiveNotices: take => { this.hush(take) }, forward: (origin, entries, news) => { this.forward(origin, entries, news) }, hear: (sender, answeredMs) => { this.hear(sender, answeredMs) } })
     this.repair = Repair.create({ ...holdings, clock, random, topology, readership, link: this.link, budget, answers: this.answers, receive: take => { this.receiveRepair(take) }, receiveNotices: take => { this.hush(take) } })
   }
 
--- a/packages/auburnturn/src/core/relay/repair.ts
+++ b/packages/auburnturn/src/core/relay/repair.ts
@@ -50,7 +50,7 @@
       const peer = this.nextPartner()
       const changed = peer !== undefined && await this.compareWith(peer)
       const candidate = this.nextCandidate()
-      if (candidate !== undefined) await this.compareWith(candidate)
+      if (candidate !== undefined && candidate !== peer) await this.compareWith(candidate)
       const foreign = readership.role === 'reader' ? this.nextForeign() : undefined
       if (foreign !== undefined) await this.compareWith(foreign)
       this.rounds++
