--- a/packages/bench/src/control/worker.ts
+++ b/packages/bench/src/control/worker.ts
@@ -21,7 +21,9 @@
 let nodes = await startAll()
 platform.setMembers(nodes.map(describeMember))
 await untilAll(node => node.store.profileOf('orders').timeouts.callMs === 1000 && (node.dump().relay as { failureDomains: number }).failureDomains === failureDomains.length)
-await sleep(6_000)
+// The word of every start spreads first; a fleet at rest has none of it under way.
+await untilAll(node => node.notices.list().length === size)
+await sleep(1_000)
 
 const beforeIdle = count()
 await sleep(idleMs)
