--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -23,10 +23,10 @@
 import { CallTracker } from './call-tracker.js'
 import { createAnswerHeaders } from './answer-headers.js'
 import { createCallIds } from './call-ids.js'
+import { Configuration } from './configuration.js'
 import { identifyCall } from './identify.js'
 import { OwnMembership } from './own-membership.js'
 import { describeToUpstream, Peers } from './peers.js'
-import { followConfiguration, followMembers } from './readers.js'
 import { addRouting } from './routing.js'
 import { showNode } from './show-node.js'
 import { isTicketRequest, TicketOffice } from './tickets.js'
@@ -40,6 +40,7 @@
   readonly clock?: Clock
   readonly logger?: Logger
   readonly random?: Random
+  readonly controlClients?: ControlClients
 }
 
 /** The process beside one upstream. */
@@ -49,7 +50,7 @@
   readonly store: Store
   readonly directory: Directory
   readonly notices: Notices
-  private readonly controlClients = ControlClients.create()
+  private readonly controlClients: ControlClients
   /** Handlers of control messages, added by each part before the server starts. */
   private readonly controlRoutes: Routes[] = []
   private readonly settings: NodeSettings
@@ -61,6 +62,7 @@
   private readonly supervisor: Supervisor
   private readonly admission: Admission
   private readonly quarantine: Quarantine
+  private readonly configuration: Configuration
   private readonly tickets: TicketOffice
   private closing = false
   private started = false
@@ -70,6 +72,7 @@
     this.settings = settings
     this.clock = options.clock ?? Clock.create()
     this.logger = (options.logger ?? Logger.create(settings.log.level)).label('node')
+    this.controlClients = options.controlClients ?? ControlClients.create()
     this.random = options.random ?? Random.create(randomBytes(4).readInt32LE())
     this.store = Store.create({ clock: this.clock, logger: this.logger.label('configuration') })
     this.notices = Notices.create({ clock: this.clock })
@@ -83,6 +86,7 @@
     this.tracker = CallTracker.create({ clock: this.clock, metrics: this.metrics })
     this.admission = Admission.create({ clock: this.clock })
     this.quarantine = Quarantine.create({ clock: this.clock, notices: this.notices })
+    this.configuration = this.createConfiguration()
     const { id, service } = settings
     this.tickets = TicketOffice.create({ id, service, directory: this.directory, random: this.random, controlClients: this.controlClients })
     this.supervisor = Supervisor.create({ clock: this.clock, logger: this.logger.label('supervisor') })
@@ -138,6 +142,7 @@
       calls: this.tracker.dump(),
       configuration: this.store.dump(),
       membership: this.directory.dump(),
+      relay: this.configuration.relay.dump(),
       notices: this.notices.dump(),
       admission: this.admission.dump(),
       metrics: this.metrics.dump(),
@@ -154,7 +159,7 @@
   }
 
   private async start (): Promise<void> {
-    const { settings, clock, logger, store, directory } = this
+    const { settings, clock, directory, configuration } = this
     const platform = Platform.create(settings.platform.map(({ ip, port }) => `http://${ip}:${port}`))
     const peers = Peers.create({ clock, directory, connections: settings.limits.connectionsPerTarget, headerBytes: settings.limits.headerBytes })
     const upstream = this.createUpstream()
@@ -165,17 +170,19 @@
     await this.supervisor.add('operator', async fail => await this.openOperator(fail))
     await this.supervisor.add('membership', async () => this.directory)
     await this.supervisor.add('platform', async () => platform)
-    await this.supervisor.add('configuration', async () => followConfiguration({ platform, store, clock, logger }))
-    await this.supervisor.add('members', async () => followMembers({ platform, directory, clock, logger }))
+    await this.supervisor.add('controlClients', async () => this.controlClients)
+    this.controlRoutes.push(configuration.routes)
+    await addRouting({ ...this.parts, router, target, clients: this.controlClients, routes: this.controlRoutes, self: settings, limits: () => this.store.profileOf(settings.service).measuring })
+    await this.supervisor.add('control', async () => await this.openControl())
+    await this.supervisor.add('configuration', async () => configuration)
+    // No call is taken before platform and peers were asked what is in force.
+    await configuration.start(platform)
     await this.supervisor.add('upstream', async () => upstream)
     await this.supervisor.add('peers', async () => peers)
     await this.supervisor.add('target', async () => ({ close: async () => {}, dump: () => target.dump() }))
     await this.supervisor.add('router', async () => ({ close: async () => {}, dump: () => router.dump() }))
-    await this.supervisor.add('controlClients', async () => this.controlClients)
     await this.supervisor.add('quarantine', async () => this.quarantine)
-    await addRouting({ ...this.parts, router, target, clients: this.controlClients, routes: this.controlRoutes, self: settings, limits: () => store.profileOf(settings.service).measuring })
     await this.supervisor.add('ownMembership', async () => this.createOwnMembership())
-    await this.supervisor.add('control', async () => await this.openControl())
     await this.listen('peers', true, router, target)
     await this.listen('callers', false, router, target)
     showNode(this.metrics, { admission: this.admission, store: this.store, supervisor: this.supervisor })
@@ -187,6 +194,11 @@
     return { clock, random, logger: logger.label('routing'), directory, supervisor, admission, metrics }
   }
 
+  private createConfiguration (): Configuration {
+    const { settings, clock, random, logger, metrics, controlClients: clients, store, directory, notices } = this
+    return Configuration.create({ settings, clock, random, logger, metrics, clients, store, directory, notices })
+  }
+
   private createUpstream (): Exchange {
     const { ip, port } = this.settings.upstream
     return Exchange.create({ origin: `http://${ip}:${port}`, connections: this.settings.limits.callerConnections, clock: this.clock })
--- a/packages/auburnturn/src/core/settings/settings.ts
+++ b/packages/auburnturn/src/core/settings/settings.ts
@@ -14,6 +14,13 @@
     .describe('Longest head of a request, in bytes.')
 })
 
+const platformReads = z.strictObject({
+  fleetSize: z.int().min(1).max(1_000_000).default(1)
+    .describe('Nodes expected in the whole fleet; a starting node knows no other figure.'),
+  readsPerSecond: z.number().min(1).max(100_000).default(200)
+    .describe('Reads a second of all nodes together.')
+})
+
 const log = z.strictObject({
   level: z.enum(['debug', 'info', 'warn', 'error']).default('info')
     .describe('Events below this level are not logged.')
@@ -31,6 +38,7 @@
   operator: address.prefault({ ip: '127.0.0.1', port: 0 }).describe('Dump, metrics and health; a loopback address by default.'),
   upstream: address.describe('The upstream on this VM.'),
   platform: z.array(address).min(1).max(8).describe('Entrances to the platform\'s configuration and membership service.'),
+  platformReads: platformReads.prefault({}).describe('Bound on what the whole fleet reads of the platform.'),
   calls: z.array(nameSchema).max(200).default([])
     .describe('Services that the callers of this node use; their members are followed. Empty means all.'),
   limits: limits.prefault({}),
