--- a/packages/auburnturn/src/core/metrics/metrics-data.ts
+++ b/packages/auburnturn/src/core/metrics/metrics-data.ts
@@ -11,7 +11,18 @@
   admission_queued: 'Calls that wait for a slot of the own upstream now.',
   measuring_messages_total: 'Messages sent only to measure.',
   measuring_bytes_total: 'Bytes sent only to measure.',
+  measuring_denied_total: 'Messages that the budget of measuring did not allow.',
   measuring_core_seconds_total: 'Processor time spent only to measure.',
   configuration_version: 'Highest version of the configuration in force.',
+  configuration_confirmed_age_seconds: 'Time since the configuration was last confirmed as the newest.',
+  configuration_rejected: 'Entries whose newest version was refused.',
+  configuration_conflicts: 'Entries of one version with different contents.',
+  configuration_older_offered_total: 'Entries offered in a version older than the one in force.',
+  platform_silent_seconds: 'Time since the platform last answered this node or told it through another.',
+  platform_behind_versions: 'Versions that the platform lacks of those in force.',
+  platform_reads_total: 'Reads of the platform, by kind.',
+  relay_bytes_total: 'Bytes sent to and received from other nodes for control.',
+  relay_reader: '1 on a node that reads the platform for others.',
+  regions_apart: 'Regions that this node does not hear.',
   restarts_total: 'Restarts of parts that failed.'
 }
--- a/packages/auburnturn/src/core/metrics/metrics.ts
+++ b/packages/auburnturn/src/core/metrics/metrics.ts
@@ -23,15 +23,14 @@
   }
 
   /**
-   * Adds to a counter. `name` may carry labels as `formatSeries` writes them.
+   * Adds to a counter.
    *
    * @example
    * metrics.count('calls_total', { verdict: 'done' })
    */
-  count (name: string, labels: Labels | number = {}, amount = 1): void {
-    const series = typeof labels === 'number' ? name : formatSeries(name, labels)
-    const added = typeof labels === 'number' ? labels : amount
-    this.counters.set(series, (this.counters.get(series) ?? 0) + added)
+  count (name: string, labels: Labels = {}, amount = 1): void {
+    const series = formatSeries(name, labels)
+    this.counters.set(series, (this.counters.get(series) ?? 0) + amount)
   }
 
   /** Shows a value that another part keeps; it is read on each scrape. */
