--- a/packages/auburnturn/src/core/call/types.ts
+++ b/packages/auburnturn/src/core/call/types.ts
@@ -1,3 +1,4 @@
+import type { CancelSignal } from '../clock/index.js'
 import type { Member } from '../membership/types.js'
 import type { Profile } from '../settings/index.js'
 import type { Verdict } from '../verdict/index.js'
@@ -30,8 +31,10 @@
   readonly ticket?: string
   /** The targets tried so far with what became of each, when the caller asked for them. */
   readonly way?: string[]
+  /** Another node passed the ticketed call on and will follow the successor of a refused ticket. */
+  readonly successorWanted?: boolean
   /** Aborted when the caller is gone. */
-  readonly signal: AbortSignal
+  readonly signal: CancelSignal
 }
 
 /** Why a caller's request body can't be read to its end. */
--- a/packages/auburnturn/src/core/client/client.ts
+++ b/packages/auburnturn/src/core/client/client.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from 'node:crypto'
 import type { Outcome, RawHeaders } from '../call/types.js'
-import { Clock } from '../clock/index.js'
+import { Cancellation, Clock } from '../clock/index.js'
 import { Store } from '../configuration/index.js'
 import { Logger } from '../logger/index.js'
 import { Directory } from '../membership/index.js'
@@ -67,13 +67,13 @@
 
   /** Sends one request and collects its whole answer. Never rejects. */
   async call (request: ClientRequest): Promise<CallResult> {
-    const gone = new AbortController()
+    const gone = Cancellation.create()
     const leave = (): void => { gone.abort() }
     request.signal?.addEventListener('abort', leave, { once: true })
     if (request.signal?.aborted === true) leave()
-    const call = createCall(request, { id: this.nextId(), caller: this.caller, now: this.clock.now(), profile: this.store.profileOf(request.service), signal: gone.signal })
+    const call = createCall(request, { id: this.nextId(), caller: this.caller, now: this.clock.now(), profile: this.store.profileOf(request.service), signal: gone })
     if (call === undefined) return { verdict: 'not-run', cause: 'bad-request' }
-    if (gone.signal.aborted) return { verdict: 'not-run', cause: 'caller-gone' }
+    if (gone.aborted) return { verdict: 'not-run', cause: 'caller-gone' }
     const answer = CollectedAnswer.create(leave)
     try {
       return describeResult(await this.router.run(call, HeldBody.create(request.body), answer), answer)
--- a/packages/stand-ins/test/examples.test.ts
+++ b/packages/stand-ins/test/examples.test.ts
@@ -13,6 +13,10 @@
     'order: done, 200 {"upstream":"orders-1","method":"POST","path":"/orders","bytes":19}',
     'unknown service: not-run no-target', ''
   ].join('\n'),
+  'order-with-ticket.js': [
+    'status 200, recorded no',
+    'status 200, recorded yes', ''
+  ].join('\n'),
   'profile-check.js': [
     'typo.jsonc:3:14: retry.atempts: found an unknown key; allowed: share, attempts, hedge',
     'risky.jsonc:4:39: idempotency.methods.1: warning: every POST may run more than once; mark single paths by a rule instead', ''
