Live through errors of accepting a connection

Cause: the handler of a listening server's errors was gone after the first one, so that a second failed accept (too many open files) would have ended the node and every call in flight. Change: the handlers of callers', peers', control and operator address stay on; a failed accept on the first two is logged.

--- a/packages/auburnturn/src/core/control/server.ts
+++ b/packages/auburnturn/src/core/control/server.ts
@@ -31,7 +31,8 @@
   static async create ({ ip, port, routes }: { ip: string, port: number, routes: readonly Routes[] }): Promise<ControlServer> {
     const control = new ControlServer(routes)
     await new Promise<void>((resolve, reject) => {
-      control.server.once('error', error => { reject(Fault.create('address-in-use', `${ip}:${port}`, error)) })
+      // Stays on: an error of accepting a connection comes later, and nothing else would catch it.
+      control.server.on('error', error => { reject(Fault.create('address-in-use', `${ip}:${port}`, error)) })
       control.server.listen(port, ip, resolve)
     })
     return control
--- a/packages/auburnturn/src/core/http/listener.ts
+++ b/packages/auburnturn/src/core/http/listener.ts
@@ -78,7 +78,11 @@
   private async listen (): Promise<void> {
     const { ip, port } = this.options
     await new Promise<void>((resolve, reject) => {
-      this.server.once('error', error => { reject(Fault.create('address-in-use', `${ip}:${port}`, error)) })
+      // Stays on: an error of accepting a connection comes later, and nothing else would catch it.
+      this.server.on('error', error => {
+        if (this.server.listening) this.options.logger.warn('accept-failed', { error: String(error) })
+        reject(Fault.create('address-in-use', `${ip}:${port}`, error))
+      })
       this.server.listen(port, ip, resolve)
     })
   }
--- a/packages/auburnturn/src/core/operator/operator.ts
+++ b/packages/auburnturn/src/core/operator/operator.ts
@@ -29,7 +29,8 @@
     const operator = new Operator(options)
     const { ip, port } = options
     await new Promise<void>((resolve, reject) => {
-      operator.server.once('error', error => { reject(Fault.create('address-in-use', `${ip}:${port}`, error)) })
+      // Stays on: an error of accepting a connection comes later, and nothing else would catch it.
+      operator.server.on('error', error => { reject(Fault.create('address-in-use', `${ip}:${port}`, error)) })
       operator.server.listen(port, ip, resolve)
     })
     operator.watch()
@@ -51,7 +52,6 @@
   /** Tells the supervisor when the address is lost. */
   private watch (): void {
     const { fail } = this.options
-    this.server.on('error', error => { fail(error) })
     this.server.on('close', () => { if (!this.closing) fail(new Error('the operator address was closed')) })
   }
 
--- a/packages/auburnturn/test/node/restart.test.ts
+++ b/packages/auburnturn/test/node/restart.test.ts
@@ -36,4 +36,17 @@
   await cluster.close()
 })
 
+restarting('errors of accepting a connection end neither a listener nor the node', async () => {
+  const cluster = await Cluster.create(1, () => (_incoming, response) => { response.end('whole') })
+  const node = cluster.nodes[0] as NonNullable<typeof cluster.nodes[0]>
+  const parts = (node as unknown as { supervisor: { parts: PartOfNode[] } }).supervisor.parts
+  for (const name of ['callers', 'peers', 'control', 'operator']) {
+    const { server } = parts.find(part => part.name === name)?.run?.part as { server: Server }
+    for (let count = 0; count < 3; count++) server.emit('error', new Error('EMFILE'))
+  }
+  const answer = await request(`http://127.0.0.1:${node.callersPort}/~orders/`)
+  assert.is(await answer.body.text(), 'whole')
+  await cluster.close()
+})
+
 restarting.run()
