--- a/packages/auburnturn/src/core/call/types.ts
+++ b/packages/auburnturn/src/core/call/types.ts
@@ -29,10 +29,10 @@
   /** Whether another node already passed this call on. */
   readonly forwarded: boolean
   readonly ticket?: string
-  /** The targets tried so far with what became of each, when the caller asked for them. */
-  readonly way?: string[]
   /** Another node passed the ticketed call on and will follow the successor of a refused ticket. */
   readonly successorWanted?: boolean
+  /** The targets tried so far with what became of each, when the caller asked for them. */
+  readonly way?: string[]
   /** Aborted when the caller is gone. */
   readonly signal: CancelSignal
 }
@@ -88,6 +88,8 @@
   readonly successor?: string
   /** The targets that were tried, when the caller asked for them. */
   readonly way?: string
+  /** True when a layer below has done what retrying it may: no layer above sends the call again. */
+  readonly exhausted?: boolean
 }
 
 /** Tries a call once at one member. */
--- a/packages/auburnturn/src/core/node/answer-headers.ts
+++ b/packages/auburnturn/src/core/node/answer-headers.ts
@@ -10,10 +10,11 @@
     : ['via', viaValue]
   return {
     answerHeaders: () => [...nodeHeaders(), headerNames.verdict, 'done'],
-    refusalHeaders: ({ successor, way }) => [
+    refusalHeaders: ({ successor, way, exhausted }) => [
       ...nodeHeaders(),
       ...(successor === undefined ? [] : [headerNames.ticket, successor]),
-      ...(way === undefined ? [] : [headerNames.way, way])
+      ...(way === undefined ? [] : [headerNames.way, way]),
+      ...(exhausted === true ? [headerNames.retry, 'no'] : [])
     ]
   }
 }
--- a/packages/auburnturn/test/units/supervisor.test.ts
+++ b/packages/auburnturn/test/units/supervisor.test.ts
@@ -147,6 +147,17 @@
   assert.equal([probe.starts, probe.closes], [2, 2])
 })
 
+supervision('two parts can not have one name, which would hide one of them in the dump', async () => {
+  const { supervisor } = setUp()
+  await supervisor.add('probe', new Probe().start)
+  try {
+    await supervisor.add('probe', new Probe().start)
+    assert.unreachable()
+  } catch (error) {
+    assert.is((error as Error).message, 'a part named probe was already added')
+  }
+})
+
 supervision('a dump that throws is told in its place', async () => {
   const { supervisor } = setUp()
   await supervisor.add('probe', async () => ({ close: async () => {}, dump: () => { throw new Error('torn') } }))
