--- a/packages/auburnturn/src/core/client/create-call.ts
+++ b/packages/auburnturn/src/core/client/create-call.ts
@@ -1,5 +1,6 @@
 import { validateHeaderName, validateHeaderValue } from 'node:http'
 import type { Call, RawHeaders } from '../call/types.js'
+import type { CancelSignal } from '../clock/index.js'
 import { forwardHeaders } from '../http/index.js'
 import { isIdempotent } from '../node/identify.js'
 import type { Profile } from '../settings/index.js'
@@ -14,7 +15,7 @@
   readonly caller: string
   readonly now: number
   readonly profile: Profile
-  readonly signal: AbortSignal
+  readonly signal: CancelSignal
 }
 
 /** Makes a call of a request; undefined when it can't be written as HTTP. */
--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -224,7 +224,7 @@
   private async listen (name: 'callers' | 'peers', forwarded: boolean, router: Router, target: Target): Promise<void> {
     const { clock, store, directory, settings, logger, incarnation } = this
     const headers = createAnswerHeaders({ target, incarnation, forwarded })
-    await this.supervisor.add(name, async () => {
+    await this.supervisor.add(`${name}Listener`, async () => {
       const listener = await Listener.create({
         ...settings[name],
         connections: settings.limits.callerConnections,
--- a/packages/auburnturn/src/core/supervisor/supervisor.ts
+++ b/packages/auburnturn/src/core/supervisor/supervisor.ts
@@ -23,6 +23,7 @@
   async add (name: string, start: Start): Promise<void> {
     const { clock, logger } = this
     try {
+      if (this.parts.some(part => part.name === name)) throw new Error(`a part named ${name} was already added`)
       if (this.closing !== undefined) throw new Error(`part ${name} was added to a closed supervisor`)
       const part = await SupervisedPart.create({ name, start, clock, logger })
       this.parts.push(part)
