--- a/packages/auburnturn/test/http/exchange.test.ts
+++ b/packages/auburnturn/test/http/exchange.test.ts
@@ -5,6 +5,7 @@
 import { Exchange, ManualClock } from '../../src/index.js'
 import { createBody, createCall, RecordingAnswer } from '../fixtures/calls.js'
 import { RawServer } from '../fixtures/raw.js'
+import { waitFor } from '../fixtures/wait-for.js'
 
 const exchanges = suite('exchange')
 const whole = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
@@ -23,10 +24,6 @@
   }
 }
 
-async function waitFor (isMet: () => boolean): Promise<void> {
-  while (!isMet()) await new Promise(resolve => setImmediate(resolve))
-}
-
 exchanges('a refused connection means not run', async () => {
   const server = createServer()
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
--- a/packages/auburnturn/test/http/interface.test.ts
+++ b/packages/auburnturn/test/http/interface.test.ts
@@ -3,6 +3,7 @@
 import * as assert from 'uvu/assert'
 import { Cluster } from '../fixtures/cluster.js'
 import { RawCaller, sendRaw } from '../fixtures/raw.js'
+import { waitFor } from '../fixtures/wait-for.js'
 
 const callers = suite('callers\' interface')
 
@@ -147,6 +148,28 @@
   }, (request, response) => { response.writeHead(200, { 'x-large-back': request.headers['x-large'] as string }).end() })
 })
 
+for (const size of [1, 3]) {
+  callers(`a caller that leaves and a time that runs out reach the upstream, with ${size} nodes`, async () => {
+    let arrived = 0
+    let ended = 0
+    await withCluster(size, async (cluster, port) => {
+      if (size > 1) forwardAll(cluster)
+      const caller = RawCaller.create(port).write('POST /~orders/ HTTP/1.1\r\nhost: a\r\ncontent-length: 2\r\n\r\nok')
+      await waitFor(() => arrived === 1)
+      caller.close()
+      await waitFor(() => ended === 1)
+      const answer = await sendRaw(port, 'POST /~orders/ HTTP/1.1\r\nhost: a\r\nauburnturn-timeout-ms: 30\r\ncontent-length: 2\r\nconnection: close\r\n\r\nok')
+      assert.match(answer, /^HTTP\/1\.1 504/)
+      assert.match(answer, 'auburnturn-verdict: may-have-run')
+      await waitFor(() => ended === 2)
+      assert.is(arrived, 2)
+    }, (_request, response) => {
+      arrived++
+      response.on('close', () => { ended++ })
+    })
+  })
+}
+
 callers('an upstream that breaks off is never passed on as whole, through one node or two', async () => {
   for (const size of [1, 3]) {
     await withCluster(size, async (cluster, port) => {
--- a/packages/auburnturn/test/http/listener.test.ts
+++ b/packages/auburnturn/test/http/listener.test.ts
@@ -4,6 +4,7 @@
 import type { Answer, Body, Call } from '../../src/index.js'
 import { Listening, readBody, writeAnswer } from '../fixtures/listening.js'
 import { RawCaller, sendRaw } from '../fixtures/raw.js'
+import { waitFor } from '../fixtures/wait-for.js'
 
 const listeners = suite('listener')
 const get = 'GET / HTTP/1.1\r\nhost: orders\r\n\r\n'
@@ -15,10 +16,6 @@
   return { verdict: done }
 }
 
-async function waitFor (isMet: () => boolean): Promise<void> {
-  while (!isMet()) await new Promise(resolve => setImmediate(resolve))
-}
-
 const refused: Array<[string, string, string]> = [
   ['both Content-Length and Transfer-Encoding', 'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n', '400'],
   ['Transfer-Encoding and then Content-Length', 'POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\ncontent-length: 4\r\n\r\n0\r\n\r\n', '400'],
