--- a/packages/auburnturn/src/core/node/answer-headers.ts
+++ b/packages/auburnturn/src/core/node/answer-headers.ts
@@ -10,7 +10,12 @@
     : ['via', viaValue]
   return {
     answerHeaders: () => [...nodeHeaders(), headerNames.verdict, 'done'],
-    refusalHeaders: ({ successor }) => successor === undefined ? nodeHeaders() : [...nodeHeaders(), headerNames.ticket, successor]
+    refusalHeaders: ({ successor, way, exhausted }) => [
+      ...nodeHeaders(),
+      ...(successor === undefined ? [] : [headerNames.ticket, successor]),
+      ...(way === undefined ? [] : [headerNames.way, way]),
+      ...(exhausted === true ? [headerNames.retry, 'no'] : [])
+    ]
   }
 }
 
--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -1,6 +1,7 @@
 import { randomBytes } from 'node:crypto'
 import { Admission } from '../admission/index.js'
 import type { Answer, Body } from '../call/types.js'
+import { headerNames } from '../call/index.js'
 import { Clock } from '../clock/index.js'
 import { Store } from '../configuration/index.js'
 import { ControlClients, ControlServer } from '../control/index.js'
@@ -13,6 +14,7 @@
 import { Operator } from '../operator/index.js'
 import type { NodeState } from '../operator/index.js'
 import { Platform } from '../platform/index.js'
+import { Quarantine } from '../quarantine/index.js'
 import { Random } from '../random/index.js'
 import { Router } from '../router/index.js'
 import type { NodeSettings } from '../settings/index.js'
@@ -25,8 +27,10 @@
 import { OwnMembership } from './own-membership.js'
 import { describeToUpstream, Peers } from './peers.js'
 import { followConfiguration, followMembers } from './readers.js'
+import { addRouting } from './routing.js'
 import { showNode } from './show-node.js'
 import { isTicketRequest, TicketOffice } from './tickets.js'
+import { recordWay } from './way.js'
 
 /** Time between the refusal of every call and the end of idle connections, in milliseconds. */
 const closeLingerMs = 50
@@ -56,6 +60,7 @@
   private readonly tracker: CallTracker
   private readonly supervisor: Supervisor
   private readonly admission: Admission
+  private readonly quarantine: Quarantine
   private readonly tickets: TicketOffice
   private closing = false
   private started = false
@@ -77,6 +82,7 @@
     this.metrics = Metrics.create({ clock: this.clock })
     this.tracker = CallTracker.create({ clock: this.clock, metrics: this.metrics })
     this.admission = Admission.create({ clock: this.clock })
+    this.quarantine = Quarantine.create({ clock: this.clock, notices: this.notices })
     const { id, service } = settings
     this.tickets = TicketOffice.create({ id, service, directory: this.directory, random: this.random, controlClients: this.controlClients })
     this.supervisor = Supervisor.create({ clock: this.clock, logger: this.logger.label('supervisor') })
@@ -156,7 +162,7 @@
     this.controlRoutes.push(this.tickets.routes(target))
     const router = this.createRouter(peers, target)
     // First, so that it closes last: the drain can be watched.
-    await this.supervisor.add('operator', async () => await this.openOperator())
+    await this.supervisor.add('operator', async fail => await this.openOperator(fail))
     await this.supervisor.add('membership', async () => this.directory)
     await this.supervisor.add('platform', async () => platform)
     await this.supervisor.add('configuration', async () => followConfiguration({ platform, store, clock, logger }))
@@ -166,6 +172,8 @@
     await this.supervisor.add('target', async () => ({ close: async () => {}, dump: () => target.dump() }))
     await this.supervisor.add('router', async () => ({ close: async () => {}, dump: () => router.dump() }))
     await this.supervisor.add('controlClients', async () => this.controlClients)
+    await this.supervisor.add('quarantine', async () => this.quarantine)
+    await addRouting({ ...this.parts, router, target, clients: this.controlClients, routes: this.controlRoutes, self: settings, limits: () => store.profileOf(settings.service).measuring })
     await this.supervisor.add('ownMembership', async () => this.createOwnMembership())
     await this.supervisor.add('control', async () => await this.openControl())
     await this.listen('peers', true, router, target)
@@ -174,6 +182,11 @@
     this.started = true
   }
 
+  private get parts () {
+    const { clock, random, logger, directory, supervisor, admission, metrics } = this
+    return { clock, random, logger: logger.label('routing'), directory, supervisor, admission, metrics }
+  }
+
   private createUpstream (): Exchange {
     const { ip, port } = this.settings.upstream
     return Exchange.create({ origin: `http://${ip}:${port}`, connections: this.settings.limits.callerConnections, clock: this.clock })
@@ -185,14 +198,15 @@
       incarnation: this.incarnation,
       clock: this.clock,
       admission: this.admission,
-      run: this.tracker.trackAttempt('upstream', async (call, body: Body, answer: Answer) => await upstream.send(call, body, answer, describeToUpstream(call, this.clock))),
+      quarantine: this.quarantine,
+      run: this.tracker.trackAttempt('upstream', async (call, body: Body, answer: Answer) => await upstream.send(call, body, answer, describeToUpstream(call, this.clock)), () => this.settings.id),
       fetchTicket: async (service, withinMs) => await this.tickets.fetchElsewhere(service, withinMs)
     })
   }
 
   private createRouter (peers: Peers, target: Target): Router {
     const { id, service } = this.settings
-    return Router.create({ clock: this.clock, random: this.random, directory: this.directory, remote: this.tracker.trackAttempt('peer', peers.attempt), local: { id, service, target } })
+    return Router.create({ clock: this.clock, random: this.random, directory: this.directory, quarantine: this.quarantine, remote: this.tracker.trackAttempt('peer', peers.attempt, member => member.id), local: { id, service, target } })
   }
 
   private async listen (name: 'callers' | 'peers', forwarded: boolean, router: Router, target: Target): Promise<void> {
@@ -206,7 +220,7 @@
         clock,
         ...headers,
         logger: logger.label(name),
-        identify: (request, signal) => identifyCall(request, signal, { clock, store, directory, forwarded, nextId: this.nextId }),
+        identify: (request, signal) => recordWay(identifyCall(request, signal, { clock, store, directory, forwarded, nextId: this.nextId }), request.headers[headerNames.way]),
         serve: this.tracker.track(async (call, body, answer) => !forwarded && isTicketRequest(call)
           ? await this.tickets.answer(call, answer, target, tried => router.choose(call, tried))
           : await router.run(call, body, answer))
@@ -238,8 +252,8 @@
     return control
   }
 
-  private async openOperator (): Promise<Operator> {
-    const operator = await Operator.create({ ...this.settings.operator, dumpNode: () => this.dump(), readState: () => this.state, metrics: this.metrics })
+  private async openOperator (fail: (error: unknown) => void): Promise<Operator> {
+    const operator = await Operator.create({ ...this.settings.operator, dumpNode: () => this.dump(), readState: () => this.state, metrics: this.metrics, fail })
     this.ports.operator = operator.port
     return operator
   }
--- a/packages/auburnturn/src/core/target/target.ts
+++ b/packages/auburnturn/src/core/target/target.ts
@@ -3,6 +3,7 @@
 import { Cancellation } from '../clock/index.js'
 import type { Clock } from '../clock/index.js'
 import { Ledger } from '../ledger/index.js'
+import type { Quarantine } from '../quarantine/index.js'
 import { mayHaveRun, notRun } from '../verdict/index.js'
 import { TicketedCalls } from './ticketed.js'
 import type { FetchTicket } from './ticketed.js'
@@ -16,6 +17,7 @@
   private readonly clock: Clock
   private readonly admission: Admission
   private readonly run: Run
+  private readonly quarantine: Quarantine | undefined
   private readonly ledger: Ledger
   private readonly ticketed: TicketedCalls
 
@@ -23,7 +25,8 @@
     this.incarnation = options.incarnation
     this.clock = options.clock
     this.admission = options.admission
-    this.run = options.run
+    this.quarantine = options.quarantine
+    this.run = options.quarantine?.watch(options.run) ?? options.run
     this.ledger = options.ledger ?? Ledger.create({ member: options.id ?? '', incarnation: options.incarnation, clock: options.clock })
     this.ticketed = TicketedCalls.create({
       clock: options.clock,
@@ -68,8 +71,8 @@
   }
 
   private async admitAndRun (asked: Call, admitted: Call, body: Body, answer: Answer): Promise<Outcome> {
-    const admittance = await this.admission.admit(asked)
-    if (admittance.kind === 'refused') return { verdict: notRun(admittance.cause) }
+    const admittance = await (this.quarantine?.admit(asked, body, this.admission) ?? this.admission.admit(asked))
+    if (admittance.kind === 'refused') return { verdict: admittance.verdict ?? notRun(admittance.cause) }
     const start = this.clock.now()
     const outcome = await this.run(admitted, body, answer).catch(() => ({ verdict: mayHaveRun('connection-lost') }))
     admittance.release(outcome.verdict, this.clock.now() - start)
@@ -84,6 +87,8 @@
   readonly clock: Clock
   readonly admission: Admission
   readonly run: Run
+  /** Watches for requests that crash the upstream. */
+  readonly quarantine?: Quarantine
   readonly ledger?: Ledger
   readonly fetchTicket?: FetchTicket
 }
