--- /dev/null
+++ b/packages/bench/src/capacity/results.ts
@@ -0,0 +1,21 @@
+import { existsSync, readFileSync } from 'node:fs'
+import { fileURLToPath } from 'node:url'
+
+/** One measured case: names and numbers. */
+export type Row = Readonly<Record<string, unknown>>
+
+const folder = fileURLToPath(new URL('../../../results/', import.meta.url))
+
+/** The lines of a committed result file; empty when there is none. */
+export function readResults (name: string): readonly Row[] {
+  const file = `${folder}${name}.json`
+  if (!existsSync(file)) return []
+  return readFileSync(file, 'utf8').split('\n').filter(line => line.startsWith('{')).map(line => JSON.parse(line) as Row)
+}
+
+/** A number of a row; throws when it is missing, so that no table is made of nothing. */
+export function numberOf (row: Row | undefined, field: string): number {
+  const value = row?.[field]
+  if (typeof value !== 'number') throw new Error(`the results have no number ${field}`)
+  return value
+}
--- /dev/null
+++ b/packages/bench/src/control/memory.ts
@@ -0,0 +1,108 @@
+/** Heap bytes of what a node holds, in a process of its own with --expose-gc. Prints one JSON line. */
+import { gzipSync } from 'node:zlib'
+import { Digest, hashText, Store } from 'auburnturn/core/configuration'
+import { Roster, Topology } from 'auburnturn/core/relay'
+import { Clock, ControlClients, ControlServer, Directory, Logger, Measuring, Notices } from './parts.js'
+
+const targets = 19_000
+const services = 1_900
+const profiles = 200
+const peers = 100
+const ip = '127.0.0.1'
+
+const clock = Clock.create()
+const logger = Logger.create('error')
+const digest = Digest.create()
+const store = Store.create({ clock, logger, digest })
+const notices = Notices.create({ clock })
+const directory = Directory.create({ clock, logger, notices, floorOf: () => 0.5 })
+const roster = Roster.create({ digest, clock })
+const topology = Topology.create({ self: { id: 'self', region: 'region-0', failureDomain: 'domain-0', ip, controlPort: 1 }, clock })
+roster.observe((_entry, changes, list) => {
+  for (const [id, member] of changes) topology.set(id, member)
+  directory.accept(list)
+})
+hashText('warm')
+
+const perProfile = measure(profiles, index => {
+  store.accept({ key: `profile/profile-${index}`, version: index + 1, text: `{ "note": "${'x'.repeat(300)}", "timeouts": { "callMs": ${1000 + index} } }` }, 'platform')
+})
+const perService = measure(services, index => {
+  store.accept({ key: `service/service-${index}`, version: 1000 + index, text: `{ "profile": "profile-${index % profiles}" }` }, 'platform')
+})
+const perTarget = measure(services, index => { roster.acceptList({ service: `service-${index}`, version: index + 1, members: makeMembers(index) }) }) * services / targets
+const copyBytes = measureCopy()
+const applyMs = await timeOneChange()
+const perPeer = await measurePeers()
+process.stdout.write(`${JSON.stringify({ bench: 'control', case: 'memory', targets, services, profiles, bytesPerTarget: perTarget, bytesPerService: perService, bytesPerProfile: perProfile, bytesPerPeer: perPeer, memberChangeMs: applyMs, copyBytes })}\n`)
+process.exit()
+
+function makeMembers (service: number): Array<Parameters<typeof roster.acceptList>[0]['members'][number]> {
+  return Array.from({ length: targets / services }, (_, index) => {
+    const number = service * 10 + index
+    const domain = number % 22
+    return { id: `service-${service}-${index}`, service: `service-${service}`, region: `region-${domain % 10}`, failureDomain: `domain-${domain}`, ip: `10.${number >> 16}.${(number >> 8) & 255}.${number & 255}`, peerPort: 7000, controlPort: 7001, state: 'live' as const }
+  })
+}
+
+function measure (count: number, add: (index: number) => void): number {
+  const before = heap()
+  for (let index = 0; index < count; index++) add(index)
+  return (heap() - before) / count
+}
+
+/** CPU of one changed member list with everything held, the order of its failure domain included. */
+async function timeOneChange (): Promise<number> {
+  const rounds = 200
+  const startedAt = performance.now()
+  for (let round = 0; round < rounds; round++) {
+    const members = makeMembers(round).slice(1)
+    roster.acceptList({ service: `service-${round}`, version: 10_000 + round, members })
+    topology.peersOf('domain-0')
+  }
+  return (performance.now() - startedAt) / rounds
+}
+
+async function measurePeers (): Promise<number> {
+  const servers = await Promise.all(Array.from({ length: peers }, async () => await ControlServer.create({ ip, port: 0, routes: [] })))
+  const clients = ControlClients.create()
+  const before = resident()
+  await Promise.all(servers.map(async ({ port }) => {
+    await clients.clientOf(Measuring, { ip, controlPort: port }).probe({ service: 'none' }).catch(() => {})
+  }))
+  // Both ends of each connection are in this process; a node holds one.
+  return (resident() - before) / peers / 2
+}
+
+/** Bytes of everything held as a first copy travels: in compressed messages. */
+function measureCopy (): number {
+  const messageBytes = 65_536
+  const texts = [...digest.keysIn(new Set(Array.from({ length: 64 }, (_, index) => index)))]
+    .map(key => `${key}${(store.get(key) ?? roster.get(key))?.text ?? ''}`)
+  let bytes = 0
+  let message = ''
+  for (const text of texts) {
+    message += text
+    if (message.length < messageBytes) continue
+    bytes += gzipSync(message).length
+    message = ''
+  }
+  return bytes + gzipSync(message).length
+}
+
+function heap (): number {
+  collect()
+  return process.memoryUsage().heapUsed
+}
+
+function resident (): number {
+  collect()
+  const { heapUsed, external } = process.memoryUsage()
+  return heapUsed + external
+}
+
+function collect (): void {
+  const { gc } = globalThis as { gc?: () => void }
+  gc?.()
+  gc?.()
+}
