Let the matrix see what nodes spend on measuring, and wait for its own callers

Change: Caller.close waits for its sendings; worlds record measuring-spent from each node's dump, once a node measures.

--- a/packages/bench/src/matrix/caller.ts
+++ b/packages/bench/src/matrix/caller.ts
@@ -35,6 +35,7 @@
 export class Caller {
   private readonly agent = new Agent({ connections: 32, pipelining: 1, headersTimeout: patienceMs, bodyTimeout: patienceMs })
   private readonly recording: Recording
+  private readonly pending = new Set<Promise<Told>>()
 
   private constructor (recording: Recording) {
     this.recording = recording
@@ -46,6 +47,12 @@
 
   /** Sends once and reads the answer to its end. */
   async send (sending: Sending): Promise<Told> {
+    const told = this.sendOnce(sending)
+    this.pending.add(told)
+    return await told.finally(() => { this.pending.delete(told) })
+  }
+
+  private async sendOnce (sending: Sending): Promise<Told> {
     const { name, call, kind, timeoutMs } = sending
     this.recording.add({ kind: 'call-sent', sending: name, call, idempotent: kind === 'idempotent', ticketed: kind === 'ticketed', timeoutMs })
     try {
@@ -64,7 +71,9 @@
     return typeof ticket === 'string' ? ticket : undefined
   }
 
+  /** Waits for what is still out, so that this caller itself cuts nothing. */
   async close (): Promise<void> {
+    await Promise.all(this.pending)
     await this.agent.destroy()
   }
 
--- a/packages/bench/src/matrix/world.ts
+++ b/packages/bench/src/matrix/world.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Caller } from './caller.js'
 import { Link } from './link.js'
+import { watchMeasuring } from './measuring.js'
 import { Recording } from './recording.js'
 import { MatrixUpstream } from './upstream.js'
 import type { PointListener } from './upstream.js'
@@ -29,7 +30,8 @@
   "timeouts": { "callMs": ${callMs}, "queueMs": ${callMs}, "connectMs": ${callMs} },
   "retry": { "attempts": 3, "share": 1 },
   "admission": { "slots": 3, "queue": 6, "localBelow": 0 },
-  "drain": { "newWorkMs": ${newWorkMs} }
+  "drain": { "newWorkMs": ${newWorkMs} },
+  "measuring": { "messagesPerSecond": 5, "bytesPerSecond": 1500 }
 }`
 }
 
@@ -130,9 +132,9 @@
       for (const link of [upstreamLink, peerLink, controlLink]) link.release()
     }
     await this.caller.close()
+    for (const cleanUp of this.cleanUps) cleanUp()
     const nodes = Promise.all(this.targets.map(async ({ id, node }) => { await (this.shutdowns.get(id) ?? node.close()) }))
     const closed = await Promise.race([nodes.then(() => true), sleep(closeMs, false, { ref: false })])
-    for (const cleanUp of this.cleanUps) cleanUp()
     await Promise.all(this.targets.flatMap(({ upstream, upstreamLink, peerLink, controlLink }) =>
       [upstream, upstreamLink, peerLink, controlLink].map(async part => { await part.close() })))
     await Promise.all([this.platformLink.close(), this.platform.close(), this.olderPlatform.close()])
@@ -164,7 +166,7 @@
     const node = await createNode(id, this.ip, upstreamLink.port, this.platformLink.port, seed + index)
     const [peerLink, controlLink] = await Promise.all([Link.create(this.ip, node.peersPort, watch), Link.create(this.ip, node.controlPort)])
     this.targets.push({ id, node, upstream, upstreamLink, peerLink, controlLink })
-    this.cleanUps.push(subscribe(this.clock, node.store.changes, ({ key, version }) => {
+    this.cleanUps.push(watchMeasuring(id, node, this.recording), subscribe(this.clock, node.store.changes, ({ key, version }) => {
       this.recording.add({ kind: 'configuration-in-force', node: id, key, version })
     }, () => {}))
     node.store.accept({ key: 'profile/matrix', version: 1, text: formatProfile(this.callMs) }, 'platform')
