--- a/packages/auburnturn/src/core/target/ticketed.ts
+++ b/packages/auburnturn/src/core/target/ticketed.ts
@@ -1,7 +1,6 @@
 import type { Answer, Body, Call, Outcome } from '../call/types.js'
-import { headerNames } from '../call/index.js'
+import { Cancellation } from '../clock/index.js'
 import type { Clock } from '../clock/index.js'
-import { findHeader } from '../http/headers.js'
 import { Recorder, replay } from '../ledger/index.js'
 import type { Claim, Ledger } from '../ledger/index.js'
 import { done, mayHaveRun, notRun } from '../verdict/index.js'
@@ -72,17 +71,20 @@
   }
 
   private async findSuccessor (call: Call, cause: NotRunCause): Promise<string | undefined> {
-    if (findHeader(call.headers, headerNames.successor) !== 'wanted' || !mayRunElsewhere(cause)) return undefined
+    if (call.successorWanted !== true || !mayRunElsewhere(cause)) return undefined
     const remaining = call.deadline - this.options.clock.now()
     return remaining > 0 ? await this.options.fetchTicket(call.service, remaining) : undefined
   }
 
   private async settlesInTime (settled: Promise<void>, call: Call): Promise<boolean> {
-    const ended = new AbortController()
+    const ended = Cancellation.create()
+    const leave = (): void => { ended.abort() }
     const remaining = call.deadline - this.options.clock.now()
-    const signal = AbortSignal.any([ended.signal, call.signal])
-    const expired = this.options.clock.sleep(remaining, signal).then(() => false)
+    call.signal.addEventListener('abort', leave, { once: true })
+    if (call.signal.aborted) ended.abort()
+    const expired = this.options.clock.sleep(remaining, ended).then(() => false)
     const result = await Promise.race([settled.then(() => true), expired])
+    call.signal.removeEventListener('abort', leave)
     ended.abort()
     return result
   }
