--- a/packages/auburnturn/src/core/target/ticketed.ts
+++ b/packages/auburnturn/src/core/target/ticketed.ts
@@ -3,7 +3,7 @@
 import type { Clock } from '../clock/index.js'
 import { Recorder, replay } from '../ledger/index.js'
 import type { Claim, Ledger } from '../ledger/index.js'
-import { done, mayHaveRun, notRun } from '../verdict/index.js'
+import { done, mayHaveRun, notRun, unreachable } from '../verdict/index.js'
 import type { NotRunCause } from '../verdict/index.js'
 
 /** Asks another live target of the service for a ticket; undefined when none can be had in `withinMs`. */
@@ -41,6 +41,8 @@
         case 'running':
           if (presented.settled === undefined) return { verdict: mayHaveRun('ticket-running') }
           if (!await this.settlesInTime(presented.settled, call)) return { verdict: mayHaveRun('ticket-running') }
+          break
+        default: unreachable(presented)
       }
     }
   }
--- a/packages/auburnturn/src/core/verdict/verdict.ts
+++ b/packages/auburnturn/src/core/verdict/verdict.ts
@@ -32,3 +32,8 @@
       return earlier.kind === 'may-have-run' ? earlier : later
   }
 }
+
+/** Ends a `switch` over a tagged union: the compiler refuses the call while a case is left out. */
+export function unreachable (value: never): never {
+  throw new Error(`no case for ${JSON.stringify(value)}`)
+}
--- a/packages/bench/test/mutants/index.ts
+++ b/packages/bench/test/mutants/index.ts
@@ -42,7 +42,7 @@
 }
 
 function tryMutant (copy: string, { edits, promise }: Mutant): Result {
-  const saved = edits.map(({ file }) => [file, readFileSync(join(root, 'packages/auburnturn/src/core', file), 'utf8')] as const)
+  const saved = edits.map(({ file }) => [file, readFileSync(join(copy, 'packages/auburnturn/src/core', file), 'utf8')] as const)
   const misfits = edits.map(edit => applyEdit(copy, edit)).filter(misfit => misfit !== undefined)
   const result = misfits.length > 0 ? { kind: 'not-built' as const, why: misfits.join('; ') } : judge(copy, promise)
   for (const [file, text] of saved) writeFileSync(join(copy, 'packages/auburnturn/src/core', file), text)
