--- a/packages/auburnturn/src/core/call/types.ts
+++ b/packages/auburnturn/src/core/call/types.ts
@@ -31,6 +31,8 @@
   readonly ticket?: string
   /** Another node passed the ticketed call on and will follow the successor of a refused ticket. */
   readonly successorWanted?: boolean
+  /** The targets tried so far with what became of each, when the caller asked for them. */
+  readonly way?: string[]
   /** Aborted when the caller is gone. */
   readonly signal: CancelSignal
 }
@@ -84,6 +86,10 @@
   readonly incarnation?: string
   /** The ticket that replaces the refused one. */
   readonly successor?: string
+  /** The targets that were tried, when the caller asked for them. */
+  readonly way?: string
+  /** True when a layer below has done what retrying it may: no layer above sends the call again. */
+  readonly exhausted?: boolean
 }
 
 /** Tries a call once at one member. */
--- /dev/null
+++ b/packages/auburnturn/src/core/node/routing.ts
@@ -0,0 +1,80 @@
+import type { Admission } from '../admission/index.js'
+import { subscribe } from '../clock/index.js'
+import type { Clock } from '../clock/index.js'
+import type { ControlClients, Routes } from '../control/index.js'
+import type { Logger } from '../logger/index.js'
+import { answerProbes, createProbe, MeasuringBudget, Prober } from '../measuring/index.js'
+import type { MeasuringLimits } from '../measuring/index.js'
+import type { Directory } from '../membership/index.js'
+import type { Metrics } from '../metrics/index.js'
+import type { Random } from '../random/index.js'
+import type { Router } from '../router/index.js'
+import type { Part, Supervisor } from '../supervisor/index.js'
+import type { Target } from '../target/index.js'
+
+/** How often a pause of this process is looked for, in milliseconds. */
+const tickMs = 250
+
+/** A tick later than this means that the process was paused, in milliseconds. */
+const pauseMs = 1_000
+
+/** Adds measuring, the reading of members and the watch for pauses to a node. */
+export async function addRouting (context: RoutingContext): Promise<void> {
+  const { clock, random, limits, supervisor, router, target, self, metrics } = context
+  const budget = MeasuringBudget.create({ clock, random, limits })
+  context.routes.push(answerProbes({ budget, service: self.service, incarnation: target.incarnation, readLoad: () => target.load }))
+  metrics.show('measuring_messages_total', 'counter', () => budget.cost.messages)
+  metrics.show('measuring_bytes_total', 'counter', () => budget.cost.bytes)
+  metrics.show('measuring_core_seconds_total', 'counter', () => budget.cost.coreMs / 1_000)
+  metrics.show('measuring_denied_total', 'counter', () => budget.cost.denied)
+  await supervisor.add('measuring', async () => Prober.create({ clock, budget, balancers: () => router.balancers, probe: createProbe(context.clients), self: self.id }))
+  await supervisor.add('memberChanges', async () => followMembers(context))
+  await supervisor.add('pauses', async () => watchPauses({ ...context, wake: () => { router.forget() } }))
+}
+
+function followMembers ({ clock, directory, router, logger }: RoutingContext): Part {
+  const stop = subscribe(clock, directory.changes,
+    service => { router.refresh(service) },
+    error => { logger.error('member-change-failed', { error: String(error) }) })
+  return { close: async () => { stop() } }
+}
+
+/** Notices a late wake-up: what was known is unknown by then, and calls that waited have expired. */
+export function watchPauses ({ clock, admission, logger, wake }: PauseContext): Part {
+  let last = clock.now()
+  let pauses = 0
+  const stop = clock.every(tickMs, () => {
+    const now = clock.now()
+    const lateMs = now - last - tickMs
+    last = now
+    if (lateMs < pauseMs) return
+    pauses++
+    logger.warn('woke-late', { lateMs: Math.round(lateMs) })
+    admission.dropExpired()
+    wake()
+  })
+  return { close: async () => { stop() }, dump: () => ({ pauses }) }
+}
+
+interface PauseContext {
+  readonly clock: Clock
+  readonly admission: Admission
+  readonly logger: Logger
+  readonly wake: () => void
+}
+
+interface RoutingContext {
+  readonly clock: Clock
+  readonly random: Random
+  readonly logger: Logger
+  readonly directory: Directory
+  readonly supervisor: Supervisor
+  readonly admission: Admission
+  readonly router: Router
+  readonly target: Target
+  readonly metrics: Metrics
+  readonly clients: ControlClients
+  readonly routes: Routes[]
+  readonly self: { readonly id: string, readonly service: string }
+  readonly limits: () => MeasuringLimits
+}
--- a/packages/auburnturn/src/core/routing/types.ts
+++ b/packages/auburnturn/src/core/routing/types.ts
@@ -2,18 +2,43 @@
 import type { Member } from '../membership/types.js'
 import type { Random } from '../random/index.js'
 
+/** What is usual for a service, whichever target answers. */
+export interface Usual {
+  /** Smoothed time to an answer, in milliseconds; 0 before the first. */
+  latencyMs: number
+}
+
 /** What one router knows of one target. Times are clock milliseconds. */
 export interface Candidate {
-  readonly member: Member
+  member: Member
   /** This router's own calls that the target has not answered. */
   inFlight: number
-  /** Smoothed time from attempt to answer head, in milliseconds. */
-  latencyMs: number
+  /** Calls in flight summed over time, and answers, both fading with `memoryMs`; up to `notedAt`. */
+  busyMs: number
+  answers: number
+  memoryMs: number
+  notedAt: number
+  /** When the target was last found slow; its memory grows when that lasts. */
+  slowAt: number
+  /** Shared by all targets of the service. */
+  readonly usual: Usual
   /** Smoothed share of attempts that failed. */
   errorShare: number
+  /** Answers and failures seen since the target or its incarnation is new. */
+  outcomes: number
   /** Last load heard from the target itself, and when. */
   load: Load | undefined
   loadAt: number
+  /** Calls of other routers that the last load shows. */
+  others: number
+  /** Share of belief in reports, 0 once they were contradicted. */
+  trust: number
+  incarnation: string | undefined
+  /** When the target was new; `-Infinity` once it takes its full share. */
+  newAt: number
+  ejectedUntil: number
+  /** Ejections without a success between them. */
+  ejections: number
 }
 
 /** Picks one of at least one candidate. */
