--- a/packages/bench/test/mutants/mutants.ts
+++ b/packages/bench/test/mutants/mutants.ts
@@ -74,6 +74,11 @@
     promise: 'no-work-after-leave',
     edits: [{ file: 'admission/admission.ts', find: "this.state = 'draining'", replace: "this.state = 'serving'" }]
   },
+  {
+    name: 'exceed the measuring budget',
+    promise: 'measuring-budget',
+    edits: [{ file: 'measuring/budget.ts', find: 'return 1_000 / (perSecond < 1 ?', replace: 'return 10 + 0 * (perSecond < 1 ?' }]
+  },
   {
     name: 'cut what is in flight on shutdown',
     promise: 'drain-cuts-nothing',
