--- a/packages/auburnturn/src/core/client/client.ts
+++ b/packages/auburnturn/src/core/client/client.ts
@@ -1,6 +1,6 @@
 import { randomBytes } from 'node:crypto'
 import type { Outcome, RawHeaders } from '../call/types.js'
-import { Cancellation, Clock } from '../clock/index.js'
+import { Cancellation, Clock, subscribe } from '../clock/index.js'
 import { Store } from '../configuration/index.js'
 import { Logger } from '../logger/index.js'
 import { Directory } from '../membership/index.js'
@@ -12,6 +12,7 @@
 import { Random } from '../random/index.js'
 import { Router } from '../router/index.js'
 import { Supervisor } from '../supervisor/index.js'
+import type { Part } from '../supervisor/index.js'
 import { CollectedAnswer } from './collected-answer.js'
 import { defaultConnections, headerBytes } from './constants.js'
 import { createCall } from './create-call.js'
@@ -100,6 +101,7 @@
     await supervisor.add('membership', async () => this.directory)
     await supervisor.add('platform', async () => platform)
     await supervisor.add('peers', async () => this.peers)
+    await supervisor.add('memberChanges', async () => this.followMemberChanges())
     await supervisor.add('configuration', async () => {
       const read = this.createConfigurationRead()
       await read(0)
@@ -112,6 +114,13 @@
     })
   }
 
+  private followMemberChanges (): Part {
+    const stop = subscribe(this.clock, this.directory.changes,
+      service => { this.router.refresh(service) },
+      error => { this.logger.error('member-change-failed', { error: String(error) }) })
+    return { close: async () => { stop() } }
+  }
+
   private createConfigurationRead (): (waitMs: number, signal?: AbortSignal) => Promise<void> {
     let revision = 0
     return async (waitMs, signal) => {
