--- a/packages/auburnturn/src/core/control/clients.ts
+++ b/packages/auburnturn/src/core/control/clients.ts
@@ -1,51 +1,79 @@
 import type { DescService } from '@bufbuild/protobuf'
 import { createClient } from '@connectrpc/connect'
 import type { Client, Transport } from '@connectrpc/connect'
-import { createConnectTransport } from '@connectrpc/connect-node'
+import { compressionGzip, createConnectTransport } from '@connectrpc/connect-node'
+import { Fault } from '../errors/index.js'
 import type { Part } from '../supervisor/types.js'
 import { answerMs, maxMessageBytes } from './constants.js'
-import { GuardedSessions } from './guarded-sessions.js'
+import { Session } from './session.js'
+import type { ControlTraffic } from './types.js'
 
 /** Where a node listens for control messages. */
 export interface ControlAddress { readonly ip: string, readonly controlPort: number }
 
-interface Connection { readonly sessions: GuardedSessions, readonly transport: Transport }
+/** Whether messages may be sent to an address; tests part a fleet with it. */
+export type Reachability = (address: ControlAddress) => boolean
+
+interface Connection { readonly session: Session, readonly transport: Transport }
 
 /** One kept connection to each node that control messages go to. */
 export class ControlClients implements Part {
   private readonly connections = new Map<string, Connection>()
   private messages = 0
+  private droppedBytes = 0
+
+  private readonly isReachable: Reachability
 
-  private constructor () {}
+  private constructor (isReachable: Reachability) {
+    this.isReachable = isReachable
+  }
 
-  static create (): ControlClients {
-    return new ControlClients()
+  /** Messages to addresses that are not reachable fail at once; all are unless `isReachable` is given. */
+  static create (isReachable: Reachability = () => true): ControlClients {
+    return new ControlClients(isReachable)
   }
 
-  /** A client of `service` at one node; its calls reject with a `ConnectError`. */
+  /** A client of `service` at one node; its calls reject with a `ConnectError`. Throws a `node-unreachable` fault. */
   clientOf<Service extends DescService> (service: Service, address: ControlAddress): Client<Service> {
+    if (!this.isReachable(address)) throw Fault.create('node-unreachable', `${address.ip}:${address.controlPort}`)
     return createClient(service, this.connectionOf(address).transport)
   }
 
+  /** Bytes both ways and messages sent. */
+  get traffic (): ControlTraffic {
+    let bytes = this.droppedBytes
+    for (const { session } of this.connections.values()) bytes += session.bytes
+    return { bytes, messages: this.messages }
+  }
+
   async close (): Promise<void> {
-    for (const { sessions } of this.connections.values()) sessions.abort()
-    this.connections.clear()
+    for (const { session } of this.connections.values()) session.close()
   }
 
   dump (): unknown {
-    return { peers: [...this.connections.keys()], messages: this.messages }
+    const open = [...this.connections].filter(([, { session }]) => session.isOpen).map(([origin]) => origin)
+    return { open, ...this.traffic }
   }
 
   private connectionOf ({ ip, controlPort }: ControlAddress): Connection {
     const baseUrl = `http://${ip.includes(':') ? `[${ip}]` : ip}:${controlPort}`
     const known = this.connections.get(baseUrl)
     if (known !== undefined) return known
-    const sessions = GuardedSessions.create(baseUrl)
+    this.forgetIdle()
+    const fresh = this.connect(baseUrl)
+    this.connections.set(baseUrl, fresh)
+    return fresh
+  }
+
+  private connect (baseUrl: string): Connection {
+    const session = Session.create(baseUrl)
     const transport = createConnectTransport({
       baseUrl,
       httpVersion: '2',
-      sessionManager: sessions,
+      sessionManager: session,
       useBinaryFormat: true,
+      sendCompression: compressionGzip,
+      acceptCompression: [compressionGzip],
       readMaxBytes: maxMessageBytes,
       defaultTimeoutMs: answerMs,
       interceptors: [next => async request => {
@@ -53,8 +81,15 @@
         return await next(request)
       }]
     })
-    const fresh = { sessions, transport }
-    this.connections.set(baseUrl, fresh)
-    return fresh
+    return { session, transport }
+  }
+
+  /** Keeps the map as small as the connections in use, however many peers come and go. */
+  private forgetIdle (): void {
+    for (const [origin, { session }] of this.connections) {
+      if (session.isBusy) continue
+      this.droppedBytes += session.bytes
+      this.connections.delete(origin)
+    }
   }
 }
