Let the platform stand-in take orders too; index every operators' page

Cause: only upstreams could be told to misbehave; a page could land without a row in the index. Change: one control address for upstreams and platform; the test of the pages asks for every page of operators in their index.

--- a/packages/stand-ins/src/control-service.ts
+++ b/packages/stand-ins/src/control-service.ts
@@ -1,9 +1,12 @@
 import type { ServerResponse } from 'node:http'
 import { parseBehaviour } from './behaviour.js'
+import type { Behaviour } from './behaviour.js'
 import { StandInServer } from './stand-in-server.js'
-import type { UpstreamService } from './upstream-service.js'
 
-const usage = 'POST /UPSTREAM?latencyMs=NUMBER&failing=BOOLEAN&down=BOOLEAN; without a query the upstream is well again'
+const usage = 'POST /NAME?latencyMs=NUMBER&failing=BOOLEAN&down=BOOLEAN; without a query the stand-in is well again'
+
+/** The stand-ins that take orders, by name, with what makes each behave so. */
+export type StandIns = ReadonlyMap<string, (behaviour: Behaviour) => Promise<void>>
 
 /** Takes orders to misbehave: `POST /orders-1?latencyMs=200&failing=true&down=true`. */
 export class ControlService {
@@ -13,9 +16,9 @@
     this.server = server
   }
 
-  static async create ({ upstreams, port }: { upstreams: readonly UpstreamService[], port: number }): Promise<ControlService> {
+  static async create ({ standIns, port }: { standIns: StandIns, port: number }): Promise<ControlService> {
     const server = await StandInServer.create((request, response) => {
-      order(upstreams, request.method ?? '', request.url ?? '', response).catch(() => { response.destroy() })
+      order(standIns, request.method ?? '', request.url ?? '', response).catch(() => { response.destroy() })
     }, port)
     return new ControlService(server)
   }
@@ -29,14 +32,15 @@
   }
 }
 
-async function order (upstreams: readonly UpstreamService[], method: string, target: string, response: ServerResponse): Promise<void> {
+async function order (standIns: StandIns, method: string, target: string, response: ServerResponse): Promise<void> {
   const url = new URL(target, 'http://stand-ins')
-  const upstream = upstreams.find(({ name }) => url.pathname === `/${name}`)
+  const name = url.pathname.slice(1)
+  const behave = standIns.get(name)
   const behaviour = parseBehaviour(url.searchParams)
   if (method !== 'POST' || behaviour === undefined) return answer(response, 400, usage)
-  if (upstream === undefined) return answer(response, 404, `Known upstreams: ${upstreams.map(({ name }) => name).join(' ')}`)
-  await upstream.behave(behaviour)
-  answer(response, 200, `${upstream.name} ${JSON.stringify(behaviour)}`)
+  if (behave === undefined) return answer(response, 404, `Known stand-ins: ${[...standIns.keys()].join(' ')}`)
+  await behave(behaviour)
+  answer(response, 200, `${name} ${JSON.stringify(behaviour)}`)
 }
 
 function answer (response: ServerResponse, status: number, text: string): void {
--- a/packages/stand-ins/src/fleet.ts
+++ b/packages/stand-ins/src/fleet.ts
@@ -2,7 +2,9 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { readShippedProfiles } from 'auburnturn'
+import type { Behaviour } from './behaviour.js'
 import { ControlService } from './control-service.js'
+import type { StandIns } from './control-service.js'
 import { DaemonProcess } from './daemon-process.js'
 import type { Exit } from './daemon-process.js'
 import type { Deployment } from './deployments.js'
@@ -62,7 +64,7 @@
     const platform = await PlatformService.create()
     this.platform = platform
     for (const { member } of this.places) this.upstreams.push(await UpstreamService.create(member.id))
-    this.control = await ControlService.create({ upstreams: this.upstreams, port: this.options.controlPort })
+    this.control = await ControlService.create({ standIns: this.listStandIns(platform), port: this.options.controlPort })
     publishConfiguration(platform, this.options.deployments)
     platform.setMembers(this.places.map(({ member }) => member))
     this.places.forEach((place, index) => { this.startDaemon(place, index, platform) })
@@ -71,6 +73,12 @@
     }))
   }
 
+  private listStandIns (platform: PlatformService): StandIns {
+    const upstreams = this.upstreams.map((upstream): [string, (behaviour: Behaviour) => Promise<void>] =>
+      [upstream.name, async behaviour => { await upstream.behave(behaviour) }])
+    return new Map([...upstreams, ['platform', async behaviour => { platform.behave(behaviour) }]])
+  }
+
   private startDaemon (place: Place, index: number, platform: PlatformService): void {
     if (this.closing !== undefined) return
     const file = join(this.folder, `${place.member.id}.jsonc`)
--- a/packages/stand-ins/src/platform-service.ts
+++ b/packages/stand-ins/src/platform-service.ts
@@ -2,6 +2,7 @@
 import type { Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import type { Entry, Member, MemberList } from 'auburnturn'
+import type { Behaviour } from './behaviour.js'
 
 interface Watch { readonly answer: () => void }
 
@@ -86,6 +87,13 @@
     this.wake()
   }
 
+  /** A platform that fails is as one that is down: it has no answer of its own to give. */
+  behave ({ latencyMs, failing, down }: Behaviour): void {
+    this.delayMs = latencyMs
+    if (failing || down) this.goDown()
+    else this.down = false
+  }
+
   /** Cuts every request that waits, and those to come while `down` is set. */
   goDown (): void {
     this.down = true
--- a/packages/stand-ins/src/start.ts
+++ b/packages/stand-ins/src/start.ts
@@ -40,6 +40,7 @@
     `  npx auburnturn status ${places.slice(0, 3).map(({ operatorPort }) => `${ip}:${operatorPort}`).join(' ')}`,
     `  npx auburnturn dump ${ip}:${first.operatorPort}`,
     `  curl -X POST '${`http://${ip}:${controlPort}`}/${first.member.id}?latencyMs=300'   # make an upstream slow`,
+    `  curl -X POST 'http://${ip}:${controlPort}/platform?down=true'   # take the platform down`,
     'Ctrl-C ends everything.', ''
   ].join('\n'))
 }
--- a/packages/stand-ins/test/docs.test.ts
+++ b/packages/stand-ins/test/docs.test.ts
@@ -34,6 +34,11 @@
   })
 }
 
+documentation('every page for operators is in their index', () => {
+  const indexed = new Set(listLinks('docs/OPERATORS.md').map(link => join('docs', link)))
+  assert.equal(listPages('docs/operators').filter(page => !indexed.has(page)), [])
+})
+
 documentation('every log event of the daemon is documented', () => {
   const text = readFileSync(join(root, 'docs/OPERATORS.md'), 'utf8')
   const source = readFileSync(join(root, 'packages/auburnturnd/src/run-node.ts'), 'utf8')
--- a/packages/stand-ins/test/fleet.test.ts
+++ b/packages/stand-ins/test/fleet.test.ts
@@ -112,6 +112,9 @@
   await behave(fleet, '', 'orders-1', 'orders-2')
   assert.is(await readStatus(url), 200)
   assert.is(await readStatus(`http://127.0.0.1:${fleet.controlPort}/orders-1?slow=yes`, 'POST'), 400)
+  assert.is(await readStatus(`http://127.0.0.1:${fleet.controlPort}/nobody?down=true`, 'POST'), 404)
+  await behave(fleet, 'down=true', 'platform')
+  assert.is(await readStatus(url), 200)
 })
 
 fleets('the daemon says in one line what is wrong with its settings', async () => {
