--- a/packages/bench/src/capacity/control.ts
+++ b/packages/bench/src/capacity/control.ts
@@ -71,10 +71,14 @@
   return 2 * (Math.ceil(Math.log(members) / Math.log(fanOut)) + 2 * fanOut)
 }
 
-function fitLog (rows: readonly Row[], field: string): { slope: number, intercept: number } {
-  return fitLine(rows.map(row => [Math.log(numberOf(row, 'nodes')), numberOf(row, field)] as const))
+interface Fit { readonly slope: number, readonly intercept: number, readonly last: number }
+
+function fitLog (rows: readonly Row[], field: string): Fit {
+  const fit = fitLine(rows.map(row => [Math.log(numberOf(row, 'nodes')), numberOf(row, field)] as const))
+  return { ...fit, last: numberOf(rows[rows.length - 1], field) }
 }
 
-function atSize ({ slope, intercept }: { slope: number, intercept: number }, nodes: number): number {
-  return intercept + slope * Math.log(nodes)
+/** Along the slope, but never below the largest fleet measured: a falling slope is not trusted beyond it. */
+function atSize ({ slope, intercept, last }: Fit, nodes: number): number {
+  return Math.max(last, intercept + slope * Math.log(nodes))
 }
