--- a/packages/auburnturn/src/core/call/constants.ts
+++ b/packages/auburnturn/src/core/call/constants.ts
@@ -10,8 +10,10 @@
   verdict: 'auburnturn-verdict',
   /** The cause of a verdict that is not `done`. */
   cause: 'auburnturn-cause',
-  /** Attempts made so far at this call by all layers. */
+  /** Attempts made before this one at this call by all layers; 0 for the first. */
   attempt: 'auburnturn-attempt',
+  /** `no` on a refusal that a layer below has already sent again: the layers above must not. */
+  retry: 'auburnturn-retry',
   /** How deep in a chain of calls this call is; 1 for the first. */
   depth: 'auburnturn-depth',
   /** A node's load, on answers between nodes. */
@@ -24,6 +26,8 @@
   recorded: 'auburnturn-recorded',
   /** `wanted` between nodes: a refused ticket is to be replaced, since the sender will follow it. */
   successor: 'auburnturn-successor',
+  /** `wanted` by a caller: the answer then names the targets that were tried, in order, in the same header. */
+  way: 'auburnturn-way',
   /** The call's name in logs and histories, between nodes. */
   callId: 'auburnturn-call-id',
   /** Who made the call, between nodes. */
--- a/packages/auburnturn/src/core/settings/profile.ts
+++ b/packages/auburnturn/src/core/settings/profile.ts
@@ -39,16 +39,16 @@
     .describe('Retries as a share of first attempts, 0 to 1.'),
   attempts: z.int().min(1).max(5).default(2)
     .describe('Attempts for one call, the first included.'),
-  hedge: z.boolean().default(false)
-    .describe('A second attempt for a slow idempotent call, within the same share.')
+  hedge: z.boolean().default(true)
+    .describe('A second attempt for an idempotent call that is late at a slow target, within the same share.')
 })
 
 const measuring = z.strictObject({
-  messagesPerSecond: z.number().min(0).max(10_000).default(20)
+  messagesPerSecond: z.number().min(0).max(10_000).default(5)
     .describe('Messages that one node may send only to measure, a second.'),
-  bytesPerSecond: z.number().min(0).max(1_000_000).default(2_000)
+  bytesPerSecond: z.number().min(0).max(1_000_000).default(1_500)
     .describe('Bytes that one node may send only to measure, a second.'),
-  coreShare: share.default(0.002)
+  coreShare: share.default(0.001)
     .describe('Share of one core that one node may spend on measuring.')
 })
 
