--- a/packages/auburnturn/src/core/router/router.ts
+++ b/packages/auburnturn/src/core/router/router.ts
@@ -137,12 +137,17 @@
     const race = Race.create(answer)
     const lane = race.enter(call.signal)
     const start = clock.now()
-    const first = this.send({ ...call, signal: lane.signal }, member, body, lane).finally(lane.close)
-    const late = new AbortController()
-    const settled = await Promise.race([first, clock.sleep(service.hedgeDelay.milliseconds, late.signal)])
-    late.abort()
-    first.then(() => { service.hedgeDelay.record(clock.now() - start) }, () => {})
-    if (settled !== undefined || answer.started) return await first
+    const first = this.send({ ...call, signal: lane.signal }, member, body, lane)
+    const late = await new Promise<boolean>((resolve, reject) => {
+      const watched = service.lateCalls.watch(service.hedgeDelay.milliseconds, () => { resolve(true) })
+      first.then(() => {
+        watched.settled = true
+        lane.close()
+        service.hedgeDelay.record(clock.now() - start)
+        resolve(false)
+      }, reject)
+    })
+    if (!late || answer.started) return await first
     const other = this.chooseHedge(service, member, tried)
     if (other === undefined || !service.budget.take()) return await first
     tried.add(other.id)
@@ -175,7 +180,7 @@
     if (known !== undefined) return known
     const { clock, random, directory, policy, local } = this.options
     const balancer = Balancer.create({ service, clock, random, directory, router: local?.id ?? '', ...(policy === undefined ? {} : { policy }) })
-    const fresh = ServiceState.create(balancer)
+    const fresh = ServiceState.create(balancer, clock)
     this.services.set(service, fresh)
     return fresh
   }
--- a/packages/auburnturn/src/core/router/service-state.ts
+++ b/packages/auburnturn/src/core/router/service-state.ts
@@ -1,5 +1,7 @@
+import type { Clock } from '../clock/index.js'
 import type { Balancer } from '../routing/index.js'
 import { HedgeDelay } from './hedge-delay.js'
+import { LateCalls } from './late-calls.js'
 import { RetryBudget } from './retry-budget.js'
 
 /** What a router keeps for one service that it calls. */
@@ -7,16 +9,18 @@
   readonly balancer: Balancer
   readonly budget = RetryBudget.create()
   readonly hedgeDelay = HedgeDelay.create()
+  readonly lateCalls: LateCalls
   /** Attempts that ran on this node's own target without asking the balancer. */
   localRuns = 0
   hedges = 0
 
-  private constructor (balancer: Balancer) {
+  private constructor (balancer: Balancer, clock: Clock) {
     this.balancer = balancer
+    this.lateCalls = LateCalls.create(clock)
   }
 
-  static create (balancer: Balancer): ServiceState {
-    return new ServiceState(balancer)
+  static create (balancer: Balancer, clock: Clock): ServiceState {
+    return new ServiceState(balancer, clock)
   }
 
   dump (): unknown {
