--- a/packages/auburnturn/src/core/call/types.ts
+++ b/packages/auburnturn/src/core/call/types.ts
@@ -1,3 +1,4 @@
+import type { CancelSignal } from '../clock/index.js'
 import type { Member } from '../membership/types.js'
 import type { Profile } from '../settings/index.js'
 import type { Verdict } from '../verdict/index.js'
@@ -28,8 +29,12 @@
   /** Whether another node already passed this call on. */
   readonly forwarded: boolean
   readonly ticket?: string
+  /** Another node passed the ticketed call on and will follow the successor of a refused ticket. */
+  readonly successorWanted?: boolean
+  /** The targets tried so far with what became of each, when the caller asked for them. */
+  readonly way?: string[]
   /** Aborted when the caller is gone. */
-  readonly signal: AbortSignal
+  readonly signal: CancelSignal
 }
 
 /** Why a caller's request body can't be read to its end. */
@@ -81,6 +86,8 @@
   readonly incarnation?: string
   /** The ticket that replaces the refused one. */
   readonly successor?: string
+  /** The targets that were tried, when the caller asked for them. */
+  readonly way?: string
   /** True when a layer below has done what retrying it may: no layer above sends the call again. */
   readonly exhausted?: boolean
 }
--- a/packages/auburnturn/src/core/node/node.ts
+++ b/packages/auburnturn/src/core/node/node.ts
@@ -1,6 +1,7 @@
 import { randomBytes } from 'node:crypto'
 import { Admission } from '../admission/index.js'
 import type { Answer, Body } from '../call/types.js'
+import { headerNames } from '../call/index.js'
 import { Clock } from '../clock/index.js'
 import { Store } from '../configuration/index.js'
 import { ControlClients, ControlServer } from '../control/index.js'
@@ -22,13 +23,14 @@
 import { CallTracker } from './call-tracker.js'
 import { createAnswerHeaders } from './answer-headers.js'
 import { createCallIds } from './call-ids.js'
+import { Configuration } from './configuration.js'
 import { identifyCall } from './identify.js'
 import { OwnMembership } from './own-membership.js'
 import { describeToUpstream, Peers } from './peers.js'
-import { followConfiguration, followMembers } from './readers.js'
 import { addRouting } from './routing.js'
 import { showNode } from './show-node.js'
 import { isTicketRequest, TicketOffice } from './tickets.js'
+import { recordWay } from './way.js'
 
 /** Time between the refusal of every call and the end of idle connections, in milliseconds. */
 const closeLingerMs = 50
@@ -38,6 +40,7 @@
   readonly clock?: Clock
   readonly logger?: Logger
   readonly random?: Random
+  readonly controlClients?: ControlClients
 }
 
 /** The process beside one upstream. */
@@ -47,7 +50,7 @@
   readonly store: Store
   readonly directory: Directory
   readonly notices: Notices
-  private readonly controlClients = ControlClients.create()
+  private readonly controlClients: ControlClients
   /** Handlers of control messages, added by each part before the server starts. */
   private readonly controlRoutes: Routes[] = []
   private readonly settings: NodeSettings
@@ -59,6 +62,7 @@
   private readonly supervisor: Supervisor
   private readonly admission: Admission
   private readonly quarantine: Quarantine
+  private readonly configuration: Configuration
   private readonly tickets: TicketOffice
   private closing = false
   private started = false
@@ -68,6 +72,7 @@
     this.settings = settings
     this.clock = options.clock ?? Clock.create()
     this.logger = (options.logger ?? Logger.create(settings.log.level)).label('node')
+    this.controlClients = options.controlClients ?? ControlClients.create()
     this.random = options.random ?? Random.create(randomBytes(4).readInt32LE())
     this.store = Store.create({ clock: this.clock, logger: this.logger.label('configuration') })
     this.notices = Notices.create({ clock: this.clock })
@@ -81,6 +86,7 @@
     this.tracker = CallTracker.create({ clock: this.clock, metrics: this.metrics })
     this.admission = Admission.create({ clock: this.clock })
     this.quarantine = Quarantine.create({ clock: this.clock, notices: this.notices })
+    this.configuration = this.createConfiguration()
     const { id, service } = settings
     this.tickets = TicketOffice.create({ id, service, directory: this.directory, random: this.random, controlClients: this.controlClients })
     this.supervisor = Supervisor.create({ clock: this.clock, logger: this.logger.label('supervisor') })
@@ -136,6 +142,7 @@
       calls: this.tracker.dump(),
       configuration: this.store.dump(),
       membership: this.directory.dump(),
+      relay: this.configuration.relay.dump(),
       notices: this.notices.dump(),
       admission: this.admission.dump(),
       metrics: this.metrics.dump(),
@@ -152,7 +159,7 @@
   }
 
   private async start (): Promise<void> {
-    const { settings, clock, logger, store, directory } = this
+    const { settings, clock, directory, configuration } = this
     const platform = Platform.create(settings.platform.map(({ ip, port }) => `http://${ip}:${port}`))
     const peers = Peers.create({ clock, directory, connections: settings.limits.connectionsPerTarget, headerBytes: settings.limits.headerBytes })
     const upstream = this.createUpstream()
@@ -160,20 +167,22 @@
     this.controlRoutes.push(this.tickets.routes(target))
     const router = this.createRouter(peers, target)
     // First, so that it closes last: the drain can be watched.
-    await this.supervisor.add('operator', async () => await this.openOperator())
+    await this.supervisor.add('operator', async fail => await this.openOperator(fail))
     await this.supervisor.add('membership', async () => this.directory)
     await this.supervisor.add('platform', async () => platform)
-    await this.supervisor.add('configuration', async () => followConfiguration({ platform, store, clock, logger }))
-    await this.supervisor.add('members', async () => followMembers({ platform, directory, clock, logger }))
+    await this.supervisor.add('controlClients', async () => this.controlClients)
+    this.controlRoutes.push(configuration.routes)
+    await addRouting({ ...this.parts, router, target, clients: this.controlClients, routes: this.controlRoutes, self: settings, limits: () => this.store.profileOf(settings.service).measuring })
+    await this.supervisor.add('control', async () => await this.openControl())
+    await this.supervisor.add('configuration', async () => configuration)
+    // No call is taken before platform and peers were asked what is in force.
+    await configuration.start(platform)
     await this.supervisor.add('upstream', async () => upstream)
     await this.supervisor.add('peers', async () => peers)
     await this.supervisor.add('target', async () => ({ close: async () => {}, dump: () => target.dump() }))
     await this.supervisor.add('router', async () => ({ close: async () => {}, dump: () => router.dump() }))
-    await this.supervisor.add('controlClients', async () => this.controlClients)
     await this.supervisor.add('quarantine', async () => this.quarantine)
-    await addRouting({ ...this.parts, router, target, clients: this.controlClients, routes: this.controlRoutes, self: settings, limits: () => store.profileOf(settings.service).measuring })
     await this.supervisor.add('ownMembership', async () => this.createOwnMembership())
-    await this.supervisor.add('control', async () => await this.openControl())
     await this.listen('peers', true, router, target)
     await this.listen('callers', false, router, target)
     showNode(this.metrics, { admission: this.admission, store: this.store, supervisor: this.supervisor })
@@ -185,6 +194,11 @@
     return { clock, random, logger: logger.label('routing'), directory, supervisor, admission, metrics }
   }
 
+  private createConfiguration (): Configuration {
+    const { settings, clock, random, logger, metrics, controlClients: clients, store, directory, notices } = this
+    return Configuration.create({ settings, clock, random, logger, metrics, clients, store, directory, notices })
+  }
+
   private createUpstream (): Exchange {
     const { ip, port } = this.settings.upstream
     return Exchange.create({ origin: `http://${ip}:${port}`, connections: this.settings.limits.callerConnections, clock: this.clock })
@@ -197,14 +211,14 @@
       clock: this.clock,
       admission: this.admission,
       quarantine: this.quarantine,
-      run: this.tracker.trackAttempt('upstream', async (call, body: Body, answer: Answer) => await upstream.send(call, body, answer, describeToUpstream(call, this.clock))),
+      run: this.tracker.trackAttempt('upstream', async (call, body: Body, answer: Answer) => await upstream.send(call, body, answer, describeToUpstream(call, this.clock)), () => this.settings.id),
       fetchTicket: async (service, withinMs) => await this.tickets.fetchElsewhere(service, withinMs)
     })
   }
 
   private createRouter (peers: Peers, target: Target): Router {
     const { id, service } = this.settings
-    return Router.create({ clock: this.clock, random: this.random, directory: this.directory, quarantine: this.quarantine, remote: this.tracker.trackAttempt('peer', peers.attempt), local: { id, service, target } })
+    return Router.create({ clock: this.clock, random: this.random, directory: this.directory, quarantine: this.quarantine, remote: this.tracker.trackAttempt('peer', peers.attempt, member => member.id), local: { id, service, target } })
   }
 
   private async listen (name: 'callers' | 'peers', forwarded: boolean, router: Router, target: Target): Promise<void> {
@@ -218,7 +232,7 @@
         clock,
         ...headers,
         logger: logger.label(name),
-        identify: (request, signal) => identifyCall(request, signal, { clock, store, directory, forwarded, nextId: this.nextId }),
+        identify: (request, signal) => recordWay(identifyCall(request, signal, { clock, store, directory, forwarded, nextId: this.nextId }), request.headers[headerNames.way]),
         serve: this.tracker.track(async (call, body, answer) => !forwarded && isTicketRequest(call)
           ? await this.tickets.answer(call, answer, target, tried => router.choose(call, tried))
           : await router.run(call, body, answer))
@@ -250,8 +264,8 @@
     return control
   }
 
-  private async openOperator (): Promise<Operator> {
-    const operator = await Operator.create({ ...this.settings.operator, dumpNode: () => this.dump(), readState: () => this.state, metrics: this.metrics })
+  private async openOperator (fail: (error: unknown) => void): Promise<Operator> {
+    const operator = await Operator.create({ ...this.settings.operator, dumpNode: () => this.dump(), readState: () => this.state, metrics: this.metrics, fail })
     this.ports.operator = operator.port
     return operator
   }
--- a/packages/auburnturn/src/core/router/race.ts
+++ b/packages/auburnturn/src/core/router/race.ts
@@ -1,4 +1,6 @@
 import type { Answer, Outcome, RawHeaders } from '../call/types.js'
+import { Cancellation } from '../clock/index.js'
+import type { CancelSignal } from '../clock/index.js'
 
 /** Lets several attempts at one call write to one answer: the first head wins, the others are cancelled. */
 export class Race {
@@ -15,7 +17,7 @@
   }
 
   /** One more attempt; it is cancelled when another wins or `signal` aborts. */
-  enter (signal: AbortSignal): Lane {
+  enter (signal: CancelSignal): Lane {
     const lane = new Lane(this, signal)
     this.lanes.push(lane)
     return lane
@@ -39,10 +41,10 @@
 /** The answer as one attempt sees it. */
 export class Lane implements Answer {
   private readonly race: Race
-  private readonly controller = new AbortController()
+  private readonly cancellation = Cancellation.create()
   readonly close: () => void
 
-  constructor (race: Race, signal: AbortSignal) {
+  constructor (race: Race, signal: CancelSignal) {
     this.race = race
     const leave = (): void => { this.cancel() }
     if (signal.aborted) leave()
@@ -50,8 +52,8 @@
     this.close = () => { signal.removeEventListener('abort', leave) }
   }
 
-  get signal (): AbortSignal {
-    return this.controller.signal
+  get signal (): CancelSignal {
+    return this.cancellation
   }
 
   get started (): boolean {
@@ -59,7 +61,7 @@
   }
 
   cancel (): void {
-    this.controller.abort('caller-gone')
+    this.cancellation.abort()
   }
 
   inform (status: number, headers: RawHeaders): void {
--- /dev/null
+++ b/packages/bench/src/capacity/control.ts
@@ -0,0 +1,80 @@
+import { fitLine } from '../control/numbers.js'
+import { numberOf } from './results.js'
+import type { Row } from './results.js'
+import { target } from './target.js'
+
+/** What control costs at the target's size, extrapolated from the control bench. */
+export interface ControlFigures {
+  readonly largest: Row
+  readonly sizes: readonly Row[]
+  readonly bytesPerSecond: number
+  readonly bytesPerDoubling: number
+  readonly core: number
+  readonly measuredSteadyCore: number
+  readonly residentMegabytes: number
+  readonly idleMegabytes: number
+  readonly heldMegabytes: number
+  readonly readsPerSecond: number
+  readonly lastNodeMs: number
+  readonly firstCopyBytes: number
+  readonly firstCopySeconds: number
+}
+
+const changesPerSecond = target.changesPerDay / 86_400
+const memberChangesPerSecond = (2 * target.failingPerDay + 2 * target.restartsPerDay) / 86_400
+const megabyte = 1_048_576
+
+/** Extrapolates every figure of the target from the rows of control.json. */
+export function extrapolateControl (rows: readonly Row[]): ControlFigures {
+  const sizes = rows.filter(row => row.case === 'fleet')
+  const memory = rows.find(row => row.case === 'memory')
+  const daemon = rows.find(row => row.case === 'daemon')
+  const largest = sizes[sizes.length - 1] as Row
+  const updates = changesPerSecond + memberChangesPerSecond
+  const perNode = fitLog(sizes, 'bytesPerNodeAndChange')
+  const steady = fitLog(sizes, 'idleBytesPerNodePerSecond')
+  const nodes = target.nodes / target.failureDomains * sizesPerDomain
+  const bytesPerSecond = atSize(steady, nodes) + atSize(perNode, nodes) * updates
+  const heldBytes = target.nodes * numberOf(memory, 'bytesPerTarget') + target.services * numberOf(memory, 'bytesPerService') +
+    profiles * numberOf(memory, 'bytesPerProfile') + peersOf(target.nodes / target.failureDomains) * numberOf(memory, 'bytesPerPeer')
+  const idleMegabytes = numberOf(daemon, 'residentMegabytes')
+  const readsPerReader = numberOf(largest, 'readsPerChange') / numberOf(largest, 'readers')
+  const firstCopyBytes = numberOf(memory, 'copyBytes')
+  return {
+    largest,
+    sizes,
+    bytesPerSecond,
+    bytesPerDoubling: (steady.slope + perNode.slope * updates) * Math.log(2),
+    core: numberOf(largest, 'idleCorePerNode') + numberOf(largest, 'cpuMsPerNodeAndChange') / 1000 * updates + numberOf(memory, 'memberChangeMs') / 1000 * memberChangesPerSecond,
+    measuredSteadyCore: numberOf(daemon, 'idleCore'),
+    residentMegabytes: idleMegabytes + heldBytes / megabyte,
+    idleMegabytes,
+    heldMegabytes: heldBytes / megabyte,
+    readsPerSecond: readers * (readsPerReader * updates + 2 * 1000 / watchMs),
+    lastNodeMs: numberOf(largest, 'lastNodeMaxMs') * Math.log(target.nodes / target.failureDomains) / Math.log(numberOf(largest, 'nodes') / sizesPerDomain),
+    firstCopyBytes,
+    firstCopySeconds: firstCopyBytes / relayBytesPerSecond
+  }
+}
+
+/** Failure domains of the bench's fleets. */
+const sizesPerDomain = 3
+const readers = 2 * target.failureDomains
+const profiles = 200
+/** Watch of the platform and sustained bytes of the relay, as in core/platform and core/relay. */
+const watchMs = 10_000
+const relayBytesPerSecond = 5_000
+
+/** Connections kept by one node: partners, both trees' children, and as many inbound. */
+function peersOf (members: number): number {
+  const fanOut = 4
+  return 2 * (Math.ceil(Math.log(members) / Math.log(fanOut)) + 2 * fanOut)
+}
+
+function fitLog (rows: readonly Row[], field: string): { slope: number, intercept: number } {
+  return fitLine(rows.map(row => [Math.log(numberOf(row, 'nodes')), numberOf(row, field)] as const))
+}
+
+function atSize ({ slope, intercept }: { slope: number, intercept: number }, nodes: number): number {
+  return intercept + slope * Math.log(nodes)
+}
--- a/packages/bench/src/routing/run.ts
+++ b/packages/bench/src/routing/run.ts
@@ -90,7 +90,7 @@
   return random.fraction() < skew ? 0 : random.below(targets)
 }
 
-export function createCall (count: number, workMs: number, now: number, profile: Call['profile'], signal: AbortSignal, caller: string): Call {
+export function createCall (count: number, workMs: number, now: number, profile: Call['profile'], signal: Call['signal'], caller: string): Call {
   return { id: String(count), service: 'orders', method: 'GET', path: `/${workMs}`, headers: [], profile, idempotent: true, deadline: now + callMs, attempt: 0, depth: 1, caller, forwarded: false, signal }
 }
 
--- a/packages/bench/src/routing/upstream.ts
+++ b/packages/bench/src/routing/upstream.ts
@@ -1,5 +1,5 @@
 import { done, mayHaveRun, notRun } from 'auburnturn'
-import type { Outcome } from 'auburnturn'
+import type { CancelSignal, Outcome } from 'auburnturn'
 import type { VirtualTime } from './virtual-time.js'
 
 /** How fast an upstream works from now on: 1 is usual, and until when that holds. */
@@ -32,7 +32,7 @@
   }
 
   /** Works `workMs` at speed 1 on a call; aborting gives the slot back. */
-  async run (workMs: number, signal: AbortSignal, deadline: number): Promise<Outcome> {
+  async run (workMs: number, signal: CancelSignal, deadline: number): Promise<Outcome> {
     const now = this.time.now()
     if (now < this.downUntil) return { verdict: notRun('connect-failed') }
     const failure = this.failure(now)
@@ -50,7 +50,7 @@
     for (const job of [...this.jobs]) job.finish({ verdict: mayHaveRun('connection-lost') })
   }
 
-  private async work (milliseconds: number, inTime: boolean, signal: AbortSignal): Promise<Outcome> {
+  private async work (milliseconds: number, inTime: boolean, signal: CancelSignal): Promise<Outcome> {
     return await new Promise<Outcome>(resolve => {
       const finish = (outcome: Outcome): void => {
         this.time.clearTimer(timer)
