--- a/packages/bench/src/matrix/faults.ts
+++ b/packages/bench/src/matrix/faults.ts
@@ -23,6 +23,11 @@
   return lasting.includes(fault)
 }
 
+/** Whether a target leaves in good order. */
+export function isLeave (fault: FaultName): boolean {
+  return fault === 'drain-when-busy' || fault === 'lagging-list'
+}
+
 /** Deadline of calls that run into it, and of all others, in milliseconds. */
 const shortCallMs = 250
 const longCallMs = 3_000
--- a/packages/bench/src/matrix/run.ts
+++ b/packages/bench/src/matrix/run.ts
@@ -1,12 +1,18 @@
 import { checkHistory } from 'auburnturn'
+import { setTimeout as sleep } from 'node:timers/promises'
 import type { HistoryEvent, Violation } from 'auburnturn'
 import type { CallKind, Told } from './caller.js'
 import { allowedIn } from './cells.js'
 import type { Cell } from './cells.js'
+import { isLeave } from './faults.js'
 import { createSending, Scene } from './scene.js'
 import type { Planned } from './scene.js'
+import { newWorkMs } from './world.js'
 import type { World } from './world.js'
 
+/** Time beyond the profile's after which a leaving target is tried again, in milliseconds. */
+const graceMs = 20
+
 /** Sendings of the struck call until its faults have struck. */
 const maxTries = 12
 
@@ -37,6 +43,7 @@
   const scene = await Scene.create(planned, seed)
   const { world } = scene
   const told = await strikeCalls(scene, planned, kind, seed)
+  if (planned.some(({ fault }) => isLeave(fault))) await sendAfterLeave(world)
   const closed = await world.close()
   world.recording.add({ kind: 'history-ended' })
   const { events } = world.recording
@@ -46,6 +53,12 @@
   return { told, breaches, events }
 }
 
+/** Sends a call through every node once no target that left may get new work. */
+async function sendAfterLeave (world: World): Promise<void> {
+  await sleep(newWorkMs + graceMs)
+  await Promise.all(world.targets.map(async ({ id }, index) => await world.caller.send(createSending(world, `after-leave-${id}`, 'plain', 0, index))))
+}
+
 async function strikeCalls (scene: Scene, planned: readonly Planned[], kind: CallKind, seed: number): Promise<Told[]> {
   let told: Told[] = []
   for (let turn = 0; turn < maxTries && scene.struck.length < planned.length; turn++) {
