--- /dev/null
+++ b/packages/bench/src/control/numbers.ts
@@ -0,0 +1,19 @@
+/** The value below which a share of the values lies; 1 gives the largest. */
+export function quantile (values: readonly number[], share: number): number {
+  const sorted = [...values].sort((one, other) => one - other)
+  return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] as number
+}
+
+export async function sleep (milliseconds: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, milliseconds))
+}
+
+/** Least-squares slope and intercept. */
+export function fitLine (points: ReadonlyArray<readonly [number, number]>): { slope: number, intercept: number } {
+  const meanX = points.reduce((sum, [x]) => sum + x, 0) / points.length
+  const meanY = points.reduce((sum, [, y]) => sum + y, 0) / points.length
+  const covariance = points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0)
+  const variance = points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0)
+  const slope = covariance / variance
+  return { slope, intercept: meanY - slope * meanX }
+}
