--- a/packages/auburnturn/src/core/membership/directory.ts
+++ b/packages/auburnturn/src/core/membership/directory.ts
@@ -89,6 +89,7 @@
     const view = this.judge(service)
     if (isSameView(before, view)) return
     this.views.set(service, view)
+    this.forgetGone(before, view)
     this.logDoubts(service, before, view)
     this.emit(service)
   }
@@ -173,6 +174,12 @@
     return left ? { member: { ...judged.member, state: 'leaving' }, doubt: 'said-leaving' } : judged
   }
 
+  /** VMs are replaced under new names for as long as the process runs; what is held of the gone ones must not grow. */
+  private forgetGone (before: View, view: View): void {
+    const held = new Set(view.members.map(member => member.id))
+    for (const { id } of before.members) if (!held.has(id)) this.incarnations.delete(id)
+  }
+
   private logDoubts (service: string, before: View, view: View): void {
     for (const [member, doubt] of view.doubts) {
       if (before.doubts.get(member) !== doubt) this.options.logger.warn('member-doubted', { service, member, doubt })
--- a/packages/auburnturn/src/core/node/index.ts
+++ b/packages/auburnturn/src/core/node/index.ts
@@ -1,3 +1,3 @@
 /** One node: every part of the daemon in its supervisor tree. */
 export { Node } from './node.js'
-export type { NodeOptions } from './node.js'
+export type { NodeOptions } from './parts.js'
--- /dev/null
+++ b/packages/auburnturn/src/core/node/parts.ts
@@ -0,0 +1,81 @@
+import { randomBytes } from 'node:crypto'
+import { Admission } from '../admission/index.js'
+import { Clock } from '../clock/index.js'
+import { Store } from '../configuration/index.js'
+import { ControlClients } from '../control/index.js'
+import type { Routes } from '../control/index.js'
+import { Logger } from '../logger/index.js'
+import { Directory } from '../membership/index.js'
+import { Metrics } from '../metrics/index.js'
+import { Notices } from '../notices/index.js'
+import { Quarantine } from '../quarantine/index.js'
+import { Random } from '../random/index.js'
+import type { NodeSettings } from '../settings/index.js'
+import { CallTracker } from './call-tracker.js'
+import { Configuration } from './configuration.js'
+import { TicketOffice } from './tickets.js'
+
+/** What a node is given from outside; all have working defaults. */
+export interface NodeOptions {
+  readonly clock?: Clock
+  readonly logger?: Logger
+  readonly random?: Random
+  readonly controlClients?: ControlClients
+}
+
+/** The parts of one node that hold state but no address; made before anything is started. */
+export interface NodeParts {
+  readonly settings: NodeSettings
+  /** Tells this process from earlier ones at the same target. */
+  readonly incarnation: string
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly random: Random
+  readonly store: Store
+  readonly notices: Notices
+  readonly directory: Directory
+  readonly metrics: Metrics
+  readonly tracker: CallTracker
+  readonly admission: Admission
+  readonly quarantine: Quarantine
+  readonly controlClients: ControlClients
+  /** Handlers of control messages, added by each part before the server starts. */
+  readonly controlRoutes: Routes[]
+  readonly configuration: Configuration
+  readonly tickets: TicketOffice
+}
+
+/** Makes the parts of a node, each given what it needs of the others. */
+export function createParts (settings: NodeSettings, options: NodeOptions): NodeParts {
+  const clock = options.clock ?? Clock.create()
+  const logger = (options.logger ?? Logger.create(settings.log.level)).label('node')
+  const random = options.random ?? Random.create(randomBytes(4).readInt32LE())
+  const controlClients = options.controlClients ?? ControlClients.create()
+  const store = Store.create({ clock, logger: logger.label('configuration') })
+  const notices = Notices.create({ clock })
+  const directory = Directory.create({
+    clock,
+    logger: logger.label('membership'),
+    notices,
+    floorOf: service => store.profileOf(service).membership.floor
+  })
+  const metrics = Metrics.create({ clock })
+  return {
+    settings,
+    incarnation: randomBytes(8).toString('hex'),
+    clock,
+    logger,
+    random,
+    store,
+    notices,
+    directory,
+    metrics,
+    tracker: CallTracker.create({ clock, metrics }),
+    admission: Admission.create({ clock }),
+    quarantine: Quarantine.create({ clock, notices }),
+    controlClients,
+    controlRoutes: [],
+    configuration: Configuration.create({ settings, clock, random, logger, metrics, clients: controlClients, store, directory, notices }),
+    tickets: TicketOffice.create({ id: settings.id, service: settings.service, directory, random, controlClients })
+  }
+}
--- a/packages/auburnturn/test/membership/directory.test.ts
+++ b/packages/auburnturn/test/membership/directory.test.ts
@@ -140,4 +140,12 @@
   assert.ok(directory.liveMembers('orders') === before)
 })
 
+directories('the incarnation of a member that is gone is forgotten', () => {
+  const { directory } = createSetting()
+  directory.accept({ service: 'orders', version: 1, members: listMembers(1, 2, 3) })
+  directory.observe(makeMember(3), 'a')
+  directory.accept({ service: 'orders', version: 2, members: listMembers(1, 2) })
+  assert.is(directory.incarnationOf('orders-3'), undefined)
+})
+
 directories.run()
