Work out every role of the capacity page from measured slopes; a raw pipe as the floor

Cause: the page said 'see the bench' for router, admission, ledger, calls and operator, and the path bench had no baseline but the direct call.

--- a/packages/bench/src/capacity/control.ts
+++ b/packages/bench/src/capacity/control.ts
@@ -1,6 +1,6 @@
 import { fitLine } from '../control/numbers.js'
-import { numberOf } from './results.js'
-import type { Row } from './results.js'
+import { numberOf } from '../results.js'
+import type { Row } from '../results.js'
 import { target } from './target.js'
 
 /** What control costs at the target's size, extrapolated from the control bench. */
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,5 +1,5 @@
 /** Runs a bench by name: `npm run bench -- NAME`. */
-const benches = ['path', 'routing', 'control', 'ledger'] as const
+const benches = ['path', 'routing', 'control', 'ledger', 'roles'] as const
 
 const name = process.argv[2]
 if (!benches.some(known => known === name)) {
--- a/packages/bench/src/path/index.ts
+++ b/packages/bench/src/path/index.ts
@@ -32,14 +32,15 @@
   await processes.startDaemon('stock-1', 'stock', far, upstreamPort, platform.port)
   const idleMb = readResidentMb(node)
   const direct = createWay('direct', upstreamPort, '/')
+  const pipe = createWay('a raw pipe', await processes.startPipe(upstreamPort), '/')
   const one = createWay('one node', near.callers, '/~orders/')
   const two = createWay('two nodes', far.callers, '/~orders/')
-  for (const way of [direct, one, two]) await warmUp(way)
-  const ways = [direct, one, two]
+  for (const way of [direct, pipe, one, two]) await warmUp(way)
+  const ways = [direct, pipe, one, two]
   await runOpenLoop(ways, ratePerWay * ways.length, warmUpSeconds)
   for (const { latencies } of ways) latencies.reset()
   await runOpenLoop(ways, ratePerWay * ways.length, seconds * comparisonShare)
-  const compared = describeWays(direct, [one, two])
+  const compared = describeWays(direct, [pipe, one, two])
   return [...compared, ...await saturate(node, one, seconds * (1 - comparisonShare)), ...describeMemory(node, idleMb), countFailures(ways)]
 }
 
--- a/packages/bench/src/path/processes.ts
+++ b/packages/bench/src/path/processes.ts
@@ -14,7 +14,7 @@
 const clockTickMs = 10
 
 const daemonFile = join(dirname(createRequire(import.meta.url).resolve('auburnturnd/package.json')), 'bin', 'auburnturnd.js')
-const upstreamFile = join(dirname(fileURLToPath(import.meta.url)), 'upstream.js')
+const folderOfHelpers = dirname(fileURLToPath(import.meta.url))
 
 /** Addresses of one daemon; all are on the loopback interface. */
 export interface Ports { readonly callers: number, readonly peers: number, readonly control: number, readonly operator: number }
@@ -32,7 +32,16 @@
 
   /** Starts an upstream and gives its port. */
   async startUpstream (): Promise<number> {
-    const child = spawn(process.execPath, [upstreamFile], { stdio: ['ignore', 'pipe', 'inherit'] })
+    return await this.startListening('upstream.js')
+  }
+
+  /** Starts a pipe to an upstream and gives its port. */
+  async startPipe (upstreamPort: number): Promise<number> {
+    return await this.startListening('pipe.js', String(upstreamPort))
+  }
+
+  private async startListening (file: string, ...words: readonly string[]): Promise<number> {
+    const child = spawn(process.execPath, [join(folderOfHelpers, file), ...words], { stdio: ['ignore', 'pipe', 'inherit'] })
     this.children.push(child)
     const [line] = await once(child.stdout, 'data') as [Buffer]
     return Number(line.toString())
--- a/packages/bench/src/path/report.ts
+++ b/packages/bench/src/path/report.ts
@@ -1,3 +1,4 @@
+import { writeResults } from '../results.js'
 import { targetMs } from './constants.js'
 import type { Way } from './load.js'
 
@@ -18,12 +19,16 @@
   ])
 }
 
-/** Prints each figure as a JSON line, then all of them as a table. */
+/** Prints each figure as a JSON line, then all of them as a table, and keeps them as results. */
 export function printFigures (figures: readonly Figure[]): void {
-  for (const figure of figures) process.stdout.write(`${JSON.stringify({ bench: 'path', ...figure })}\n`)
+  const rows = figures.map(figure => ({ bench: 'path', ...figure }))
+  for (const row of rows) process.stdout.write(`${JSON.stringify(row)}\n`)
+  writeResults('path', rows)
   const width = Math.max(...figures.map(({ what }) => what.length))
   for (const { what, value, unit } of figures) process.stdout.write(`${what.padEnd(width)}  ${String(value).padStart(10)} ${unit}\n`)
-  const added = figures.find(({ what }) => what === 'p99 added by one node')?.value ?? Number.NaN
+  const valueOf = (name: string): number => figures.find(({ what }) => what === name)?.value ?? Number.NaN
+  const added = valueOf('p99 added by one node')
+  process.stdout.write(`p99 added by one node is ${round(added / valueOf('p99 added by a raw pipe'))} times that of a raw pipe\n`)
   process.stdout.write(`p99 added by one node is ${round(added / targetMs)} times the target of ${targetMs} ms\n`)
 }
 
--- a/packages/bench/src/capacity/results.ts
+++ b/packages/bench/src/results.ts
@@ -1,10 +1,11 @@
-import { existsSync, readFileSync } from 'node:fs'
+/** The committed result files: one JSON object a line. */
+import { existsSync, readFileSync, writeFileSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
 
 /** One measured case: names and numbers. */
 export type Row = Readonly<Record<string, unknown>>
 
-const folder = fileURLToPath(new URL('../../../results/', import.meta.url))
+const folder = fileURLToPath(new URL('../../results/', import.meta.url))
 
 /** The lines of a committed result file; empty when there is none. */
 export function readResults (name: string): readonly Row[] {
@@ -13,6 +14,11 @@
   return readFileSync(file, 'utf8').split('\n').filter(line => line.startsWith('{')).map(line => JSON.parse(line) as Row)
 }
 
+/** Replaces a result file. */
+export function writeResults (name: string, rows: readonly Row[]): void {
+  writeFileSync(`${folder}${name}.json`, rows.map(row => `${JSON.stringify(row)}\n`).join(''))
+}
+
 /** A number of a row; throws when it is missing, so that no table is made of nothing. */
 export function numberOf (row: Row | undefined, field: string): number {
   const value = row?.[field]
