Make every mutant fit the code again, and the roll-back of the matrix strike

Cause: two of the twelve mutants no longer applied after the node was split and the store ordered editions elsewhere, and nothing but the run itself told. The roll-back came before any node had heard of the newer version, as only readers watch the platform now; and the shutdown waited for calls in flight in drain as well as in close, of which the mutant broke one. Change: in the cell every node hears of the newest version from a peer before the older one is offered; the shutdown mutant breaks both waits; a test checks that each edit fits exactly one place.

--- a/packages/bench/src/matrix/faults.ts
+++ b/packages/bench/src/matrix/faults.ts
@@ -121,9 +121,12 @@
   setTimeout(() => { action().catch(() => {}) }, milliseconds)
 }
 
-/** A peer that still holds the older version offers it too. */
+/** Every node has heard of the newest version when a peer that still holds the older one offers that. */
 function offerOlder (world: World): void {
-  for (const { node } of world.targets) node.store.accept({ key: 'profile/matrix', version: 1, text: '{}' }, 'peer')
+  for (const { node } of world.targets) {
+    node.store.accept(world.newestProfile, 'peer')
+    node.store.accept({ key: 'profile/matrix', version: 1, text: '{}' }, 'peer')
+  }
 }
 
 /** Two targets with each other's addresses, and a third one missing. */
--- a/packages/bench/src/matrix/world.ts
+++ b/packages/bench/src/matrix/world.ts
@@ -1,6 +1,6 @@
 import { PlatformService } from '@auburnturn/stand-ins'
 import { Clock, Logger, Node, Random, settingsSchema } from 'auburnturn'
-import type { Member } from 'auburnturn'
+import type { Entry, Member } from 'auburnturn'
 import { subscribe } from 'auburnturn/core/clock'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Caller } from './caller.js'
@@ -62,6 +62,7 @@
   /** The platform in force, and one that stayed at the first publications. */
   readonly platform: PlatformService
   readonly olderPlatform: PlatformService
+  private publications = 0
   readonly platformLink: Link
   readonly ip: string
   /** Deadline of every call, in milliseconds. */
@@ -102,8 +103,15 @@
     return this.targets.find(target => target.id === id) as Target
   }
 
+  /** The newest profile that the platform in force has published, with its version. */
+  get newestProfile (): Entry {
+    // Each publication is the profile and then the service's choice.
+    return { key: 'profile/matrix', version: 2 * this.publications - 1, text: formatProfile(this.callMs) }
+  }
+
   /** Publishes the profile anew on the platform in force; on the older one too while no target exists. */
   publish (): void {
+    this.publications++
     for (const service of this.targets.length === 0 ? [this.platform, this.olderPlatform] : [this.platform]) {
       service.publish('profile/matrix', formatProfile(this.callMs))
       service.publish('service/orders', '{ "profile": "matrix" }')
--- /dev/null
+++ b/packages/bench/test/mutants.test.ts
@@ -0,0 +1,22 @@
+import { readFileSync } from 'node:fs'
+import { fileURLToPath } from 'node:url'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { rules } from 'auburnturn'
+import { mutants } from './mutants/mutants.js'
+
+const core = fileURLToPath(new URL('../../../auburnturn/src/core/', import.meta.url))
+
+const fitting = suite('mutants')
+
+fitting('every edit still fits exactly one place of the code', () => {
+  for (const { name, edits } of mutants) {
+    for (const { file, find } of edits) assert.is(readFileSync(`${core}${file}`, 'utf8').split(find).length, 2, `${name}: ${file}: ${find}`)
+  }
+})
+
+fitting('every promise has a mutant', () => {
+  assert.equal([...new Set(mutants.map(({ promise }) => promise))].sort(), Object.keys(rules).sort())
+})
+
+fitting.run()
--- a/packages/bench/test/mutants/mutants.ts
+++ b/packages/bench/test/mutants/mutants.ts
@@ -67,7 +67,7 @@
   {
     name: 'accept an older version of a configuration entry',
     promise: 'configuration-forward',
-    edits: [{ file: 'configuration/store.ts', find: 'entry.version < before.entry.version', replace: 'entry.version < 0' }]
+    edits: [{ file: 'configuration/edition.ts', find: "if (offered.version < held.version) return 'older'", replace: "if (offered.version < held.version) return 'newer'" }]
   },
   {
     name: 'keep giving work to a target that is leaving',
@@ -83,8 +83,9 @@
     name: 'cut what is in flight on shutdown',
     promise: 'drain-cuts-nothing',
     edits: [
-      { file: 'node/node.ts', find: 'if (this.started) await this.clock.sleep(closeLingerMs)\n    await this.tracker.settle()', replace: '' },
-      { file: 'node/node.ts', find: 'await this.tracker.settleUpstream()\n    this.tracker.refuse()', replace: 'this.tracker.refuse()' },
+      { file: 'node/node.ts', find: 'drain.newWorkMs)\n    await tracker.settleUpstream()', replace: 'drain.newWorkMs)' },
+      { file: 'node/node.ts', find: 'if (this.started) await clock.sleep(closeLingerMs)\n    await tracker.settle()', replace: '' },
+      { file: 'node/node.ts', find: 'await tracker.settleUpstream()\n    tracker.refuse()', replace: 'tracker.refuse()' },
       { file: 'http/listener.ts', find: 'this.server.closeIdleConnections()\n    await closed', replace: 'this.server.closeAllConnections()\n    await closed' }
     ]
   }
