--- a/packages/auburnturn/src/core/http/index.ts
+++ b/packages/auburnturn/src/core/http/index.ts
@@ -1,4 +1,7 @@
 /** HTTP/1.1 towards callers, other nodes and upstreams. */
+export { Connections } from './connections.js'
+export type { Connection, Waiter } from './connections.js'
+export { decodeHeaders, isFramed } from './answer-head.js'
 export { viaValue } from './constants.js'
 export { Exchange } from './exchange.js'
 export { findHeader, forwardHeaders } from './headers.js'
--- /dev/null
+++ b/packages/sidecar/src/core/admission/slots.ts
@@ -0,0 +1,171 @@
+import type { Clock, Timeout } from 'auburnturn/core/clock'
+import { leastRetryAfterMs, queueShare } from './constants.js'
+import { compareApplicants } from './order.js'
+import type { Admittance, Applicant, Refusal } from './types.js'
+
+/** A request that waits for a slot. */
+interface Waiting {
+  readonly applicant: Applicant
+  readonly since: number
+  readonly decide: (admittance: Admittance) => void
+  timer: Timeout | undefined
+}
+
+/** A place in the queue, for the caller to give up. */
+export interface Application {
+  readonly admittance: Promise<Admittance>
+  /** Leaves the queue; does nothing once decided. */
+  leave (): void
+}
+
+/** The slots of the own target, and those who wait for one. */
+export class Slots {
+  private readonly clock: Clock
+  private readonly queue: Waiting[] = []
+  private runningCount = 0
+  private runningMs = 0
+  private limitCount = 1
+  private slowness = 1
+  private open = true
+
+  private constructor (clock: Clock) {
+    this.clock = clock
+  }
+
+  static create ({ clock }: { clock: Clock }): Slots {
+    return new Slots(clock)
+  }
+
+  get running (): number {
+    return this.runningCount
+  }
+
+  get waiting (): number {
+    return this.queue.length
+  }
+
+  get limit (): number {
+    return this.limitCount
+  }
+
+  /** Takes the present capacity of the target. */
+  resize (limit: number, slowness: number): void {
+    this.limitCount = Math.max(1, limit)
+    this.slowness = Math.max(0.1, slowness)
+    this.startNext()
+  }
+
+  /** Lets work in again. */
+  reopen (): void {
+    this.open = true
+    this.startNext()
+  }
+
+  /** Refuses what waits and what comes from now on; what runs goes on. */
+  close (): void {
+    this.open = false
+    for (const waiting of this.queue.splice(0)) this.refuse(waiting, 'closed')
+  }
+
+  /** Asks for a slot; the answer comes at once where nothing has to wait. */
+  apply (applicant: Applicant): Application {
+    const now = this.clock.now()
+    const cause = this.findObstacle(applicant, now)
+    if (cause !== undefined) return decided(this.describeRefusal(cause))
+    if (this.runningCount < this.limitCount && this.queue.length === 0) {
+      this.occupy(applicant)
+      return decided({ kind: 'admitted', waitedMs: 0 })
+    }
+    return this.enqueue(applicant, now)
+  }
+
+  /** Gives a slot back. */
+  release (applicant: Applicant): void {
+    this.runningCount--
+    this.runningMs -= applicant.workMs
+    this.startNext()
+  }
+
+  /** Refuses every waiting request, as after a pause of this process: nobody knows how old they are. */
+  refuseWaiting (): void {
+    for (const waiting of this.queue.splice(0)) this.refuse(waiting, 'expired')
+  }
+
+  /** Milliseconds until a request that comes now may start, when `ahead` milliseconds of work go first. */
+  private expectWait (ahead: number): number {
+    if (this.runningCount < this.limitCount && ahead === 0) return 0
+    const halfOfRunning = this.runningCount === 0 ? 0 : this.runningMs / this.runningCount / 2
+    return (halfOfRunning / Math.max(1, Math.min(this.runningCount, this.limitCount)) + ahead / this.limitCount) * this.slowness
+  }
+
+  private findObstacle (applicant: Applicant, now: number): Refusal | undefined {
+    if (!this.open) return 'closed'
+    const left = applicant.endsAt - now
+    if (left <= 0) return 'expired'
+    if (this.queue.length >= this.limitCount * queueShare && !applicant.nested) return 'overloaded'
+    const ahead = this.queue.reduce((sum, { applicant: other }) => this.isBefore(other, applicant, now) ? sum + other.workMs : sum, 0)
+    return this.expectWait(ahead) + applicant.workMs > left ? 'overloaded' : undefined
+  }
+
+  private isBefore (one: Applicant, other: Applicant, now: number): boolean {
+    return compareApplicants(one, other, now, this.slowness) <= 0
+  }
+
+  private enqueue (applicant: Applicant, now: number): Application {
+    let leave = (): void => {}
+    const admittance = new Promise<Admittance>(resolve => {
+      const waiting: Waiting = { applicant, since: now, decide: resolve, timer: undefined }
+      const drop = (cause: Refusal): void => {
+        const index = this.queue.indexOf(waiting)
+        if (index < 0) return
+        this.queue.splice(index, 1)
+        this.refuse(waiting, cause)
+      }
+      // What can no longer be done in its time is refused then, and not at its end.
+      const latestStart = applicant.endsAt - now - applicant.workMs
+      waiting.timer = this.clock.wheel.after(Math.max(0, latestStart), () => { drop('expired') })
+      leave = () => { drop('left') }
+      this.queue.push(waiting)
+    })
+    return { admittance, leave: () => { leave() } }
+  }
+
+  private startNext (): void {
+    const now = this.clock.now()
+    while (this.open && this.runningCount < this.limitCount && this.queue.length > 0) {
+      const next = this.takeFirst(now)
+      next.timer?.cancel()
+      this.occupy(next.applicant)
+      next.decide({ kind: 'admitted', waitedMs: now - next.since })
+    }
+  }
+
+  private takeFirst (now: number): Waiting {
+    let first = 0
+    for (let index = 1; index < this.queue.length; index++) {
+      const one = (this.queue[index] as Waiting).applicant
+      const best = (this.queue[first] as Waiting).applicant
+      if (compareApplicants(one, best, now, this.slowness) < 0) first = index
+    }
+    return this.queue.splice(first, 1)[0] as Waiting
+  }
+
+  private occupy (applicant: Applicant): void {
+    this.runningCount++
+    this.runningMs += applicant.workMs
+  }
+
+  private refuse (waiting: Waiting, cause: Refusal): void {
+    waiting.timer?.cancel()
+    waiting.decide(this.describeRefusal(cause))
+  }
+
+  private describeRefusal (cause: Refusal): Admittance {
+    const queued = this.queue.reduce((sum, { applicant }) => sum + applicant.workMs, 0)
+    return { kind: 'refused', cause, retryAfterMs: Math.max(leastRetryAfterMs, Math.round(this.expectWait(queued))) }
+  }
+}
+
+function decided (admittance: Admittance): Application {
+  return { admittance: Promise.resolve(admittance), leave: () => {} }
+}
--- /dev/null
+++ b/packages/sidecar/src/core/following/constants.ts
@@ -0,0 +1,11 @@
+/** How long one watch is held, in milliseconds: a connection that fell silent shows after this time. */
+export const watchMs = 2_500
+
+/** Pause before the next watch, in milliseconds, so that changes in quick succession come as one. */
+export const gatherMs = 200
+
+/** Pause after the first failure, in milliseconds; it grows with each. */
+export const firstBackoffMs = 100
+
+/** Longest pause after failures, in milliseconds. */
+export const maxBackoffMs = 800
--- /dev/null
+++ b/packages/sidecar/src/core/forwarding/constants.ts
@@ -0,0 +1,20 @@
+/** Longest time for a new connection to another node, in milliseconds. */
+export const peerConnectMs = 300
+
+/** Most connections to one other node. */
+export const maxPeerConnections = 256
+
+/** Most targets that one request is offered to, refusals by their nodes included. */
+export const maxOffers = 4
+
+/** Share of the time left that callers honour in Retry-After. */
+export const retryAfterShare = 1 / 3
+
+/** Retry-After while no configuration or no target is known, in milliseconds. */
+export const unknownRetryMs = 250
+
+/** Idle connections between nodes are closed by the sender first; this is the receiver's bound, in milliseconds. */
+export const peerIdleMs = 120_000
+
+/** Longest request head, in bytes, before a configuration says so. */
+export const maxHeadBytes = 65_536
--- /dev/null
+++ b/packages/sidecar/src/core/forwarding/forwarder.ts
@@ -0,0 +1,132 @@
+import type { CancelSignal, Clock } from 'auburnturn/core/clock'
+import type { Logger } from 'auburnturn/core/logger'
+import type { Random } from 'auburnturn/core/random'
+import type { Route } from '../configuration/index.js'
+import { notRun } from '../own-target/index.js'
+import type { Job, Outcome, OwnTarget } from '../own-target/index.js'
+import { RetryWindow } from '../retries/index.js'
+import { chooseTarget } from '../targets/index.js'
+import type { Candidate, Directory } from '../targets/index.js'
+import { maxOffers, unknownRetryMs } from './constants.js'
+import type { Peers } from './peers.js'
+
+/** What came of one request so far. */
+interface Progress {
+  readonly tried: Set<string>
+  /** Targets that it has reached. */
+  arrivals: number
+  /** What to tell the caller if no better comes. */
+  outcome: Outcome
+}
+
+/** Takes a request to a target, and to another one where that is safe, allowed and still helps. */
+export class Forwarder {
+  private readonly options: ForwarderOptions
+  private readonly budgets = new Map<string, RetryWindow>()
+
+  private constructor (options: ForwarderOptions) {
+    this.options = options
+  }
+
+  static create (options: ForwarderOptions): Forwarder {
+    return new Forwarder(options)
+  }
+
+  /** Runs a request to its outcome. Never rejects. */
+  async run (job: Job, route: Route, signal: CancelSignal): Promise<Outcome> {
+    const { clock } = this.options
+    const progress: Progress = { tried: new Set(), arrivals: 0, outcome: notRun('no-target', unknownRetryMs) }
+    this.budgetOf(job.service).countFirst(clock.now())
+    while (progress.tried.size < maxOffers) {
+      const target = this.choose(job, progress.tried)
+      if (target === undefined || !this.mayOffer(job, route, progress)) break
+      progress.tried.add(target.id)
+      const outcome = await this.offer(job, target, signal)
+      if (this.isFinal(outcome, job, signal)) return keepDoubt(progress.outcome, outcome)
+      this.note(progress, outcome, job, target)
+    }
+    return progress.outcome
+  }
+
+  private choose (job: Job, tried: ReadonlySet<string>): Candidate | undefined {
+    const { directory, zone, random } = this.options
+    return chooseTarget({ candidates: this.withOwn(directory.candidates(job.service), job.service), zone, tried, random })
+  }
+
+  /** Replaces what was heard of the own target by what is known of it. */
+  private withOwn (candidates: readonly Candidate[], service: string): Candidate[] {
+    const { own, ip } = this.options
+    const others = candidates.filter(candidate => candidate.ip !== ip)
+    const report = own.describe()
+    const usable = report.service === service && (report.fresh || this.options.directory.isListed(report.id))
+    return usable ? [...others, { ...report, ip, cold: false, silentMs: 0 }] : others
+  }
+
+  private async offer (job: Job, target: Candidate, signal: CancelSignal): Promise<Outcome> {
+    const { directory, own, ip, peers } = this.options
+    if (target.ip === ip) return await own.run(job, target.id, signal)
+    directory.started(target.id)
+    try {
+      return await peers.send(job, target, signal)
+    } finally {
+      directory.finished(target.id)
+    }
+  }
+
+  /** Whether one more target may get the request: the first always, a second within the budget. */
+  private mayOffer (job: Job, route: Route, { arrivals }: Progress): boolean {
+    if (arrivals === 0) return true
+    if (arrivals >= route.maxAttempts) return false
+    const { clock, retryRatio, retryAllowance } = this.options
+    return this.budgetOf(job.service).take(clock.now(), retryRatio, retryAllowance())
+  }
+
+  private isFinal (outcome: Outcome, job: Job, signal: CancelSignal): boolean {
+    if (signal.aborted || this.options.clock.now() >= job.endsAt) return true
+    switch (outcome.kind) {
+      case 'answer': return outcome.status < 500 || outcome.status === 504 || !job.idempotent
+      case 'not-run': return outcome.cause === 'expired' || outcome.cause === 'left'
+      case 'may-have-run': return !job.idempotent
+    }
+  }
+
+  private note (progress: Progress, outcome: Outcome, job: Job, target: Candidate): void {
+    const { logger } = this.options
+    const cause = outcome.kind === 'answer' ? `status ${outcome.status}` : outcome.cause
+    logger.info('offer-failed', { request: job.id, target: target.id, kind: outcome.kind, cause, silentMs: Math.round(target.silentMs), running: target.running, slowness: target.slowness })
+    if (outcome.kind !== 'not-run' || outcome.cause === 'rejected') progress.arrivals++
+    progress.outcome = keepDoubt(progress.outcome, outcome)
+  }
+
+  private budgetOf (service: string): RetryWindow {
+    const known = this.budgets.get(service)
+    if (known !== undefined) return known
+    const fresh = RetryWindow.create()
+    this.budgets.set(service, fresh)
+    return fresh
+  }
+}
+
+/** What is known after a later offer: an answer stays, and so does doubt, until there is an answer. */
+function keepDoubt (earlier: Outcome, later: Outcome): Outcome {
+  if (later.kind === 'answer') return later
+  if (earlier.kind === 'answer') return earlier
+  if (earlier.kind === 'may-have-run' && later.kind === 'not-run') return earlier
+  return later
+}
+
+interface ForwarderOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly logger: Logger
+  readonly directory: Directory
+  readonly own: OwnTarget
+  readonly peers: Peers
+  /** Address and failure domain of this VM. */
+  readonly ip: string
+  readonly zone: string
+  /** Repeats allowed for each request of a service. */
+  readonly retryRatio: number
+  /** Repeats allowed to this node beside those, in each window. */
+  readonly retryAllowance: () => number
+}
--- /dev/null
+++ b/packages/sidecar/src/core/forwarding/hop-header.ts
@@ -0,0 +1,31 @@
+import { findHeader } from 'auburnturn/core/http'
+import type { Headers } from '../exchange/index.js'
+
+/** Carries from node to node what the first one decided; short, since bytes between failure domains are dear. */
+export const hopHeader = 'auburnturn-hop'
+
+/** What the node that took a request tells the node beside the target. */
+export interface Hop {
+  /** Milliseconds until the answer loses worth; negative when that is past. */
+  readonly wantedMs: number
+  readonly priority: number
+  readonly nested: boolean
+  readonly idempotent: boolean
+  /** Name of the route, as both nodes know it. */
+  readonly route: string
+}
+
+export function formatHop ({ wantedMs, priority, nested, idempotent, route }: Hop): string {
+  return `${Math.round(wantedMs)},${priority},${nested ? 1 : 0},${idempotent ? 1 : 0},${route}`
+}
+
+/** Undefined when the header is missing or damaged. */
+export function parseHop (headers: Headers): Hop | undefined {
+  const parts = findHeader(headers, hopHeader)?.split(',')
+  if (parts === undefined || parts.length < 5) return undefined
+  const [wanted, priority, nested, idempotent, ...route] = parts
+  const wantedMs = Number(wanted)
+  const rank = Number(priority)
+  if (!Number.isFinite(wantedMs) || !Number.isFinite(rank)) return undefined
+  return { wantedMs, priority: rank, nested: nested === '1', idempotent: idempotent === '1', route: route.join(',') }
+}
--- /dev/null
+++ b/packages/sidecar/src/core/forwarding/peer-server.ts
@@ -0,0 +1,50 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { Cancellation } from 'auburnturn/core/clock'
+import type { Clock } from 'auburnturn/core/clock'
+import type { Job, OwnTarget } from '../own-target/index.js'
+import { parseHop } from './hop-header.js'
+import { formatOutcome } from './outcome-headers.js'
+import { readBody } from './request-body.js'
+import { respond, statusOf } from './respond.js'
+import type { Protocol } from './types.js'
+
+/** Serves one request that another node passed on to the target beside this one. */
+export async function servePeer (request: IncomingMessage, response: ServerResponse, { clock, protocol, target, service, maxBodyBytes }: PeerServing): Promise<void> {
+  const arrivedAt = clock.now()
+  const { rawHeaders: headers, method = 'GET', url: path = '/' } = request
+  const hop = parseHop(headers)
+  const head = protocol.readRequest(headers)
+  if (hop === undefined) return respond(response, 400, ['connection', 'close'], Buffer.alloc(0))
+  const cancellation = Cancellation.create()
+  response.once('close', () => { cancellation.abort() })
+  const read = await readBody(request, maxBodyBytes())
+  if (read.kind !== 'whole') return respond(response, 400, ['connection', 'close'], Buffer.alloc(0))
+  const job: Job = {
+    id: head.id,
+    method,
+    path,
+    headers,
+    body: read.body,
+    route: hop.route,
+    service,
+    caller: head.caller,
+    idempotent: hop.idempotent,
+    nested: hop.nested,
+    priority: hop.priority,
+    wantedBy: arrivedAt + hop.wantedMs,
+    endsAt: arrivedAt + (head.timeoutMs ?? 0)
+  }
+  const outcome = await target.run(job, head.target, cancellation)
+  if (outcome.kind === 'answer') respond(response, outcome.status, protocol.passAnswer(outcome.headers), outcome.body)
+  else respond(response, statusOf(outcome), formatOutcome(outcome), Buffer.alloc(0))
+}
+
+/** What a request from another node is served with. */
+export interface PeerServing {
+  readonly clock: Clock
+  readonly protocol: Protocol
+  readonly target: OwnTarget
+  /** Service of the target. */
+  readonly service: string
+  readonly maxBodyBytes: () => number
+}
--- /dev/null
+++ b/packages/sidecar/src/core/forwarding/peers.ts
@@ -0,0 +1,74 @@
+import type { CancelSignal, Clock } from 'auburnturn/core/clock'
+import { Connections } from 'auburnturn/core/http'
+import { exchange, maxHeadBytes } from '../exchange/index.js'
+import type { Reply } from '../exchange/index.js'
+import { mayHaveRun, notRun } from '../own-target/index.js'
+import type { Job, Outcome } from '../own-target/index.js'
+import type { Candidate } from '../targets/index.js'
+import { maxPeerConnections, peerConnectMs } from './constants.js'
+import { formatHop, hopHeader } from './hop-header.js'
+import { parseOutcome } from './outcome-headers.js'
+import type { Protocol } from './types.js'
+
+/** Connections to the other nodes, and requests sent over them. */
+export class Peers {
+  private readonly options: PeersOptions
+  private readonly connections = new Map<string, Connections>()
+
+  private constructor (options: PeersOptions) {
+    this.options = options
+  }
+
+  static create (options: PeersOptions): Peers {
+    return new Peers(options)
+  }
+
+  /** Passes a request to the node beside a target. */
+  async send (job: Job, target: Candidate, signal: CancelSignal): Promise<Outcome> {
+    const { clock, protocol } = this.options
+    const timeoutMs = job.endsAt - clock.now()
+    if (timeoutMs <= 0) return notRun('expired')
+    const headers = protocol.writeRequest(job.headers, { id: job.id, timeoutMs, caller: job.caller, target: target.id })
+    headers.push(hopHeader, formatHop({ ...job, wantedMs: job.wantedBy - clock.now() }))
+    const reply = await exchange({
+      connections: this.connectionsTo(target.ip),
+      clock,
+      method: job.method,
+      path: job.path,
+      headers,
+      body: job.body,
+      connectMs: peerConnectMs,
+      timeoutMs,
+      signal,
+      accept: (status, answered) => parseOutcome(answered) !== undefined || protocol.readAnswer(status, answered).id === job.id
+    })
+    return readReply(reply)
+  }
+
+  async close (): Promise<void> {
+    await Promise.all([...this.connections.values()].map(async connections => { await connections.close() }))
+  }
+
+  private connectionsTo (ip: string): Connections {
+    const known = this.connections.get(ip)
+    if (known !== undefined) return known
+    const fresh = Connections.create({ origin: `http://${ip}:${this.options.port}`, limit: maxPeerConnections, headerBytes: maxHeadBytes })
+    this.connections.set(ip, fresh)
+    return fresh
+  }
+}
+
+function readReply (reply: Reply): Outcome {
+  switch (reply.kind) {
+    case 'unsent': return reply.cause === 'left' ? notRun('left') : notRun('unreachable')
+    case 'lost': return mayHaveRun(reply.cause)
+    case 'answer': return parseOutcome(reply.headers) ?? { kind: 'answer', status: reply.status, headers: reply.headers, body: reply.body }
+  }
+}
+
+interface PeersOptions {
+  /** The port for other nodes, the same on all VMs. */
+  readonly port: number
+  readonly clock: Clock
+  readonly protocol: Protocol
+}
--- /dev/null
+++ b/packages/sidecar/src/core/own-target/constants.ts
@@ -0,0 +1,32 @@
+/** Shortest time between two health checks, in milliseconds. */
+export const probeMs = 50
+
+/** A health check that takes longer, in milliseconds, counts as unanswered. */
+export const probeTimeoutMs = 500
+
+/** Unanswered health checks after which the target counts as down. */
+export const probesUntilDown = 2
+
+/** Longest time for a connection to the own target, in milliseconds. */
+export const connectMs = 300
+
+/** Most connections to the own target; its bound is far above its slots. */
+export const maxConnections = 64
+
+/** Expected work of a route that was not seen yet, in milliseconds. */
+export const firstWorkMs = 150
+
+/** Weight of a new measurement in the moving mean of a route's work. */
+export const workWeight = 0.1
+
+/** Share of failures that a failing health check stands for. */
+export const unhealthyFailures = 0.3
+
+/** How long a target that has just started is reported as such, in milliseconds. */
+export const freshMs = 6_000
+
+/** Slots of a target that has not told them. */
+export const firstSlots = 8
+
+/** A place is free at a target that was full after about this long, in milliseconds. */
+export const rejectedRetryMs = 200
--- /dev/null
+++ b/packages/sidecar/src/core/own-target/index.ts
@@ -0,0 +1,5 @@
+/** The target on this VM. */
+export { OwnTarget } from './own-target.js'
+export { Prober } from './prober.js'
+export { mayHaveRun, notRun } from './types.js'
+export type { Job, MayHaveRunCause, NotRunCause, Outcome } from './types.js'
--- /dev/null
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -0,0 +1,219 @@
+import type { CancelSignal, Clock } from 'auburnturn/core/clock'
+import { Connections } from 'auburnturn/core/http'
+import type { Logger } from 'auburnturn/core/logger'
+import { Slots } from '../admission/index.js'
+import type { Applicant } from '../admission/index.js'
+import { exchange, maxHeadBytes } from '../exchange/index.js'
+import type { Reply } from '../exchange/index.js'
+import type { AnswerHead, Protocol } from '../forwarding/types.js'
+import { FailureShare, usableShare } from '../targets/index.js'
+import type { Directory, TargetReport, TargetState } from '../targets/index.js'
+import { connectMs, firstSlots, freshMs, maxConnections, rejectedRetryMs, unhealthyFailures } from './constants.js'
+import { mayHaveRun, notRun } from './types.js'
+import type { Job, Outcome } from './types.js'
+import { WorkEstimate } from './work-estimate.js'
+
+/** Statuses by which an answer promises that the request did not run. */
+const promises = new Set([408, 421, 429, 503])
+
+/** The target on this VM: its slots, what is known of it, and the only way to it. */
+export class OwnTarget {
+  readonly slots: Slots
+  private readonly options: OwnTargetOptions
+  private readonly connections: Connections
+  private readonly failures = FailureShare.create()
+  private readonly work = WorkEstimate.create()
+  private knownId = ''
+  private reachable = false
+  private healthy = true
+  private slowness = 1
+  private slotCount: number | undefined
+  private freshUntil = -Infinity
+  private loadAt = -Infinity
+  private closing = false
+
+  private constructor (options: OwnTargetOptions) {
+    this.options = options
+    this.slots = Slots.create({ clock: options.clock })
+    this.connections = Connections.create({ origin: `http://${options.address}`, limit: maxConnections, headerBytes: maxHeadBytes })
+  }
+
+  static create (options: OwnTargetOptions): OwnTarget {
+    return new OwnTarget(options)
+  }
+
+  /** Id of the target's present lifetime; empty before it is known. */
+  get id (): string {
+    return this.knownId
+  }
+
+  /** Milliseconds since the target told its load. */
+  get loadAgeMs (): number {
+    return this.options.clock.now() - this.loadAt
+  }
+
+  /** What the other nodes are told. */
+  describe (): TargetReport {
+    const { service, zone, clock } = this.options
+    const { running, waiting, limit } = this.slots
+    const now = clock.now()
+    const failures = Math.min(1, this.failures.read(now) + (this.healthy ? 0 : unhealthyFailures))
+    return { id: this.knownId, service, zone, state: this.state(), fresh: this.isFresh(now), running, waiting, limit, slowness: this.slowness, failures }
+  }
+
+  /** Runs a request, or says that it did not run. */
+  async run (job: Job, target: string, signal: CancelSignal): Promise<Outcome> {
+    const obstacle = this.findObstacle(target)
+    if (obstacle !== undefined) return obstacle
+    const applicant = this.describeApplicant(job)
+    const application = this.slots.apply(applicant)
+    signal.addEventListener('abort', application.leave, { once: true })
+    const admittance = await application.admittance
+    signal.removeEventListener('abort', application.leave)
+    if (admittance.kind === 'refused') return notRun(admittance.cause, admittance.retryAfterMs)
+    const outcome = this.findObstacle(target) ?? await this.send(job, target, signal)
+    this.slots.release(applicant)
+    return outcome
+  }
+
+  /** A health check was answered. */
+  markChecked (healthy: boolean, head: AnswerHead): void {
+    this.healthy = healthy
+    this.markReachable()
+    this.learn(head)
+  }
+
+  /** Nothing answers at the target's address. */
+  markDown (): void {
+    if (!this.reachable) return
+    this.reachable = false
+    this.options.logger.warn('target-down', { id: this.knownId })
+    this.options.onChange()
+  }
+
+  /** Lets no new work in; what runs goes on. */
+  close (): void {
+    this.closing = true
+    this.slots.close()
+    this.options.onChange()
+  }
+
+  async disconnect (): Promise<void> {
+    await this.connections.close()
+  }
+
+  private state (): TargetState {
+    if (this.closing || this.options.directory.isLeaving(this.knownId)) return 'closing'
+    return this.reachable && this.knownId !== '' ? 'up' : 'down'
+  }
+
+  /** The list can't show it yet: it has started under this node's eyes, or in the place of a listed one. */
+  private isFresh (now: number): boolean {
+    const { directory, address } = this.options
+    if (this.knownId === '' || directory.isListed(this.knownId)) return false
+    const listed = directory.findAt(address)
+    return now < this.freshUntil || (listed !== undefined && listed.id !== this.knownId)
+  }
+
+  private markReachable (): void {
+    if (this.reachable) return
+    this.reachable = true
+    this.freshUntil = this.options.clock.now() + freshMs
+    this.options.logger.info('target-up', { id: this.knownId })
+  }
+
+  private learn (head: AnswerHead): void {
+    const { clock, logger, onChange } = this.options
+    if (head.instance !== '' && head.instance !== this.knownId) {
+      logger.info('target-changed', { from: this.knownId, to: head.instance })
+      if (this.knownId !== '') this.freshUntil = clock.now() + freshMs
+      this.knownId = head.instance
+    }
+    if (head.load !== undefined) {
+      this.loadAt = clock.now()
+      this.slotCount = head.load.slots
+      this.slowness = head.load.slowness ?? 1
+    }
+    const slots = this.slotCount ?? this.options.directory.findAt(this.options.address)?.slots ?? firstSlots
+    this.slots.resize(Math.floor(slots * usableShare), this.slowness)
+    onChange()
+  }
+
+  private findObstacle (target: string): Outcome | undefined {
+    if (target !== this.knownId) return notRun('moved')
+    switch (this.state()) {
+      case 'closing': return notRun('closed')
+      case 'down': return notRun('unreachable')
+      case 'up': return undefined
+    }
+  }
+
+  private describeApplicant (job: Job): Applicant {
+    const { nested, priority, wantedBy, endsAt } = job
+    return { nested, priority, wantedBy, endsAt, workMs: this.work.read(job.route) }
+  }
+
+  private async send (job: Job, target: string, signal: CancelSignal): Promise<Outcome> {
+    const { clock, protocol } = this.options
+    const startedAt = clock.now()
+    const { slowness } = this
+    const timeoutMs = job.endsAt - startedAt
+    if (timeoutMs <= 0) return notRun('expired')
+    const reply = await exchange({
+      connections: this.connections,
+      clock,
+      method: job.method,
+      path: job.path,
+      headers: protocol.writeRequest(job.headers, { id: job.id, timeoutMs, caller: job.caller, target }),
+      body: job.body,
+      connectMs,
+      timeoutMs,
+      // What must not be repeated runs to its end, whoever waits for it.
+      signal: job.idempotent ? signal : undefined,
+      accept: (status, headers) => {
+        const head = protocol.readAnswer(status, headers)
+        return head.notRun || head.id === job.id
+      }
+    })
+    const outcome = this.judge(reply)
+    if (outcome.kind === 'answer') this.work.record(job.route, clock.now() - startedAt, slowness)
+    this.failures.record(clock.now(), isTargetFailure(outcome))
+    return outcome
+  }
+
+  private judge (reply: Reply): Outcome {
+    if (reply.kind === 'unsent') {
+      if (reply.cause === 'connect-failed') this.markDown()
+      return reply.cause === 'left' ? notRun('left') : notRun('unreachable')
+    }
+    if (reply.kind === 'lost') return mayHaveRun(reply.cause)
+    const { status, headers, body } = reply
+    const head = this.options.protocol.readAnswer(status, headers)
+    this.learn(head)
+    if (head.notRun) return notRun('rejected', rejectedRetryMs)
+    if (head.encoded || (status < 300 && !head.sealed)) return mayHaveRun('invalid')
+    if (promises.has(status)) return mayHaveRun('unproven')
+    return { kind: 'answer', status, headers, body }
+  }
+}
+
+function isTargetFailure (outcome: Outcome): boolean {
+  switch (outcome.kind) {
+    case 'answer': return outcome.status >= 500
+    case 'not-run': return outcome.cause === 'rejected'
+    case 'may-have-run': return outcome.cause !== 'left'
+  }
+}
+
+interface OwnTargetOptions {
+  /** `IP:PORT`. */
+  readonly address: string
+  readonly service: string
+  readonly zone: string
+  readonly clock: Clock
+  readonly logger: Logger
+  readonly protocol: Protocol
+  readonly directory: Directory
+  /** Called when something changed that the other nodes may want to know. */
+  readonly onChange: () => void
+}
--- /dev/null
+++ b/packages/sidecar/src/core/own-target/prober.ts
@@ -0,0 +1,66 @@
+import type { Clock } from 'auburnturn/core/clock'
+import { Connections } from 'auburnturn/core/http'
+import { exchange, maxHeadBytes } from '../exchange/index.js'
+import type { Protocol } from '../forwarding/types.js'
+import { connectMs, probeMs, probesUntilDown, probeTimeoutMs } from './constants.js'
+import type { OwnTarget } from './own-target.js'
+
+/** Checks the health of the own target as often as its load is worth to know. */
+export class Prober {
+  private readonly options: ProberOptions
+  private readonly connections: Connections
+  private unanswered = 0
+  private closed = false
+
+  private constructor (options: ProberOptions) {
+    this.options = options
+    this.connections = Connections.create({ origin: `http://${options.address}`, limit: 1, headerBytes: maxHeadBytes })
+  }
+
+  /** Probes until it is closed. */
+  static create (options: ProberOptions): Prober {
+    const prober = new Prober(options)
+    prober.run().catch((error: unknown) => { options.onFailure(error) })
+    return prober
+  }
+
+  async close (): Promise<void> {
+    this.closed = true
+    await this.connections.close()
+  }
+
+  private async run (): Promise<void> {
+    const { clock, target, healthPath } = this.options
+    while (!this.closed) {
+      const path = healthPath()
+      // Answers tell the load as well as a check does.
+      if (path !== undefined && (target.loadAgeMs >= probeMs || target.id === '')) await this.probe(path)
+      await clock.sleep(probeMs)
+    }
+  }
+
+  private async probe (path: string): Promise<void> {
+    const { clock, target, protocol, address } = this.options
+    const reply = await exchange({
+      connections: this.connections, clock, method: 'GET', path, headers: ['host', address], body: Buffer.alloc(0), connectMs, timeoutMs: probeTimeoutMs
+    })
+    if (reply.kind === 'answer') {
+      this.unanswered = 0
+      target.markChecked(reply.status === 200, protocol.readAnswer(reply.status, reply.headers))
+      return
+    }
+    this.unanswered++
+    const refused = reply.kind === 'unsent' && reply.cause === 'connect-failed'
+    if (refused || this.unanswered >= probesUntilDown) target.markDown()
+  }
+}
+
+interface ProberOptions {
+  readonly address: string
+  readonly clock: Clock
+  readonly protocol: Protocol
+  readonly target: OwnTarget
+  /** Undefined before a configuration is known. */
+  readonly healthPath: () => string | undefined
+  readonly onFailure: (error: unknown) => void
+}
--- /dev/null
+++ b/packages/sidecar/src/core/own-target/types.ts
@@ -0,0 +1,57 @@
+import type { Headers } from '../exchange/index.js'
+
+/** A request on its way, with all that decisions need. Times are clock milliseconds. */
+export interface Job {
+  /** Id of the caller's attempt. */
+  readonly id: string
+  readonly method: string
+  /** Path and query. */
+  readonly path: string
+  /** As the sender wrote them. */
+  readonly headers: Headers
+  readonly body: Buffer
+  readonly route: string
+  readonly service: string
+  /** Service on the VM where the request began. */
+  readonly caller: string
+  readonly idempotent: boolean
+  /** A call that a running request waits for. */
+  readonly nested: boolean
+  readonly priority: number
+  /** Until when an answer has its full worth. */
+  readonly wantedBy: number
+  /** After this moment nobody waits for the answer. */
+  readonly endsAt: number
+}
+
+/** Why a request did not run. */
+export type NotRunCause =
+  | 'closed' // the target or its node is leaving
+  | 'overloaded'
+  | 'expired'
+  | 'left' // the caller is gone
+  | 'moved' // another lifetime of a target has the place
+  | 'unreachable'
+  | 'rejected' // by the target itself
+  | 'no-target'
+  | 'no-configuration'
+  | 'no-budget' // a repeat would be over the budget
+
+/** Why it can't be known whether a request ran. */
+export type MayHaveRunCause = 'reset' | 'cut' | 'invalid' | 'timeout' | 'left' | 'unproven'
+
+/** What became of a request at one target. */
+export type Outcome =
+  | { readonly kind: 'answer', readonly status: number, readonly headers: Headers, readonly body: Buffer }
+  | { readonly kind: 'not-run', readonly cause: NotRunCause, readonly retryAfterMs: number }
+  | { readonly kind: 'may-have-run', readonly cause: MayHaveRunCause }
+
+/** A request that did not run. */
+export function notRun (cause: NotRunCause, retryAfterMs = 0): Outcome {
+  return { kind: 'not-run', cause, retryAfterMs }
+}
+
+/** A request that may have run. */
+export function mayHaveRun (cause: MayHaveRunCause): Outcome {
+  return { kind: 'may-have-run', cause }
+}
--- /dev/null
+++ b/packages/sidecar/src/core/reports/datagrams.ts
@@ -0,0 +1,52 @@
+import { createSocket } from 'node:dgram'
+import type { Socket } from 'node:dgram'
+import type { Logger } from 'auburnturn/core/logger'
+import { decodeReport } from './codec.js'
+import type { Report } from './codec.js'
+
+/** Receives a report and the address of the node that sent it. */
+export type Receive = (ip: string, report: Report) => void
+
+/** Sends and receives reports as datagrams on one port, the same on all nodes. */
+export class Datagrams {
+  private readonly socket: Socket
+  private readonly port: number
+
+  private constructor (socket: Socket, port: number) {
+    this.socket = socket
+    this.port = port
+  }
+
+  /** Resolves when the socket is bound. */
+  static async create ({ ip, port, logger, receive }: DatagramsOptions): Promise<Datagrams> {
+    // Addresses are IP numbers: no name is looked up.
+    const socket = createSocket({ type: 'udp4', lookup: (address, _options, callback) => { callback(null, address, 4) } })
+    socket.on('error', error => { logger.warn('datagram-failed', { error: error.message }) })
+    socket.on('message', (bytes, { address }) => {
+      const report = decodeReport(bytes)
+      if (report === undefined) logger.warn('datagram-unreadable', { from: address, bytes: bytes.length })
+      else receive(address, report)
+    })
+    await new Promise<void>(resolve => { socket.bind(port, ip, resolve) })
+    return new Datagrams(socket, port)
+  }
+
+  /** Sends without waiting; a datagram that is lost is followed by the next heartbeat. */
+  send (bytes: Buffer, ip: string): void {
+    this.socket.send(bytes, this.port, ip, ignoreLoss)
+  }
+
+  close (): void {
+    this.socket.close()
+  }
+}
+
+/** An address out of reach shows by the silence of its node. */
+function ignoreLoss (): void {}
+
+interface DatagramsOptions {
+  readonly ip: string
+  readonly port: number
+  readonly logger: Logger
+  readonly receive: Receive
+}
--- /dev/null
+++ b/packages/sidecar/src/core/retries/index.ts
@@ -0,0 +1,2 @@
+/** How often requests may be sent once more. */
+export { RetryWindow } from './retry-window.js'
--- /dev/null
+++ b/packages/sidecar/src/core/retries/retry-window.ts
@@ -0,0 +1,52 @@
+import { bucketMs, bucketCount, spendableShare } from './constants.js'
+
+/** One slice of time of the window. */
+interface Bucket {
+  index: number
+  firsts: number
+  repeats: number
+}
+
+/**
+ * The part of a retry budget that one node may spend on one service, without talking to the others:
+ * a share of its own first attempts, and an equal part of the fixed allowance, over a sliding window.
+ */
+export class RetryWindow {
+  private readonly buckets: Bucket[] = []
+
+  private constructor () {}
+
+  static create (): RetryWindow {
+    return new RetryWindow()
+  }
+
+  /** Counts a request for the service. */
+  countFirst (now: number): void {
+    this.bucketAt(now).firsts++
+  }
+
+  /**
+   * Takes one repeat from the budget, if it has one left.
+   *
+   * @param ratio repeats allowed for each request, over all nodes
+   * @param allowance repeats allowed beside those, for this node
+   */
+  take (now: number, ratio: number, allowance: number): boolean {
+    const current = this.bucketAt(now)
+    const firsts = this.buckets.reduce((sum, bucket) => sum + bucket.firsts, 0)
+    const repeats = this.buckets.reduce((sum, bucket) => sum + bucket.repeats, 0)
+    if (repeats + 1 > (firsts * ratio + allowance) * spendableShare) return false
+    current.repeats++
+    return true
+  }
+
+  private bucketAt (now: number): Bucket {
+    const index = Math.floor(now / bucketMs)
+    while (this.buckets.length > 0 && (this.buckets[0] as Bucket).index <= index - bucketCount) this.buckets.shift()
+    const last = this.buckets.at(-1)
+    if (last !== undefined && last.index === index) return last
+    const fresh = { index, firsts: 0, repeats: 0 }
+    this.buckets.push(fresh)
+    return fresh
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/core/targets/constants.ts
@@ -0,0 +1,35 @@
+/** Price of a target in another failure domain, in service times. */
+export const crossZonePrice = 0.3
+
+/** How much slower a target that has just started works. */
+export const coldFactor = 2
+
+/** Price of each share of failed requests, in service times: half failed weighs like a much slower target. */
+export const failurePrice = 6
+
+/** A node that was not heard for this long, in milliseconds, counts as out of reach. */
+export const silentAfterMs = 1_200
+
+/** Price of a target whose node is silent, in service times: taken only where no other is left. */
+export const silentPrice = 20
+
+/** Price of a full limit while nothing waits yet, in service times. */
+export const loadPrice = 0.2
+
+/** Share of a target's slots that may be in use: beyond, all its work slows down. */
+export const usableShare = 0.8
+
+/** Milliseconds for which a target that is not listed yet may be used on the word of the node beside it. */
+export const unlistedMs = 6_000
+
+/** After an outage of the list, entries that are missing may come back for this long, in milliseconds. */
+export const returnGraceMs = 1_900
+
+/** After this long without an answer of the list, in milliseconds, entries may have lapsed unjustly. */
+export const outageMs = 1_500
+
+/** Weight of a new result in the moving share of failures. */
+export const failureWeight = 0.1
+
+/** Time in milliseconds after which half of a remembered failure is forgotten. */
+export const failureHalfLifeMs = 2_000
--- /dev/null
+++ b/packages/sidecar/src/core/targets/directory.ts
@@ -0,0 +1,193 @@
+import type { Clock } from 'auburnturn/core/clock'
+import { outageMs, returnGraceMs, unlistedMs, usableShare } from './constants.js'
+import type { Candidate, ListedTarget, TargetReport } from './types.js'
+
+/** A listed target with what was learned since. */
+interface Listing {
+  target: ListedTarget
+  readonly coldUntil: number
+  /** Set while the entry is missing, but may come back: when it counts as gone. */
+  goneAt: number | undefined
+}
+
+/** The latest word of the node on one VM. */
+interface Heard {
+  readonly report: TargetReport
+  readonly at: number
+  /** When the target that it speaks of was first heard of. */
+  readonly since: number
+}
+
+/** Requests that this node has under way at a target, and those that its node can't have counted yet. */
+interface Sent {
+  underWay: number
+  unreported: number
+}
+
+/** All targets known to this node: the platform's list, corrected by the nodes beside them. */
+export class Directory {
+  private readonly clock: Clock
+  private readonly listings = new Map<string, Listing>()
+  private readonly heard = new Map<string, Heard>()
+  private readonly sent = new Map<string, Sent>()
+  /** Ids that were seen to leave: no word of a node brings them back. */
+  private readonly left = new Set<string>()
+  private answeredAt = -Infinity
+  private returnedAt = -Infinity
+
+  private constructor (clock: Clock) {
+    this.clock = clock
+  }
+
+  static create ({ clock }: { clock: Clock }): Directory {
+    return new Directory(clock)
+  }
+
+  /** Notes that the list has answered; after an outage, missing entries get time to come back. */
+  markAnswered (): void {
+    const now = this.clock.now()
+    if (now - this.answeredAt > outageMs && this.answeredAt > -Infinity) this.returnedAt = now
+    this.answeredAt = now
+  }
+
+  /** Takes the whole list. */
+  replace (targets: readonly ListedTarget[]): void {
+    const present = new Set(targets.map(({ id }) => id))
+    for (const target of targets) this.put(target)
+    for (const id of [...this.listings.keys()]) if (!present.has(id)) this.remove(id)
+  }
+
+  put (target: ListedTarget): void {
+    const known = this.listings.get(target.id)
+    const coldUntil = this.clock.now() + target.coldMs
+    this.listings.set(target.id, { target, coldUntil, goneAt: undefined })
+    if (known === undefined) this.left.delete(target.id)
+  }
+
+  /** An entry is missing: its target is gone, or comes back within moments after an outage of the list. */
+  remove (id: string): void {
+    const listing = this.listings.get(id)
+    if (listing === undefined) return
+    const now = this.clock.now()
+    const doubtful = now - this.returnedAt < returnGraceMs && listing.target.state === 'ready'
+    if (!doubtful) return this.forget(id)
+    listing.goneAt ??= this.returnedAt + returnGraceMs
+  }
+
+  /** Takes the word of the node at `ip` of its own target. */
+  hear (ip: string, report: TargetReport): void {
+    const before = this.heard.get(ip)
+    const same = before !== undefined && before.report.id === report.id
+    this.heard.set(ip, { report, at: this.clock.now(), since: same ? before.since : this.clock.now() })
+    const sent = this.sent.get(report.id)
+    if (sent !== undefined) sent.unreported = 0
+  }
+
+  /** Whether the list shows a lifetime of a target as ready. */
+  isListed (id: string): boolean {
+    const listing = this.findListing(id)
+    return listing !== undefined && listing.target.state === 'ready'
+  }
+
+  /** Whether a target was seen to leave: it drains, or its entry is gone. */
+  isLeaving (id: string): boolean {
+    return this.left.has(id) || this.findListing(id)?.target.state === 'draining'
+  }
+
+  /** Targets of a service that may be chosen now. */
+  candidates (service: string): Candidate[] {
+    const found: Candidate[] = []
+    const now = this.clock.now()
+    for (const id of [...this.listings.keys()]) {
+      const listing = this.findListing(id)
+      if (listing === undefined || listing.target.service !== service || listing.target.state !== 'ready') continue
+      const heard = this.heard.get(listing.target.ip)
+      // The node beside it has seen another one start in its place.
+      if (heard !== undefined && heard.report.id !== id && heard.report.fresh) continue
+      found.push(this.describe(listing, heard?.report.id === id ? heard : undefined, now))
+    }
+    for (const [ip, heard] of this.heard) {
+      if (this.isUsableUnlisted(heard, service, now)) found.push(this.describeUnlisted(ip, heard, now))
+    }
+    return found
+  }
+
+  /** Addresses of all VMs that the list or their own nodes name. */
+  get ips (): Set<string> {
+    return new Set([...[...this.listings.values()].map(({ target }) => target.ip), ...this.heard.keys()])
+  }
+
+  /** The listed targets, for nodes that can't read the list themselves. */
+  get listed (): ListedTarget[] {
+    return [...this.listings.values()].map(({ target }) => target)
+  }
+
+  /** The listed target at an address; the newest when several lifetimes are listed. */
+  findAt (address: string): ListedTarget | undefined {
+    return [...this.listings.values()].filter(({ target }) => target.address === address).at(-1)?.target
+  }
+
+  /** Milliseconds since the node at `ip` was heard. */
+  silentMs (ip: string): number {
+    const heard = this.heard.get(ip)
+    return heard === undefined ? Infinity : this.clock.now() - heard.at
+  }
+
+  started (id: string): void {
+    const sent = this.sent.get(id) ?? { underWay: 0, unreported: 0 }
+    sent.underWay++
+    sent.unreported++
+    this.sent.set(id, sent)
+  }
+
+  finished (id: string): void {
+    const sent = this.sent.get(id)
+    if (sent === undefined) return
+    sent.underWay--
+    sent.unreported = Math.min(sent.unreported, sent.underWay)
+    if (sent.underWay === 0) this.sent.delete(id)
+  }
+
+  dump (): unknown {
+    return { listed: [...this.listings.values()], heard: [...this.heard], sent: [...this.sent] }
+  }
+
+  private findListing (id: string): Listing | undefined {
+    const listing = this.listings.get(id)
+    if (listing?.goneAt !== undefined && this.clock.now() >= listing.goneAt) {
+      this.forget(id)
+      return undefined
+    }
+    return listing
+  }
+
+  private forget (id: string): void {
+    this.listings.delete(id)
+    this.left.add(id)
+  }
+
+  private isUsableUnlisted ({ report, since }: Heard, service: string, now: number): boolean {
+    if (report.service !== service || !report.fresh || report.id === '') return false
+    if (this.listings.has(report.id) || this.left.has(report.id)) return false
+    return now - since < unlistedMs
+  }
+
+  private describe ({ target, coldUntil }: Listing, heard: Heard | undefined, now: number): Candidate {
+    const { id, service, ip, zone } = target
+    const cold = coldUntil > now
+    if (heard !== undefined) return { ...this.describeHeard(ip, heard, now), zone, cold }
+    const { underWay } = this.sent.get(id) ?? { underWay: 0 }
+    const limit = Math.max(1, Math.floor(target.slots * usableShare))
+    return { id, service, ip, zone, state: 'up', running: underWay, waiting: 0, limit, slowness: 1.5, cold, failures: 0, silentMs: this.silentMs(ip) }
+  }
+
+  private describeUnlisted (ip: string, heard: Heard, now: number): Candidate {
+    return { ...this.describeHeard(ip, heard, now), cold: true }
+  }
+
+  private describeHeard (ip: string, { report, at }: Heard, now: number): Candidate {
+    const { id, service, zone, state, running, waiting, limit, slowness, failures } = report
+    const { underWay, unreported } = this.sent.get(id) ?? { underWay: 0, unreported: 0 }
+    return { id, service, ip, zone, state, running: Math.max(running + unreported, underWay), waiting, limit, slowness, failures, cold: false, silentMs: now - at }
+  }
+}
--- /dev/null
+++ b/packages/sidecar/src/platform/store.ts
@@ -0,0 +1,116 @@
+import type { Clock } from 'auburnturn/core/clock'
+import { Connections } from 'auburnturn/core/http'
+import { exchange, maxHeadBytes } from '../core/exchange/index.js'
+import type { Change, Source, SourceAnswer } from '../core/following/index.js'
+import { configurationKey, decodeConfiguration } from './configuration.js'
+import { countOf, fieldsOf, parseJson, textOf } from './decode.js'
+import type { Fields } from './decode.js'
+import { decodeTarget, targetsPrefix } from './targets.js'
+
+/** Longest time for a new connection to the store, in milliseconds. */
+const connectMs = 500
+
+/** Longest time for a read, in milliseconds. */
+const readMs = 1_500
+
+/** Time beyond the wait that was asked for, in milliseconds. */
+const watchSlackMs = 600
+
+/** Longest list that is read, in pages; a longer one is a fault of the store. */
+const maxPages = 1_000
+
+/** A page of items, or of changes. */
+type Page =
+  | { readonly kind: 'page', readonly entries: readonly unknown[], readonly revision: number, readonly more: boolean }
+  | { readonly kind: 'forgotten' }
+  | { readonly kind: 'failed', readonly cause: string }
+
+/** The platform's store: the operator's configuration and the targets' own entries. */
+export class Store implements Source {
+  private readonly host: string
+  private readonly clock: Clock
+  private readonly connections: Connections
+  private readonly onCall: (kind: 'list' | 'watch') => void
+
+  private constructor ({ address, clock, onCall }: StoreOptions) {
+    this.host = address
+    this.clock = clock
+    this.onCall = onCall
+    this.connections = Connections.create({ origin: `http://${address}`, limit: 2, headerBytes: maxHeadBytes })
+  }
+
+  static create (options: StoreOptions): Store {
+    return new Store(options)
+  }
+
+  /** Pages are not a snapshot: what changes meanwhile comes again behind the revision of the first. */
+  async list (): Promise<SourceAnswer> {
+    const changes: Change[] = []
+    let revision: number | undefined
+    let after = ''
+    for (let pages = 0; pages < maxPages; pages++) {
+      this.onCall('list')
+      const page = await this.call(`/api/kv-range?prefix=${after === '' ? '' : `&after=${encodeURIComponent(after)}`}`, readMs, 'items')
+      if (page.kind !== 'page') return page
+      revision ??= page.revision
+      changes.push(...decodeEntries(page.entries))
+      const last = textOf(fieldsOf(page.entries.at(-1))?.['key'])
+      if (!page.more || last === undefined) return { kind: 'changes', changes, revision }
+      after = last
+    }
+    return { kind: 'failed', cause: 'endless list' }
+  }
+
+  async watch (revision: number, waitMs: number): Promise<SourceAnswer> {
+    this.onCall('watch')
+    const page = await this.call(`/api/kv-watch?prefix=&after=${revision}&wait_ms=${Math.round(waitMs)}`, waitMs + watchSlackMs, 'events')
+    if (page.kind !== 'page') return page
+    return { kind: 'changes', changes: decodeEntries(page.entries), revision: page.revision }
+  }
+
+  async close (): Promise<void> {
+    await this.connections.close()
+  }
+
+  private async call (path: string, timeoutMs: number, list: 'items' | 'events'): Promise<Page> {
+    const { connections, clock, host } = this
+    const reply = await exchange({ connections, clock, method: 'GET', path, headers: ['host', host], body: Buffer.alloc(0), connectMs, timeoutMs })
+    if (reply.kind !== 'answer') return { kind: 'failed', cause: reply.cause }
+    if (reply.status === 410) return { kind: 'forgotten' }
+    if (reply.status !== 200) return { kind: 'failed', cause: `status ${reply.status}` }
+    const body = fieldsOf(parseJson(reply.body))
+    const revision = countOf(body?.['current_rev'])
+    const entries = body?.[list]
+    if (body === undefined || revision === undefined || !Array.isArray(entries)) return { kind: 'failed', cause: 'unreadable answer' }
+    return { kind: 'page', entries, revision, more: body['has_more'] === true }
+  }
+}
+
+function decodeEntries (entries: readonly unknown[]): Change[] {
+  return entries.flatMap(entry => {
+    const fields = fieldsOf(entry)
+    const key = textOf(fields?.['key'])
+    return fields === undefined || key === undefined ? [] : decodeEntry(key, fields) ?? []
+  })
+}
+
+/** Undefined for keys that mean nothing here. */
+function decodeEntry (key: string, fields: Fields): Change | undefined {
+  const id = key.startsWith(targetsPrefix) ? key.slice(targetsPrefix.length) : undefined
+  if (fields['tombstone'] === true) return id === undefined ? undefined : { kind: 'gone', id }
+  if (id === undefined && key !== configurationKey) return undefined
+  const value = parseJson(Buffer.from(textOf(fields['value']) ?? '', 'base64'))
+  if (id === undefined) {
+    const configuration = decodeConfiguration(value)
+    return configuration === undefined ? { kind: 'unusable', key, id } : { kind: 'configuration', configuration }
+  }
+  const target = decodeTarget(key, value)
+  return target === undefined ? { kind: 'unusable', key, id } : { kind: 'target', target }
+}
+
+interface StoreOptions {
+  readonly address: string
+  readonly clock: Clock
+  /** Called before each call, which is priced. */
+  readonly onCall: (kind: 'list' | 'watch') => void
+}
