Stop taking requests once callers are gone after SIGTERM; see a reset that comes with data

Ruled out: a later error event (a trace of undici's socket shows none). Change: the node closes its listener after two refused readiness checks and refuses what still comes on open connections as not run; a socket that ends and has no peer any more was reset. Tests: exchange.test.ts failed first.

--- a/packages/auburnturn/src/core/http/connections.ts
+++ b/packages/auburnturn/src/core/http/connections.ts
@@ -109,11 +109,15 @@
   }
 }
 
-/** Notes an error of the socket before undici hears of it: undici takes a reset for the end of an answer without length. */
+/**
+ * Notes a reset of the socket before undici hears of it: undici takes one for the end of an answer without length.
+ * Node.js reports a reset that comes together with data as an end; such a socket has no peer any more.
+ */
 function watchErrors (connection: { broken?: boolean }, callback: buildConnector.Callback): buildConnector.Callback {
   return (...[error, socket]) => {
     connection.broken = false
     socket?.once('error', () => { connection.broken = true })
+    socket?.once('end', () => { connection.broken ||= socket.remoteAddress === undefined })
     if (error === null) callback(null, socket)
     else callback(error, null)
   }
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -1,8 +1,14 @@
 /** After SIGTERM, work of other nodes is let in for this long, in milliseconds. */
-export const admitAfterSignalMs = 1_300
+export const admitAfterSignalMs = 500
 
-/** After SIGTERM, callers have gone elsewhere after this long, in milliseconds. */
+/** Readiness checks refused in a row after which callers go elsewhere. */
+export const checksUntilGone = 2
+
+/** After SIGTERM, callers have gone elsewhere after this long at the latest, in milliseconds. */
 export const callersGoneMs = 2_300
 
+/** How often a draining node looks whether it may end, in milliseconds. */
+export const drainCheckMs = 10
+
 /** Time before the kill at which the process ends, whatever is under way, in milliseconds. */
 export const endMarginMs = 300
--- a/packages/sidecar/src/core/forwarding/ingress.ts
+++ b/packages/sidecar/src/core/forwarding/ingress.ts
@@ -33,6 +33,7 @@
     const { clock, configuration, protocol } = this.options
     const arrivedAt = clock.now()
     const head = protocol.readRequest(request.rawHeaders)
+    if (this.options.isClosed()) return this.finish(response, head, undefined, arrivedAt, notRun('closed', unknownRetryMs))
     if (!configuration.known) return this.finish(response, head, undefined, arrivedAt, notRun('no-configuration', unknownRetryMs))
     const route = configuration.findRoute(request.headers.host ?? '', request.url ?? '/')
     if (route === undefined) return this.reject(response, head, 404, 'no-route')
@@ -42,15 +43,10 @@
     if (read.kind === 'too-large') return this.reject(response, head, 413, 'body-too-large')
     if (read.kind === 'cut') return
     const job = this.createJob(request, head, route, arrivedAt, read.body)
-    const outcome = await this.runInTime(job, route, cancellation)
+    const outcome = await this.options.forwarder.run(job, route, cancellation)
     this.finish(response, head, job, arrivedAt, outcome)
   }
 
-  /** Ends a request at the route's timeout, whatever is under way. */
-  private async runInTime (job: Job, route: Route, cancellation: Cancellation): Promise<Outcome> {
-    return await this.options.forwarder.run(job, route, cancellation)
-  }
-
   private createJob (request: IncomingMessage, head: RequestHead, route: Route, arrivedAt: number, body: Buffer): Job {
     const { configuration, service } = this.options
     const waitMs = head.timeoutMs ?? route.timeoutMs
@@ -107,4 +103,6 @@
   readonly service: string
   /** Whether callers are asked to close their connections. */
   readonly isLeaving: () => boolean
+  /** Whether no request is taken any more. */
+  readonly isClosed: () => boolean
 }
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -13,7 +13,7 @@
 import type { Settings } from './core/settings.js'
 import { Directory } from './core/targets/index.js'
 import type { ListedTarget } from './core/targets/index.js'
-import { admitAfterSignalMs, callersGoneMs, endMarginMs } from './constants.js'
+import { admitAfterSignalMs, callersGoneMs, checksUntilGone, drainCheckMs, endMarginMs } from './constants.js'
 import { protocol, ReadinessServer, Store } from './platform/index.js'
 
 /** One node: everything beside one upstream. */
@@ -31,6 +31,11 @@
   private reporter: Reporter | undefined
   private listed = false
   private leaving = false
+  /** No request of a caller is taken any more. */
+  private closed = false
+  /** Readiness checks that were answered with a refusal since the signal. */
+  private missedChecks = 0
+  private callers: Server | undefined
   private inFlight = 0
   private storeCalls = 0
 
@@ -56,7 +61,7 @@
       retryRatio: bounds.retryRatio,
       retryAllowance: () => bounds.retryAllowance / Math.max(1, directory.ips.size)
     })
-    this.ingress = Ingress.create({ clock, logger, protocol, configuration, forwarder, service, isLeaving: () => this.leaving })
+    this.ingress = Ingress.create({ clock, logger, protocol, configuration, forwarder, service, isLeaving: () => this.leaving, isClosed: () => this.closed })
     this.store = Store.create({ address: settings.store, clock, onCall: () => { this.storeCalls++ } })
     Follower.create({ source: this.store, clock, random, logger, apply: (changes, whole) => { this.apply(changes, whole) } })
   }
@@ -75,13 +80,17 @@
     this.leaving = true
     await clock.sleep(admitAfterSignalMs)
     target.close()
-    await clock.sleep(callersGoneMs - admitAfterSignalMs)
+    while (this.missedChecks < checksUntilGone && clock.now() < startedAt + callersGoneMs) await clock.sleep(drainCheckMs)
+    this.callers?.close()
+    this.callers?.closeIdleConnections()
+    this.closed = true
     const endsAt = startedAt + this.settings.bounds.graceMs - endMarginMs
-    while (this.inFlight > 0 && clock.now() < endsAt) await clock.sleep(20)
+    while (this.inFlight > 0 && clock.now() < endsAt) await clock.sleep(drainCheckMs)
     this.logger.info('node-ended', { inFlight: this.inFlight, tookMs: Math.round(clock.now() - startedAt) })
   }
 
-  private get ready (): boolean {
+  private checkReady (): boolean {
+    if (this.leaving) this.missedChecks++
     return !this.leaving && this.configuration.known && this.listed
   }
 
@@ -90,6 +99,7 @@
     const { ip, listen, internalPorts, upstream, service } = settings
     const peerServing = { clock, protocol, target, service, maxBodyBytes: () => configuration.limits?.maxBodyBytes ?? Infinity }
     const callers = await this.serve(listen.callers, async (request, response) => { await this.ingress.serve(request, response) })
+    this.callers = callers
     this.configureCallers(callers)
     const nodes = await this.serve(listen.nodes, async (request, response) => { await servePeer(request, response, peerServing) })
     nodes.keepAliveTimeout = peerIdleMs
@@ -109,7 +119,7 @@
       onFailure: error => { logger.error('prober-failed', { error: String(error) }) }
     })
     PauseWatch.create({ clock, wallClock: Date.now, onPause: pausedMs => { this.recover(pausedMs) } })
-    await ReadinessServer.create({ ip: hostOf(listen.readiness), port: portOf(listen.readiness), isReady: () => this.ready })
+    await ReadinessServer.create({ ip: hostOf(listen.readiness), port: portOf(listen.readiness), isReady: () => this.checkReady() })
   }
 
   private async serve (address: string, handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>): Promise<Server> {
--- /dev/null
+++ b/packages/sidecar/test/exchange.test.ts
@@ -0,0 +1,74 @@
+import { Clock } from 'auburnturn/core/clock'
+import { Connections } from 'auburnturn/core/http'
+import type { Socket } from 'node:net'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { exchange } from '../src/core/exchange/index.js'
+import type { Exchange, Reply } from '../src/core/exchange/index.js'
+import { startRawServer } from './fixtures/raw-server.js'
+
+const test = suite('exchange')
+
+/** Sends one request to a server that answers with `answer`. */
+async function send (answer: (socket: Socket) => void, options: Partial<Exchange> = {}): Promise<Reply> {
+  const server = await startRawServer(answer)
+  const connections = Connections.create({ origin: server.origin, limit: 1, headerBytes: 16_384 })
+  const reply = await exchange({
+    connections,
+    clock: Clock.create(),
+    method: 'GET',
+    path: '/',
+    headers: ['host', 'example'],
+    body: Buffer.alloc(0),
+    connectMs: 2_000,
+    timeoutMs: 5_000,
+    ...options
+  })
+  await connections.close()
+  server.close()
+  return reply
+}
+
+test('an answer without length that ends with its connection is whole', async () => {
+  const reply = await send(socket => { socket.end('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nwhole') })
+  assert.is(reply.kind === 'answer' ? reply.body.toString() : reply.kind, 'whole')
+})
+
+test('an answer without length that ends with a reset is cut', async () => {
+  const reply = await send(socket => {
+    socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf', () => { setImmediate(() => { socket.resetAndDestroy() }) })
+  })
+  assert.equal(reply, { kind: 'lost', cause: 'cut' })
+})
+
+test('an answer shorter than its length is cut', async () => {
+  const reply = await send(socket => { socket.end('HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf') })
+  assert.equal(reply, { kind: 'lost', cause: 'cut' })
+})
+
+test('bytes that are no answer are invalid', async () => {
+  const reply = await send(socket => { socket.end('rubbish\r\n\r\n') })
+  assert.equal(reply, { kind: 'lost', cause: 'invalid' })
+})
+
+test('an answer that belongs to another request is invalid, and its connection ends', async () => {
+  let closed = false
+  const reply = await send(socket => {
+    socket.once('close', () => { closed = true })
+    socket.write('HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 2\r\n\r\nok')
+  }, { accept: () => false })
+  assert.equal(reply, { kind: 'lost', cause: 'invalid' })
+  await new Promise(resolve => setTimeout(resolve, 50))
+  assert.ok(closed)
+})
+
+test('where nobody listens nothing was sent', async () => {
+  const server = await startRawServer(() => {})
+  server.close()
+  const connections = Connections.create({ origin: server.origin, limit: 1, headerBytes: 16_384 })
+  const reply = await exchange({ connections, clock: Clock.create(), method: 'GET', path: '/', headers: ['host', 'x'], body: Buffer.alloc(0), connectMs: 2_000, timeoutMs: 5_000 })
+  assert.equal(reply, { kind: 'unsent', cause: 'connect-failed' })
+  await connections.close()
+})
+
+test.run()
