Take Node's own HTTP client between nodes and to targets in place of undici

Cause: undici's WebAssembly parser and its code cost 27 MB a node, dear here. Ruled out: V8 flags (lite mode, small pools) gave under 0.5 MB idle.

--- a/packages/auburnturn/src/core/http/connections.ts
+++ b/packages/auburnturn/src/core/http/connections.ts
@@ -1,12 +1,11 @@
-import { buildConnector, Client } from 'undici'
+import { Client } from 'undici'
+import type { buildConnector } from 'undici'
 import { keepAliveMs } from './constants.js'
 
 /** One kept-alive connection that carries one call at a time; undici opens it again after a loss. */
 export interface Connection {
   readonly client: Client
   open: boolean
-  /** The connection ended with an error: an answer that ends with it is not whole. */
-  broken: boolean
 }
 
 /** Waits for a connection; `start` is called with it at most once. */
@@ -88,8 +87,6 @@
 
   private grow (): Connection | undefined {
     if (this.all.size >= this.limit || this.closed) return undefined
-    const connection: { -readonly [Key in keyof Connection]?: Connection[Key] } = { open: false, broken: false }
-    const connect = this.connect ?? buildConnector({ timeout: 0 })
     const client = new Client(this.origin, {
       // One call at a time: undici sends a request again only behind another one on the same connection.
       pipelining: 1,
@@ -99,27 +96,13 @@
       bodyTimeout: 0,
       keepAliveTimeout: keepAliveMs,
       maxHeaderSize: this.headerBytes,
-      connect: (options, callback) => { connect(options, watchErrors(connection, callback)) }
+      ...(this.connect === undefined ? {} : { connect: this.connect })
     })
-    connection.client = client
+    const connection: Connection = { client, open: false }
     client.on('connect', () => { connection.open = true })
     client.on('disconnect', () => { connection.open = false })
-    this.all.add(connection as Connection)
-    return connection as Connection
-  }
-}
-
-/**
- * Notes a reset of the socket before undici hears of it: undici takes one for the end of an answer without length.
- * Node.js reports a reset that comes together with data as an end; such a socket has no peer any more.
- */
-function watchErrors (connection: { broken?: boolean }, callback: buildConnector.Callback): buildConnector.Callback {
-  return (...[error, socket]) => {
-    connection.broken = false
-    socket?.once('error', () => { connection.broken = true })
-    socket?.once('end', () => { connection.broken ||= socket.remoteAddress === undefined })
-    if (error === null) callback(null, socket)
-    else callback(error, null)
+    this.all.add(connection)
+    return connection
   }
 }
 
--- a/packages/auburnturn/src/core/http/index.ts
+++ b/packages/auburnturn/src/core/http/index.ts
@@ -1,7 +1,5 @@
 /** HTTP/1.1 towards callers, other nodes and upstreams. */
-export { Connections } from './connections.js'
-export type { Connection, Waiter } from './connections.js'
-export { decodeHeaders, isFramed } from './answer-head.js'
+export { isFramed } from './answer-head.js'
 export { viaValue } from './constants.js'
 export { Exchange } from './exchange.js'
 export { findHeader, forwardHeaders } from './headers.js'
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -12,3 +12,6 @@
 
 /** Time before the kill at which the process ends, whatever is under way, in milliseconds. */
 export const endMarginMs = 300
+
+/** Time before its end at which a draining node answers what is still under way, in milliseconds. */
+export const answerMarginMs = 300
--- /dev/null
+++ b/packages/sidecar/src/core/exchange/connections.ts
@@ -0,0 +1,64 @@
+import { Agent } from 'node:http'
+import type { Duplex } from 'node:stream'
+import { connect } from 'node:net'
+import type { NetConnectOpts, Socket } from 'node:net'
+import { idleMs, idleMarginMs } from './constants.js'
+
+/** Kept-alive connections to one address, the one used last first, each with one request at a time. */
+export class Connections {
+  /** `IP:PORT`. */
+  readonly address: string
+  readonly agent: Agent
+
+  private constructor (address: string, limit: number) {
+    this.address = address
+    this.agent = new KeptAgent({ keepAlive: true, maxSockets: limit, maxFreeSockets: limit, scheduling: 'lifo', noDelay: true, timeout: idleMs })
+  }
+
+  static create ({ address, limit }: { address: string, limit: number }): Connections {
+    return new Connections(address, limit)
+  }
+
+  /** Closes those that carry no request, as when they may all have fallen silent. */
+  dropIdle (): void {
+    for (const sockets of Object.values(this.agent.freeSockets)) for (const socket of sockets ?? []) socket.destroy()
+  }
+
+  close (): void {
+    this.agent.destroy()
+  }
+}
+
+/** Sockets that ended with a reset. */
+const resets = new WeakSet<Duplex>()
+
+/** Whether a socket ended with a reset: an answer without length that ended with it is not whole. */
+export function wasReset (socket: Duplex): boolean {
+  return resets.has(socket)
+}
+
+/** Node's agent, which leaves idle connections before the server does and reuses none with stray bytes. */
+class KeptAgent extends Agent {
+  override createConnection (options: NetConnectOpts): Socket {
+    const socket = connect(options)
+    // First listeners: the HTTP client must not take a reset for an end.
+    socket.once('error', () => { resets.add(socket) })
+    // A reset that comes together with data is reported as an end; such a socket has no peer any more.
+    socket.once('end', () => { if (socket.remoteAddress === undefined) resets.add(socket) })
+    return socket
+  }
+
+  override keepSocketAlive (socket: Duplex): boolean {
+    const { timeout } = socket as Socket
+    const kept = super.keepSocketAlive(socket as Socket) as unknown as boolean
+    const hinted = (socket as Socket).timeout
+    if (kept && hinted !== undefined && hinted !== timeout) (socket as Socket).setTimeout(Math.max(1, hinted - idleMarginMs))
+    return kept
+  }
+
+  override reuseSocket (socket: Duplex, request: Parameters<Agent['reuseSocket']>[1]): void {
+    super.reuseSocket(socket as Socket, request)
+    // Bytes that wait here belong to no request.
+    if (socket.readableLength > 0) socket.destroy()
+  }
+}
--- a/packages/sidecar/src/core/exchange/exchange.ts
+++ b/packages/sidecar/src/core/exchange/exchange.ts
@@ -1,9 +1,11 @@
-import { decodeHeaders, isFramed } from 'auburnturn/core/http'
-import type { Connection, Waiter } from 'auburnturn/core/http'
+import { request } from 'node:http'
+import type { ClientRequest, IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
+import { isFramed } from 'auburnturn/core/http'
 import type { Timeout } from 'auburnturn/core/clock'
-import type { Dispatcher } from 'undici'
-import { maxAnswerBytes } from './constants.js'
-import type { Exchange, LossCause, Reply } from './types.js'
+import { wasReset } from './connections.js'
+import { maxAnswerBytes, maxHeadBytes } from './constants.js'
+import type { Exchange, Reply } from './types.js'
 
 /** Sends one request and collects its whole answer. Never rejects. */
 export async function exchange (options: Exchange): Promise<Reply> {
@@ -13,98 +15,77 @@
 /** How far a request has come. From `sent` on, bytes of it may have been written. */
 type Stage = 'waiting' | 'connecting' | 'sent' | 'ended'
 
-/** One request on one connection; implements undici's handler of raw headers and chunks. */
-class Sending implements Waiter {
+/** One request on one connection. */
+class Sending {
   private readonly options: Exchange
   private readonly resolve: (reply: Reply) => void
   private readonly startedAt: number
   private readonly leave = (): void => { this.stop('left') }
+  private readonly request: ClientRequest
   private stage: Stage = 'waiting'
-  private connection: Connection | undefined
   private timer: Timeout | undefined
-  private abort: (error: Error) => void = () => {}
-  private stopCause: LossCause | undefined
-  private status = 0
-  private headers: readonly string[] = []
-  private readonly chunks: Buffer[] = []
-  private bytes = 0
+  private socket: Socket | undefined
 
   private constructor (options: Exchange, resolve: (reply: Reply) => void) {
     this.options = options
     this.resolve = resolve
     this.startedAt = options.clock.now()
+    this.request = createRequest(options)
   }
 
   static start (options: Exchange, resolve: (reply: Reply) => void): void {
+    if (options.signal?.aborted === true) return resolve({ kind: 'unsent', cause: 'left' })
     const sending = new Sending(options, resolve)
-    if (options.signal?.aborted === true) return sending.finish({ kind: 'unsent', cause: 'left' })
     options.signal?.addEventListener('abort', sending.leave, { once: true })
     sending.bound(options.timeoutMs)
-    options.connections.request(sending)
+    sending.request
+      .on('socket', socket => { sending.take(socket) })
+      .on('response', answer => { sending.read(answer) })
+      .on('error', error => { sending.fail(error) })
+      .end(options.body)
   }
 
-  start (connection: Connection): void {
-    const { method, path, headers, body, connectMs } = this.options
+  /** A connection is there, open or not. */
+  private take (socket: Socket): void {
+    this.socket = socket
+    if (this.stage === 'ended') return
+    if (!socket.connecting) return this.markSent()
     this.stage = 'connecting'
-    this.connection = connection
-    if (!connection.open) this.bound(Math.min(connectMs, this.leftMs()))
-    connection.client.dispatch({
-      method: method as Dispatcher.HttpMethod,
-      path,
-      headers: headers as string[],
-      body: body.length === 0 ? null : body,
-      idempotent: false,
-      ...(method === 'HEAD' ? { reset: false } : {})
-    }, this as unknown as Dispatcher.DispatchHandler)
+    this.bound(Math.min(this.options.connectMs, this.leftMs()))
+    socket.once('connect', () => { this.markSent() })
   }
 
-  /** undici calls this right before it writes; to throw here writes nothing. */
-  onConnect (abort: (error: Error) => void): void {
-    if (this.stage === 'ended') throw new Error('ended before it was sent')
+  private markSent (): void {
+    if (this.stage === 'ended') return
     this.stage = 'sent'
-    this.abort = abort
     this.bound(this.leftMs())
-    this.options.onSent?.()
-  }
-
-  onHeaders (status: number, rawHeaders: Buffer[]): boolean {
-    if (status < 200) return true
-    const headers = decodeHeaders(rawHeaders)
-    if (this.options.accept?.(status, headers) === false) {
-      this.stopCause = 'invalid'
-      throw new Error('the answer is not that of this request')
-    }
-    this.status = status
-    this.headers = headers
-    // undici expects the announced length also of an answer that has no body.
-    if (status === 304) this.onComplete()
-    return true
   }
 
-  onData (chunk: Buffer): boolean {
-    this.bytes += chunk.length
-    if (this.bytes > maxAnswerBytes) this.stop('invalid')
-    else this.chunks.push(chunk)
-    return true
+  private read (answer: IncomingMessage): void {
+    const status = answer.statusCode ?? 0
+    const { rawHeaders: headers } = answer
+    if (this.options.accept?.(status, headers) === false) return this.stop('invalid')
+    const chunks: Buffer[] = []
+    let bytes = 0
+    answer.on('data', (chunk: Buffer) => {
+      bytes += chunk.length
+      chunks.push(chunk)
+      if (bytes > maxAnswerBytes) this.stop('invalid')
+    })
+    answer.once('end', () => { this.complete(status, headers, chunks) })
+    answer.once('error', () => { this.finish({ kind: 'lost', cause: 'cut' }) })
   }
 
-  onComplete (): void {
-    if (this.stage === 'ended') return
-    const { status, headers, options } = this
-    if (this.connection?.broken === true && !isFramed(options.method, status, headers)) return this.finish({ kind: 'lost', cause: 'cut' })
-    const body = this.chunks.length === 1 ? this.chunks[0] as Buffer : Buffer.concat(this.chunks)
-    this.finish({ kind: 'answer', status, headers, body })
+  private complete (status: number, headers: readonly string[], chunks: readonly Buffer[]): void {
+    const { socket, options } = this
+    const cut = socket !== undefined && wasReset(socket) && !isFramed(options.method, status, headers)
+    if (cut) return this.finish({ kind: 'lost', cause: 'cut' })
+    this.finish({ kind: 'answer', status, headers, body: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks) })
   }
 
-  onError (error: Error): void {
-    if (this.stage === 'ended') return
+  private fail (error: NodeJS.ErrnoException): void {
     if (this.stage !== 'sent') return this.finish({ kind: 'unsent', cause: 'connect-failed' })
-    this.finish({ kind: 'lost', cause: this.stopCause ?? this.judge(error) })
-  }
-
-  private judge (error: Error): LossCause {
-    if (this.status !== 0) return 'cut'
-    return error.name === 'HTTPParserError' || error.name === 'HeadersOverflowError' ? 'invalid' : 'reset'
+    this.finish({ kind: 'lost', cause: error.code?.startsWith('HPE_') === true ? 'invalid' : 'reset' })
   }
 
   private leftMs (): number {
@@ -117,31 +98,35 @@
     this.timer = this.options.clock.wheel.after(milliseconds, () => { this.stop('timeout') })
   }
 
-  /** Ends the exchange at once; what was sent has its connection closed. */
+  /** Ends the exchange at once; its connection is closed. */
   private stop (cause: 'timeout' | 'left' | 'invalid'): void {
-    const { stage, connection } = this
-    if (stage === 'ended') return
-    if (stage === 'sent') {
-      this.stopCause = cause
-      this.abort(new Error(cause))
-      return
-    }
-    const { connections } = this.options
-    if (stage === 'waiting') connections.withdraw(this)
-    const connecting = stage === 'connecting' && connection?.open === false
-    if (connecting) connections.discard(connection).catch(() => {})
-    if (cause === 'left') this.finish({ kind: 'unsent', cause })
-    else this.finish({ kind: 'unsent', cause: connecting && this.leftMs() > 0 ? 'connect-timeout' : 'timeout' })
+    if (this.stage === 'sent') this.finish({ kind: 'lost', cause })
+    else if (cause === 'left') this.finish({ kind: 'unsent', cause })
+    else this.finish({ kind: 'unsent', cause: this.stage === 'connecting' && this.leftMs() > 0 ? 'connect-timeout' : 'timeout' })
+    this.request.destroy()
   }
 
   private finish (reply: Reply): void {
-    const { connection } = this
-    const { signal, connections } = this.options
+    if (this.stage === 'ended') return
     this.stage = 'ended'
     this.timer?.cancel()
-    signal?.removeEventListener('abort', this.leave)
-    // Later, because undici is still at work on the connection here.
-    if (connection !== undefined) queueMicrotask(() => { connections.release(connection) })
+    this.options.signal?.removeEventListener('abort', this.leave)
     this.resolve(reply)
   }
 }
+
+function createRequest ({ connections, method, path, headers, body }: Exchange): ClientRequest {
+  const { agent, address } = connections
+  const colon = address.lastIndexOf(':')
+  const bodiless = body.length === 0 && (method === 'GET' || method === 'HEAD')
+  return request({
+    agent,
+    host: address.slice(0, colon),
+    port: Number(address.slice(colon + 1)),
+    method,
+    path,
+    // An array is written as it stands.
+    headers: (bodiless ? headers : [...headers, 'content-length', String(body.length)]) as unknown as Record<string, string>,
+    maxHeaderSize: maxHeadBytes
+  })
+}
--- a/packages/sidecar/src/core/exchange/index.ts
+++ b/packages/sidecar/src/core/exchange/index.ts
@@ -1,4 +1,4 @@
 /** One request and its whole answer on one connection: to targets, other nodes and the platform. */
-export { maxHeadBytes } from './constants.js'
+export { Connections } from './connections.js'
 export { exchange } from './exchange.js'
 export type { Exchange, Headers, LossCause, Reply } from './types.js'
--- a/packages/sidecar/src/core/exchange/types.ts
+++ b/packages/sidecar/src/core/exchange/types.ts
@@ -1,5 +1,5 @@
-import type { Connections } from 'auburnturn/core/http'
 import type { CancelSignal, Clock } from 'auburnturn/core/clock'
+import type { Connections } from './connections.js'
 
 /** Header names and values alternating. */
 export type Headers = readonly string[]
@@ -37,6 +37,4 @@
   readonly signal?: CancelSignal | undefined
   /** Whether an answer head belongs to the request; a stray one ends the connection. */
   readonly accept?: ((status: number, headers: Headers) => boolean) | undefined
-  /** Called when the first byte is about to be written. */
-  readonly onSent?: (() => void) | undefined
 }
--- a/packages/sidecar/src/core/forwarding/ingress.ts
+++ b/packages/sidecar/src/core/forwarding/ingress.ts
@@ -19,6 +19,7 @@
   private readonly options: IngressOptions
   /** Longest time that callers of each route were seen to wait, in milliseconds: who waits for less comes back. */
   private readonly longestWaits = new Map<string, number>()
+  private readonly underWay = new Set<Cancellation>()
 
   private constructor (options: IngressOptions) {
     this.options = options
@@ -43,10 +44,17 @@
     if (read.kind === 'too-large') return this.reject(response, head, 413, 'body-too-large')
     if (read.kind === 'cut') return
     const job = this.createJob(request, head, route, arrivedAt, read.body)
+    this.underWay.add(cancellation)
     const outcome = await this.options.forwarder.run(job, route, cancellation)
+    this.underWay.delete(cancellation)
     this.finish(response, head, job, arrivedAt, outcome)
   }
 
+  /** Ends all requests under way; each is answered with what is known of it. */
+  cancel (): void {
+    for (const cancellation of this.underWay) cancellation.abort()
+  }
+
   private createJob (request: IncomingMessage, head: RequestHead, route: Route, arrivedAt: number, body: Buffer): Job {
     const { configuration, service } = this.options
     const waitMs = head.timeoutMs ?? route.timeoutMs
--- a/packages/sidecar/src/core/forwarding/peers.ts
+++ b/packages/sidecar/src/core/forwarding/peers.ts
@@ -1,6 +1,5 @@
 import type { CancelSignal, Clock } from 'auburnturn/core/clock'
-import { Connections } from 'auburnturn/core/http'
-import { exchange, maxHeadBytes } from '../exchange/index.js'
+import { Connections, exchange } from '../exchange/index.js'
 import type { Reply } from '../exchange/index.js'
 import { mayHaveRun, notRun } from '../own-target/index.js'
 import type { Job, Outcome } from '../own-target/index.js'
@@ -45,14 +44,14 @@
     return readReply(reply)
   }
 
-  async close (): Promise<void> {
-    await Promise.all([...this.connections.values()].map(async connections => { await connections.close() }))
+  close (): void {
+    for (const connections of this.connections.values()) connections.close()
   }
 
   private connectionsTo (ip: string): Connections {
     const known = this.connections.get(ip)
     if (known !== undefined) return known
-    const fresh = Connections.create({ origin: `http://${ip}:${this.options.port}`, limit: maxPeerConnections, headerBytes: maxHeadBytes })
+    const fresh = Connections.create({ address: `${ip}:${this.options.port}`, limit: maxPeerConnections })
     this.connections.set(ip, fresh)
     return fresh
   }
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -1,9 +1,8 @@
 import type { CancelSignal, Clock } from 'auburnturn/core/clock'
-import { Connections } from 'auburnturn/core/http'
 import type { Logger } from 'auburnturn/core/logger'
 import { Slots } from '../admission/index.js'
 import type { Applicant } from '../admission/index.js'
-import { exchange, maxHeadBytes } from '../exchange/index.js'
+import { Connections, exchange } from '../exchange/index.js'
 import type { Reply } from '../exchange/index.js'
 import type { AnswerHead, Protocol } from '../forwarding/types.js'
 import { FailureShare, usableShare } from '../targets/index.js'
@@ -35,7 +34,7 @@
   private constructor (options: OwnTargetOptions) {
     this.options = options
     this.slots = Slots.create({ clock: options.clock })
-    this.connections = Connections.create({ origin: `http://${options.address}`, limit: maxConnections, headerBytes: maxHeadBytes })
+    this.connections = Connections.create({ address: options.address, limit: maxConnections })
   }
 
   static create (options: OwnTargetOptions): OwnTarget {
@@ -98,8 +97,8 @@
     this.options.onChange()
   }
 
-  async disconnect (): Promise<void> {
-    await this.connections.close()
+  disconnect (): void {
+    this.connections.close()
   }
 
   private state (): TargetState {
--- a/packages/sidecar/src/core/own-target/prober.ts
+++ b/packages/sidecar/src/core/own-target/prober.ts
@@ -1,6 +1,5 @@
 import type { Clock } from 'auburnturn/core/clock'
-import { Connections } from 'auburnturn/core/http'
-import { exchange, maxHeadBytes } from '../exchange/index.js'
+import { Connections, exchange } from '../exchange/index.js'
 import type { Protocol } from '../forwarding/types.js'
 import { connectMs, probeMs, probesUntilDown, probeTimeoutMs } from './constants.js'
 import type { OwnTarget } from './own-target.js'
@@ -14,7 +13,7 @@
 
   private constructor (options: ProberOptions) {
     this.options = options
-    this.connections = Connections.create({ origin: `http://${options.address}`, limit: 1, headerBytes: maxHeadBytes })
+    this.connections = Connections.create({ address: options.address, limit: 1 })
   }
 
   /** Probes until it is closed. */
@@ -24,9 +23,9 @@
     return prober
   }
 
-  async close (): Promise<void> {
+  close (): void {
     this.closed = true
-    await this.connections.close()
+    this.connections.close()
   }
 
   private async run (): Promise<void> {
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -13,7 +13,7 @@
 import type { Settings } from './core/settings.js'
 import { Directory } from './core/targets/index.js'
 import type { ListedTarget } from './core/targets/index.js'
-import { admitAfterSignalMs, callersGoneMs, checksUntilGone, drainCheckMs, endMarginMs } from './constants.js'
+import { admitAfterSignalMs, answerMarginMs, callersGoneMs, checksUntilGone, drainCheckMs, endMarginMs } from './constants.js'
 import { protocol, ReadinessServer, Store } from './platform/index.js'
 
 /** One node: everything beside one upstream. */
@@ -85,10 +85,16 @@
     this.callers?.closeIdleConnections()
     this.closed = true
     const endsAt = startedAt + this.settings.bounds.graceMs - endMarginMs
-    while (this.inFlight > 0 && clock.now() < endsAt) await clock.sleep(drainCheckMs)
+    await this.waitUntilIdle(endsAt - answerMarginMs)
+    this.ingress.cancel()
+    await this.waitUntilIdle(endsAt)
     this.logger.info('node-ended', { inFlight: this.inFlight, tookMs: Math.round(clock.now() - startedAt) })
   }
 
+  private async waitUntilIdle (endsAt: number): Promise<void> {
+    while (this.inFlight > 0 && this.clock.now() < endsAt) await this.clock.sleep(drainCheckMs)
+  }
+
   private checkReady (): boolean {
     if (this.leaving) this.missedChecks++
     return !this.leaving && this.configuration.known && this.listed
--- a/packages/sidecar/src/platform/store.ts
+++ b/packages/sidecar/src/platform/store.ts
@@ -1,6 +1,5 @@
 import type { Clock } from 'auburnturn/core/clock'
-import { Connections } from 'auburnturn/core/http'
-import { exchange, maxHeadBytes } from '../core/exchange/index.js'
+import { Connections, exchange } from '../core/exchange/index.js'
 import type { Change, Source, SourceAnswer } from '../core/following/index.js'
 import { configurationKey, decodeConfiguration } from './configuration.js'
 import { countOf, fieldsOf, parseJson, textOf } from './decode.js'
@@ -36,7 +35,7 @@
     this.host = address
     this.clock = clock
     this.onCall = onCall
-    this.connections = Connections.create({ origin: `http://${address}`, limit: 2, headerBytes: maxHeadBytes })
+    this.connections = Connections.create({ address, limit: 2 })
   }
 
   static create (options: StoreOptions): Store {
@@ -68,8 +67,8 @@
     return { kind: 'changes', changes: decodeEntries(page.entries), revision: page.revision }
   }
 
-  async close (): Promise<void> {
-    await this.connections.close()
+  close (): void {
+    this.connections.close()
   }
 
   private async call (path: string, timeoutMs: number, list: 'items' | 'events'): Promise<Page> {
--- a/packages/sidecar/test/exchange.test.ts
+++ b/packages/sidecar/test/exchange.test.ts
@@ -1,9 +1,8 @@
 import { Clock } from 'auburnturn/core/clock'
-import { Connections } from 'auburnturn/core/http'
 import type { Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { exchange } from '../src/core/exchange/index.js'
+import { Connections, exchange } from '../src/core/exchange/index.js'
 import type { Exchange, Reply } from '../src/core/exchange/index.js'
 import { startRawServer } from './fixtures/raw-server.js'
 
@@ -12,7 +11,7 @@
 /** Sends one request to a server that answers with `answer`. */
 async function send (answer: (socket: Socket) => void, options: Partial<Exchange> = {}): Promise<Reply> {
   const server = await startRawServer(answer)
-  const connections = Connections.create({ origin: server.origin, limit: 1, headerBytes: 16_384 })
+  const connections = Connections.create({ address: server.address, limit: 1 })
   const reply = await exchange({
     connections,
     clock: Clock.create(),
@@ -24,7 +23,7 @@
     timeoutMs: 5_000,
     ...options
   })
-  await connections.close()
+  connections.close()
   server.close()
   return reply
 }
@@ -65,10 +64,10 @@
 test('where nobody listens nothing was sent', async () => {
   const server = await startRawServer(() => {})
   server.close()
-  const connections = Connections.create({ origin: server.origin, limit: 1, headerBytes: 16_384 })
+  const connections = Connections.create({ address: server.address, limit: 1 })
   const reply = await exchange({ connections, clock: Clock.create(), method: 'GET', path: '/', headers: ['host', 'x'], body: Buffer.alloc(0), connectMs: 2_000, timeoutMs: 5_000 })
   assert.equal(reply, { kind: 'unsent', cause: 'connect-failed' })
-  await connections.close()
+  connections.close()
 })
 
 test.run()
