Order the queue by urgency, shortness and what can be in time; leave superseded entries out

Ruled out: start time (168 to 220 ms) and the store (first list 30 ms later). Change: only the lifetime that the node beside a target names may be chosen; waiting requests are refused a fifth of their time after their answer lost worth; work estimates start from the route's objective; a draining node admits until callers are gone and serves on while they or its target still come.

--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -1,6 +1,3 @@
-/** After SIGTERM, work of other nodes is let in for this long, in milliseconds. */
-export const admitAfterSignalMs = 500
-
 /** Readiness checks refused in a row after which callers go elsewhere. */
 export const checksUntilGone = 2
 
@@ -15,3 +12,6 @@
 
 /** Time before its end at which a draining node answers what is still under way, in milliseconds. */
 export const answerMarginMs = 300
+
+/** After SIGTERM, requests are taken for this long, in milliseconds: what comes later might not end before the kill. */
+export const lastRequestMs = 3_000
--- a/packages/sidecar/src/core/admission/constants.ts
+++ b/packages/sidecar/src/core/admission/constants.ts
@@ -3,3 +3,9 @@
 
 /** Shortest time in milliseconds that a refused caller is asked to stay away. */
 export const leastRetryAfterMs = 100
+
+/** Weight of a new request in the moving mean of work. */
+export const meanWeight = 0.05
+
+/** Share of its time for which a request waits on once its answer has lost worth: then it is told to come back. */
+export const lateWaitShare = 0.2
--- a/packages/sidecar/src/core/admission/order.ts
+++ b/packages/sidecar/src/core/admission/order.ts
@@ -1,18 +1,40 @@
 import type { Applicant } from './types.js'
 
+/** What the order depends on beside the requests themselves. */
+export interface Moment {
+  /** Clock milliseconds. */
+  readonly now: number
+  /** How long work takes at the moment; 1 is as usual. */
+  readonly slowness: number
+  /** Mean work of the requests of this target, in milliseconds. */
+  readonly meanWorkMs: number
+}
+
+/** A request this much shorter than the mean goes first among its equals. */
+const quickShare = 0.5
+
+/** Work may take longer than expected by this factor and still end in time. */
+const workMargin = 1.2
+
 /**
- * Which of two waiting requests runs first; negative when it is `one`.
- * Calls of running requests come before all, since they hold a slot elsewhere; then what can still be answered
- * in time; then the more urgent; then what is due first.
+ * Which of two waiting requests runs first; negative when it is `one`. The more urgent; then quick ones, which
+ * cost the others little and mostly are calls that a running request waits for; then what can still be answered
+ * in time; then what is due first.
  */
-export function compareApplicants (one: Applicant, other: Applicant, now: number, slowness: number): number {
-  if (one.nested !== other.nested) return one.nested ? -1 : 1
-  const timely = isTimely(one, now, slowness)
-  if (timely !== isTimely(other, now, slowness)) return timely ? -1 : 1
-  return one.priority - other.priority || one.wantedBy - other.wantedBy
+export function compareApplicants (one: Applicant, other: Applicant, moment: Moment): number {
+  if (one.priority !== other.priority) return one.priority - other.priority
+  const quick = isQuick(one, moment)
+  if (quick !== isQuick(other, moment)) return quick ? -1 : 1
+  const timely = isTimely(one, moment)
+  if (timely !== isTimely(other, moment)) return timely ? -1 : 1
+  return one.wantedBy - other.wantedBy
 }
 
 /** Whether a request that starts now can be answered while its answer has its full worth. */
-export function isTimely ({ wantedBy, workMs }: Applicant, now: number, slowness: number): boolean {
-  return now + workMs * slowness <= wantedBy
+export function isTimely ({ wantedBy, workMs }: Applicant, { now, slowness }: Moment): boolean {
+  return now + workMs * slowness * workMargin <= wantedBy
+}
+
+function isQuick ({ workMs }: Applicant, { meanWorkMs }: Moment): boolean {
+  return workMs < meanWorkMs * quickShare
 }
--- a/packages/sidecar/src/core/admission/slots.ts
+++ b/packages/sidecar/src/core/admission/slots.ts
@@ -1,6 +1,7 @@
 import type { Clock, Timeout } from 'auburnturn/core/clock'
-import { leastRetryAfterMs, queueShare } from './constants.js'
+import { lateWaitShare, leastRetryAfterMs, meanWeight, queueShare } from './constants.js'
 import { compareApplicants } from './order.js'
+import type { Moment } from './order.js'
 import type { Admittance, Applicant, Refusal } from './types.js'
 
 /** A request that waits for a slot. */
@@ -26,6 +27,7 @@
   private runningMs = 0
   private limitCount = 1
   private slowness = 1
+  private meanWorkMs = 0
   private open = true
 
   private constructor (clock: Clock) {
@@ -70,6 +72,7 @@
   /** Asks for a slot; the answer comes at once where nothing has to wait. */
   apply (applicant: Applicant): Application {
     const now = this.clock.now()
+    this.meanWorkMs += (applicant.workMs - this.meanWorkMs) * (this.meanWorkMs === 0 ? 1 : meanWeight)
     const cause = this.findObstacle(applicant, now)
     if (cause !== undefined) return decided(this.describeRefusal(cause))
     if (this.runningCount < this.limitCount && this.queue.length === 0) {
@@ -102,13 +105,22 @@
     if (!this.open) return 'closed'
     const left = applicant.endsAt - now
     if (left <= 0) return 'expired'
-    if (this.queue.length >= this.limitCount * queueShare && !applicant.nested) return 'overloaded'
-    const ahead = this.queue.reduce((sum, { applicant: other }) => this.isBefore(other, applicant, now) ? sum + other.workMs : sum, 0)
-    return this.expectWait(ahead) + applicant.workMs > left ? 'overloaded' : undefined
+    if (this.queue.length >= this.limitCount * queueShare) return 'overloaded'
+    const moment = this.moment(now)
+    const ahead = this.queue.reduce((sum, { applicant: other }) => compareApplicants(other, applicant, moment) <= 0 ? sum + other.workMs : sum, 0)
+    return this.expectWait(ahead) > this.longestWait(applicant, now) ? 'overloaded' : undefined
   }
 
-  private isBefore (one: Applicant, other: Applicant, now: number): boolean {
-    return compareApplicants(one, other, now, this.slowness) <= 0
+  private moment (now: number): Moment {
+    const { slowness, meanWorkMs } = this
+    return { now, slowness, meanWorkMs }
+  }
+
+  /** For how long a request may wait: until its answer loses worth and some time on, and never so long that its end is missed. */
+  private longestWait ({ workMs, wantedBy, endsAt }: Applicant, now: number): number {
+    const work = workMs * this.slowness
+    const timely = Math.max(0, wantedBy - now - work)
+    return Math.min(endsAt - now - work, timely + (endsAt - now) * lateWaitShare)
   }
 
   private enqueue (applicant: Applicant, now: number): Application {
@@ -122,8 +134,7 @@
         this.refuse(waiting, cause)
       }
       // What can no longer be done in its time is refused then, and not at its end.
-      const latestStart = applicant.endsAt - now - applicant.workMs
-      waiting.timer = this.clock.wheel.after(Math.max(0, latestStart), () => { drop('expired') })
+      waiting.timer = this.clock.wheel.after(Math.max(0, this.longestWait(applicant, now)), () => { drop('expired') })
       leave = () => { drop('left') }
       this.queue.push(waiting)
     })
@@ -141,11 +152,12 @@
   }
 
   private takeFirst (now: number): Waiting {
+    const moment = this.moment(now)
     let first = 0
     for (let index = 1; index < this.queue.length; index++) {
       const one = (this.queue[index] as Waiting).applicant
       const best = (this.queue[first] as Waiting).applicant
-      if (compareApplicants(one, best, now, this.slowness) < 0) first = index
+      if (compareApplicants(one, best, moment) < 0) first = index
     }
     return this.queue.splice(first, 1)[0] as Waiting
   }
--- a/packages/sidecar/src/core/admission/types.ts
+++ b/packages/sidecar/src/core/admission/types.ts
@@ -1,7 +1,5 @@
 /** A request that wants a slot of the own target. Times are clock milliseconds. */
 export interface Applicant {
-  /** A call that a running request waits for. */
-  readonly nested: boolean
   /** 0 is served first. */
   readonly priority: number
   /** Until when an answer has its full worth. */
--- a/packages/sidecar/src/core/forwarding/hop-header.ts
+++ b/packages/sidecar/src/core/forwarding/hop-header.ts
@@ -9,23 +9,25 @@
   /** Milliseconds until the answer loses worth; negative when that is past. */
   readonly wantedMs: number
   readonly priority: number
-  readonly nested: boolean
+  /** The route's objective, in milliseconds. */
+  readonly objectiveMs: number
   readonly idempotent: boolean
   /** Name of the route, as both nodes know it. */
   readonly route: string
 }
 
-export function formatHop ({ wantedMs, priority, nested, idempotent, route }: Hop): string {
-  return `${Math.round(wantedMs)},${priority},${nested ? 1 : 0},${idempotent ? 1 : 0},${route}`
+export function formatHop ({ wantedMs, priority, objectiveMs, idempotent, route }: Hop): string {
+  return `${Math.round(wantedMs)},${priority},${objectiveMs},${idempotent ? 1 : 0},${route}`
 }
 
 /** Undefined when the header is missing or damaged. */
 export function parseHop (headers: Headers): Hop | undefined {
   const parts = findHeader(headers, hopHeader)?.split(',')
   if (parts === undefined || parts.length < 5) return undefined
-  const [wanted, priority, nested, idempotent, ...route] = parts
+  const [wanted, priority, objective, idempotent, ...route] = parts
   const wantedMs = Number(wanted)
   const rank = Number(priority)
-  if (!Number.isFinite(wantedMs) || !Number.isFinite(rank)) return undefined
-  return { wantedMs, priority: rank, nested: nested === '1', idempotent: idempotent === '1', route: route.join(',') }
+  const objectiveMs = Number(objective)
+  if (![wantedMs, rank, objectiveMs].every(Number.isFinite)) return undefined
+  return { wantedMs, priority: rank, objectiveMs, idempotent: idempotent === '1', route: route.join(',') }
 }
--- a/packages/sidecar/src/core/forwarding/ingress.ts
+++ b/packages/sidecar/src/core/forwarding/ingress.ts
@@ -68,7 +68,7 @@
       service: configuration.pickService(route),
       caller: service,
       idempotent: route.kind === 'idempotent',
-      nested: route.priority === 0,
+      objectiveMs: route.objectiveMs,
       priority: route.priority,
       wantedBy: arrivedAt + route.objectiveMs - this.spentMs(route.name, waitMs),
       endsAt: arrivedAt + Math.min(waitMs, route.timeoutMs)
--- a/packages/sidecar/src/core/forwarding/peer-server.ts
+++ b/packages/sidecar/src/core/forwarding/peer-server.ts
@@ -29,7 +29,7 @@
     service,
     caller: head.caller,
     idempotent: hop.idempotent,
-    nested: hop.nested,
+    objectiveMs: hop.objectiveMs,
     priority: hop.priority,
     wantedBy: arrivedAt + hop.wantedMs,
     endsAt: arrivedAt + (head.timeoutMs ?? 0)
--- a/packages/sidecar/src/core/own-target/constants.ts
+++ b/packages/sidecar/src/core/own-target/constants.ts
@@ -13,8 +13,8 @@
 /** Most connections to the own target; its bound is far above its slots. */
 export const maxConnections = 64
 
-/** Expected work of a route that was not seen yet, in milliseconds. */
-export const firstWorkMs = 150
+/** Expected work of a route that was not seen yet, as a share of its objective. */
+export const firstWorkShare = 0.37
 
 /** Weight of a new measurement in the moving mean of a route's work. */
 export const workWeight = 0.1
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -148,8 +148,8 @@
   }
 
   private describeApplicant (job: Job): Applicant {
-    const { nested, priority, wantedBy, endsAt } = job
-    return { nested, priority, wantedBy, endsAt, workMs: this.work.read(job.route) }
+    const { priority, wantedBy, endsAt, objectiveMs } = job
+    return { priority, wantedBy, endsAt, workMs: this.work.read(job.route, objectiveMs) }
   }
 
   private async send (job: Job, target: string, signal: CancelSignal): Promise<Outcome> {
--- a/packages/sidecar/src/core/own-target/types.ts
+++ b/packages/sidecar/src/core/own-target/types.ts
@@ -15,8 +15,8 @@
   /** Service on the VM where the request began. */
   readonly caller: string
   readonly idempotent: boolean
-  /** A call that a running request waits for. */
-  readonly nested: boolean
+  /** Time within which an answer has its full worth, in milliseconds. */
+  readonly objectiveMs: number
   readonly priority: number
   /** Until when an answer has its full worth. */
   readonly wantedBy: number
--- a/packages/sidecar/src/core/own-target/work-estimate.ts
+++ b/packages/sidecar/src/core/own-target/work-estimate.ts
@@ -1,4 +1,4 @@
-import { firstWorkMs, workWeight } from './constants.js'
+import { firstWorkShare, workWeight } from './constants.js'
 
 /** What requests of each route take on the target at its usual speed, in milliseconds. */
 export class WorkEstimate {
@@ -16,7 +16,8 @@
     this.means.set(route, mean === undefined ? work : mean + workWeight * (work - mean))
   }
 
-  read (route: string): number {
-    return this.means.get(route) ?? firstWorkMs
+  /** What was measured; before that, a share of the route's objective. */
+  read (route: string, objectiveMs: number): number {
+    return this.means.get(route) ?? objectiveMs * firstWorkShare
   }
 }
--- a/packages/sidecar/src/core/targets/directory.ts
+++ b/packages/sidecar/src/core/targets/directory.ts
@@ -1,5 +1,5 @@
 import type { Clock } from 'auburnturn/core/clock'
-import { outageMs, returnGraceMs, unlistedMs, usableShare } from './constants.js'
+import { outageMs, returnGraceMs, silentAfterMs, unlistedMs, usableShare } from './constants.js'
 import type { Candidate, ListedTarget, TargetReport } from './types.js'
 
 /** A listed target with what was learned since. */
@@ -101,10 +101,10 @@
     for (const id of [...this.listings.keys()]) {
       const listing = this.findListing(id)
       if (listing === undefined || listing.target.service !== service || listing.target.state !== 'ready') continue
-      const heard = this.heard.get(listing.target.ip)
-      // The node beside it has seen another one start in its place.
-      if (heard !== undefined && heard.report.id !== id && heard.report.fresh) continue
-      found.push(this.describe(listing, heard?.report.id === id ? heard : undefined, now))
+      const heard = this.recall(listing.target.ip, now)
+      // The node beside it knows another one in its place, or none yet: this entry is about to lapse.
+      if (heard !== undefined && heard.report.id !== id) continue
+      found.push(this.describe(listing, heard, now))
     }
     for (const [ip, heard] of this.heard) {
       if (this.isUsableUnlisted(heard, service, now)) found.push(this.describeUnlisted(ip, heard, now))
@@ -152,6 +152,12 @@
     return { listed: [...this.listings.values()], heard: [...this.heard], sent: [...this.sent] }
   }
 
+  /** What the node at `ip` said, unless it has fallen silent since. */
+  private recall (ip: string, now: number): Heard | undefined {
+    const heard = this.heard.get(ip)
+    return heard !== undefined && now - heard.at <= silentAfterMs ? heard : undefined
+  }
+
   private findListing (id: string): Listing | undefined {
     const listing = this.listings.get(id)
     if (listing?.goneAt !== undefined && this.clock.now() >= listing.goneAt) {
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -13,7 +13,7 @@
 import type { Settings } from './core/settings.js'
 import { Directory } from './core/targets/index.js'
 import type { ListedTarget } from './core/targets/index.js'
-import { admitAfterSignalMs, answerMarginMs, callersGoneMs, checksUntilGone, drainCheckMs, endMarginMs } from './constants.js'
+import { answerMarginMs, callersGoneMs, checksUntilGone, drainCheckMs, endMarginMs, lastRequestMs } from './constants.js'
 import { protocol, ReadinessServer, Store } from './platform/index.js'
 
 /** One node: everything beside one upstream. */
@@ -35,7 +35,6 @@
   private closed = false
   /** Readiness checks that were answered with a refusal since the signal. */
   private missedChecks = 0
-  private callers: Server | undefined
   private inFlight = 0
   private storeCalls = 0
 
@@ -78,11 +77,10 @@
     const { clock, target } = this
     const startedAt = clock.now()
     this.leaving = true
-    await clock.sleep(admitAfterSignalMs)
-    target.close()
     while (this.missedChecks < checksUntilGone && clock.now() < startedAt + callersGoneMs) await clock.sleep(drainCheckMs)
-    this.callers?.close()
-    this.callers?.closeIdleConnections()
+    target.close()
+    // Callers that find no other node are served on for a while; calls of the own target until it has ended its work.
+    await this.waitUntilIdle(startedAt + lastRequestMs)
     this.closed = true
     const endsAt = startedAt + this.settings.bounds.graceMs - endMarginMs
     await this.waitUntilIdle(endsAt - answerMarginMs)
@@ -105,7 +103,6 @@
     const { ip, listen, internalPorts, upstream, service } = settings
     const peerServing = { clock, protocol, target, service, maxBodyBytes: () => configuration.limits?.maxBodyBytes ?? Infinity }
     const callers = await this.serve(listen.callers, async (request, response) => { await this.ingress.serve(request, response) })
-    this.callers = callers
     this.configureCallers(callers)
     const nodes = await this.serve(listen.nodes, async (request, response) => { await servePeer(request, response, peerServing) })
     nodes.keepAliveTimeout = peerIdleMs
