--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -15,3 +15,13 @@
 
 /** After SIGTERM, requests are taken for this long, in milliseconds: what comes later might not end before the kill. */
 export const lastRequestMs = 3_000
+
+/** Where the metrics are served; deploy/system.toml names the same. */
+export const metricsPort = 9_464
+export const metricsPath = '/metrics'
+
+/** How often the settings file is looked at, in milliseconds: it may change without a signal. */
+export const settingsCheckMs = 2_000
+
+/** Idle connections of callers are kept this long before a configuration says so, in milliseconds. */
+export const idleUntilConfiguredMs = 60_000
--- a/packages/sidecar/src/core/admission/slots.ts
+++ b/packages/sidecar/src/core/admission/slots.ts
@@ -75,11 +75,9 @@
     this.meanWorkMs += (applicant.workMs - this.meanWorkMs) * (this.meanWorkMs === 0 ? 1 : meanWeight)
     const cause = this.findObstacle(applicant, now)
     if (cause !== undefined) return decided(this.describeRefusal(cause))
-    if (this.runningCount < this.limitCount && this.queue.length === 0) {
-      this.occupy(applicant)
-      return decided({ kind: 'admitted', waitedMs: 0 })
-    }
-    return this.enqueue(applicant, now)
+    if (!this.hasRoom) return this.enqueue(applicant, now)
+    this.occupy(applicant)
+    return decided({ kind: 'admitted', waitedMs: 0 })
   }
 
   /** Gives a slot back. */
@@ -94,9 +92,12 @@
     for (const waiting of this.queue.splice(0)) this.refuse(waiting, 'expired')
   }
 
+  private get hasRoom (): boolean {
+    return this.runningCount < this.limitCount && this.queue.length === 0
+  }
+
   /** Milliseconds until a request that comes now may start, when `ahead` milliseconds of work go first. */
   private expectWait (ahead: number): number {
-    if (this.runningCount < this.limitCount && ahead === 0) return 0
     const halfOfRunning = this.runningCount === 0 ? 0 : this.runningMs / this.runningCount / 2
     return (halfOfRunning / Math.max(1, Math.min(this.runningCount, this.limitCount)) + ahead / this.limitCount) * this.slowness
   }
@@ -105,6 +106,8 @@
     if (!this.open) return 'closed'
     const left = applicant.endsAt - now
     if (left <= 0) return 'expired'
+    // An estimate is no reason to leave a slot empty.
+    if (this.hasRoom) return undefined
     if (this.queue.length >= this.limitCount * queueShare) return 'overloaded'
     const moment = this.moment(now)
     const ahead = this.queue.reduce((sum, { applicant: other }) => compareApplicants(other, applicant, moment) <= 0 ? sum + other.workMs : sum, 0)
--- a/packages/sidecar/src/core/following/follower.ts
+++ b/packages/sidecar/src/core/following/follower.ts
@@ -18,7 +18,7 @@
   /** Follows until it is closed. */
   static create (options: FollowerOptions): Follower {
     const follower = new Follower(options)
-    follower.run().catch((error: unknown) => { options.logger.error('follower-failed', { error: String(error) }) })
+    follower.run().catch(options.onFailure)
     return follower
   }
 
@@ -80,4 +80,6 @@
   readonly logger: Logger
   /** Takes changes; `whole` when they are all that the store holds. */
   readonly apply: (changes: readonly Change[], whole: boolean) => void
+  /** Called when following can't go on. */
+  readonly onFailure: (error: unknown) => void
 }
--- a/packages/sidecar/src/core/forwarding/forwarder.ts
+++ b/packages/sidecar/src/core/forwarding/forwarder.ts
@@ -1,5 +1,6 @@
 import type { CancelSignal, Clock } from 'auburnturn/core/clock'
 import type { Logger } from 'auburnturn/core/logger'
+import type { Metrics } from 'auburnturn/core/metrics'
 import type { Random } from 'auburnturn/core/random'
 import type { Route } from '../configuration/index.js'
 import { notRun } from '../own-target/index.js'
@@ -40,6 +41,7 @@
     while (progress.tried.size < maxOffers) {
       const target = this.choose(job, progress.tried)
       if (target === undefined || !this.mayOffer(job, route, progress)) break
+      if (progress.tried.size > 0) this.options.metrics.count('retries_total')
       progress.tried.add(target.id)
       const outcome = await this.offer(job, target, signal)
       if (this.isFinal(outcome, job, signal)) return keepDoubt(progress.outcome, outcome)
@@ -78,7 +80,7 @@
     if (arrivals === 0) return true
     if (arrivals >= route.maxAttempts) return false
     const { clock, retryRatio, retryAllowance } = this.options
-    return this.budgetOf(job.service).take(clock.now(), retryRatio, retryAllowance())
+    return this.budgetOf(job.service).take(clock.now(), retryRatio(), retryAllowance())
   }
 
   private isFinal (outcome: Outcome, job: Job, signal: CancelSignal): boolean {
@@ -119,6 +121,7 @@
   readonly clock: Clock
   readonly random: Random
   readonly logger: Logger
+  readonly metrics: Metrics
   readonly directory: Directory
   readonly own: OwnTarget
   readonly peers: Peers
@@ -126,7 +129,7 @@
   readonly ip: string
   readonly zone: string
   /** Repeats allowed for each request of a service. */
-  readonly retryRatio: number
+  readonly retryRatio: () => number
   /** Repeats allowed to this node beside those, in each window. */
   readonly retryAllowance: () => number
 }
--- a/packages/sidecar/src/core/forwarding/ingress.ts
+++ b/packages/sidecar/src/core/forwarding/ingress.ts
@@ -2,6 +2,7 @@
 import { Cancellation } from 'auburnturn/core/clock'
 import type { Clock } from 'auburnturn/core/clock'
 import type { Logger } from 'auburnturn/core/logger'
+import type { Metrics } from 'auburnturn/core/metrics'
 import type { CurrentConfiguration, Route } from '../configuration/index.js'
 import { notRun } from '../own-target/index.js'
 import type { Job, Outcome } from '../own-target/index.js'
@@ -83,16 +84,22 @@
   }
 
   private reject (response: ServerResponse, head: RequestHead, status: number, cause: string): void {
-    const { logger, configuration } = this.options
+    const { logger, metrics, configuration } = this.options
+    metrics.count('calls_total', { verdict: 'not-run', cause })
     logger.info('request-rejected', { request: head.id, status, cause, version: configuration.version })
     respond(response, status, status === 413 ? ['connection', 'close'] : [], empty)
   }
 
   private finish (response: ServerResponse, head: RequestHead, job: Job | undefined, arrivedAt: number, outcome: Outcome): void {
-    const { clock, logger, protocol, isLeaving, configuration } = this.options
-    if (isLeaving()) response.shouldKeepAlive = false
-    if (outcome.kind === 'answer') return respond(response, outcome.status, protocol.passAnswer(outcome.headers), outcome.body)
+    const { clock, logger, metrics, protocol, isLeaving, configuration } = this.options
     const now = clock.now()
+    if (isLeaving()) response.shouldKeepAlive = false
+    metrics.record('call_seconds', now - arrivedAt)
+    if (outcome.kind === 'answer') {
+      metrics.count('calls_total', { verdict: 'done', cause: outcome.status < 500 ? 'none' : 'failed-at-target' })
+      return respond(response, outcome.status, protocol.passAnswer(outcome.headers), outcome.body)
+    }
+    metrics.count('calls_total', { verdict: outcome.kind, cause: outcome.cause })
     const status = statusOf(outcome)
     logger.info('request-failed', { request: head.id, status, cause: outcome.cause, route: job?.route, service: job?.service, tookMs: Math.round(now - arrivedAt), gone: response.destroyed, version: configuration.version })
     const leftMs = (head.timeoutMs ?? 0) - (now - arrivedAt)
@@ -104,6 +111,7 @@
 interface IngressOptions {
   readonly clock: Clock
   readonly logger: Logger
+  readonly metrics: Metrics
   readonly protocol: Protocol
   readonly configuration: CurrentConfiguration
   readonly forwarder: Forwarder
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -1,5 +1,6 @@
 import type { CancelSignal, Clock } from 'auburnturn/core/clock'
 import type { Logger } from 'auburnturn/core/logger'
+import type { Metrics } from 'auburnturn/core/metrics'
 import { Slots } from '../admission/index.js'
 import type { Applicant } from '../admission/index.js'
 import { Connections, exchange } from '../exchange/index.js'
@@ -70,6 +71,7 @@
     const admittance = await application.admittance
     signal.removeEventListener('abort', application.leave)
     if (admittance.kind === 'refused') return notRun(admittance.cause, admittance.retryAfterMs)
+    this.options.metrics.record('call_queue_seconds', admittance.waitedMs)
     const outcome = this.findObstacle(target) ?? await this.send(job, target, signal)
     this.slots.release(applicant)
     return outcome
@@ -211,6 +213,7 @@
   readonly zone: string
   readonly clock: Clock
   readonly logger: Logger
+  readonly metrics: Metrics
   readonly protocol: Protocol
   readonly directory: Directory
   /** Called when something changed that the other nodes may want to know. */
--- a/packages/sidecar/src/core/own-target/prober.ts
+++ b/packages/sidecar/src/core/own-target/prober.ts
@@ -19,7 +19,7 @@
   /** Probes until it is closed. */
   static create (options: ProberOptions): Prober {
     const prober = new Prober(options)
-    prober.run().catch((error: unknown) => { options.onFailure(error) })
+    prober.run().catch(options.onFailure)
     return prober
   }
 
--- a/packages/sidecar/src/core/pauses/pause-watch.ts
+++ b/packages/sidecar/src/core/pauses/pause-watch.ts
@@ -30,7 +30,7 @@
     return new PauseWatch(cancel)
   }
 
-  close (): void {
+  async close (): Promise<void> {
     this.cancel()
   }
 }
--- a/packages/sidecar/src/main.ts
+++ b/packages/sidecar/src/main.ts
@@ -3,18 +3,27 @@
 import { describeFault, isFault } from 'auburnturn/core/errors'
 import { Logger } from 'auburnturn/core/logger'
 import { Random } from 'auburnturn/core/random'
+import { settingsCheckMs } from './constants.js'
+import { LineWriter } from './core/logging/index.js'
 import { Node } from './node.js'
 import { readSettings, settingsVariable } from './platform/index.js'
+import { SettingsWatch } from './settings-watch.js'
 
 async function main (): Promise<void> {
-  const logger = Logger.create('info', line => { process.stdout.write(`${line}\n`) })
+  const clock = Clock.create()
+  const lines = LineWriter.create({ clock })
+  const logger = Logger.create('info', line => { lines.write(line) })
   const ending = new Promise<void>(resolve => { process.once('SIGTERM', resolve) })
-  process.on('SIGHUP', () => { logger.info('reload-asked') })
-  const settings = readSettings(process.env[settingsVariable] ?? 'settings.jsonc')
-  const node = await Node.create({ settings, clock: Clock.create(), random: Random.create(process.hrtime()[1]), logger })
+  const file = process.env[settingsVariable] ?? 'settings.jsonc'
+  const settings = readSettings(file)
+  const node = await Node.create({ settings, clock, random: Random.create(process.hrtime()[1]), logger })
+  const watch = SettingsWatch.create({ settings, read: () => readSettings(file), clock, logger, checkMs: settingsCheckMs, onChange: changed => { node.reload(changed) } })
+  process.on('SIGHUP', () => { watch.check() })
   logger.info('node-started', { name: settings.name, service: settings.service, sinceStartMs: Math.round(performance.now()) })
   await ending
+  watch.close()
   await node.drain()
+  await lines.flushed()
   process.exit(0)
 }
 
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -2,32 +2,38 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Clock } from 'auburnturn/core/clock'
 import type { Logger } from 'auburnturn/core/logger'
+import { Metrics } from 'auburnturn/core/metrics'
 import type { Random } from 'auburnturn/core/random'
+import { Supervisor } from 'auburnturn/core/supervisor'
+import type { Part } from 'auburnturn/core/supervisor'
 import { CurrentConfiguration } from './core/configuration/index.js'
 import { Follower } from './core/following/index.js'
 import type { Change } from './core/following/index.js'
 import { Forwarder, Ingress, maxHeadBytes, peerIdleMs, Peers, servePeer } from './core/forwarding/index.js'
+import { MetricsServer } from './core/metrics/index.js'
 import { OwnTarget, Prober } from './core/own-target/index.js'
 import { PauseWatch } from './core/pauses/index.js'
 import { Datagrams, Reporter } from './core/reports/index.js'
 import type { Settings } from './core/settings.js'
 import { Directory } from './core/targets/index.js'
 import type { ListedTarget } from './core/targets/index.js'
-import { answerMarginMs, callersGoneMs, checksUntilGone, drainCheckMs, endMarginMs, lastRequestMs } from './constants.js'
+import { answerMarginMs, callersGoneMs, checksUntilGone, drainCheckMs, endMarginMs, idleUntilConfiguredMs, lastRequestMs, metricsPath, metricsPort } from './constants.js'
 import { protocol, ReadinessServer, Store } from './platform/index.js'
 
 /** One node: everything beside one upstream. */
 export class Node {
-  private readonly settings: Settings
+  private settings: Settings
   private readonly clock: Clock
   private readonly logger: Logger
+  private readonly metrics: Metrics
   private readonly configuration: CurrentConfiguration
   private readonly directory: Directory
   private readonly target: OwnTarget
   private readonly peers: Peers
   private readonly ingress: Ingress
   private readonly store: Store
-  private readonly closers: Array<() => unknown> = []
+  private readonly random: Random
+  private readonly supervisor: Supervisor
   private reporter: Reporter | undefined
   private listed = false
   private leaving = false
@@ -36,42 +42,79 @@
   /** Readiness checks that were answered with a refusal since the signal. */
   private missedChecks = 0
   private inFlight = 0
-  private storeCalls = 0
 
   private constructor ({ settings, clock, random, logger }: NodeOptions) {
-    const { ip, failureDomain: zone, service, upstream, listen, bounds } = settings
+    const { ip, failureDomain: zone, service, upstream, listen } = settings
     this.settings = settings
     this.clock = clock
+    this.random = random
     this.logger = logger
+    this.metrics = Metrics.create({ clock })
+    const { metrics } = this
     this.configuration = CurrentConfiguration.create({ random })
     this.directory = Directory.create({ clock })
     const { configuration, directory } = this
-    this.target = OwnTarget.create({ address: upstream, service, zone, clock, logger, protocol, directory, onChange: () => { this.reporter?.tell() } })
+    this.target = OwnTarget.create({ address: upstream, service, zone, clock, logger, metrics, protocol, directory, onChange: () => { this.reporter?.tell() } })
     this.peers = Peers.create({ port: portOf(listen.nodes), clock, protocol })
     const forwarder = Forwarder.create({
       clock,
       random,
       logger,
+      metrics,
       directory,
       own: this.target,
       peers: this.peers,
       ip,
       zone,
-      retryRatio: bounds.retryRatio,
-      retryAllowance: () => bounds.retryAllowance / Math.max(1, directory.ips.size)
+      retryRatio: () => this.settings.bounds.retryRatio,
+      retryAllowance: () => this.settings.bounds.retryAllowance / Math.max(1, directory.ips.size)
     })
-    this.ingress = Ingress.create({ clock, logger, protocol, configuration, forwarder, service, isLeaving: () => this.leaving, isClosed: () => this.closed })
-    this.store = Store.create({ address: settings.store, clock, onCall: () => { this.storeCalls++ } })
-    Follower.create({ source: this.store, clock, random, logger, apply: (changes, whole) => { this.apply(changes, whole) } })
+    this.ingress = Ingress.create({ clock, logger, metrics, protocol, configuration, forwarder, service, isLeaving: () => this.leaving, isClosed: () => this.closed })
+    this.store = Store.create({ address: settings.store, clock, onCall: kind => { metrics.count('platform_reads_total', { kind }) } })
+    this.supervisor = Supervisor.create({ clock, logger })
   }
 
   /** Resolves when the node listens. */
   static async create (options: NodeOptions): Promise<Node> {
     const node = new Node(options)
-    await node.listen()
+    await node.start()
     return node
   }
 
+  /** Whether callers may send their requests here. */
+  get ready (): boolean {
+    return !this.leaving && this.configuration.known && this.listed
+  }
+
+  /** Version of the configuration in force. */
+  get version (): number {
+    return this.configuration.version
+  }
+
+  /** Whether a target of a service could be chosen now. */
+  knows (service: string): boolean {
+    const own = this.target.describe()
+    if (own.service === service && own.state === 'up') return true
+    return this.directory.candidates(service).some(({ state, silentMs }) => state === 'up' && silentMs < Infinity)
+  }
+
+  /** Ends at once, whatever is under way. */
+  async close (): Promise<void> {
+    await this.supervisor.close()
+    this.peers.close()
+    this.store.close()
+    this.target.disconnect()
+  }
+
+  /** Takes settings that have changed: bounds at once; for other changes the process has to start again. */
+  reload (settings: Settings): void {
+    const { bounds: before, ...fixedBefore } = this.settings
+    const { bounds, ...fixed } = settings
+    const needsRestart = JSON.stringify(fixed) !== JSON.stringify(fixedBefore)
+    this.logger.info('settings-reloaded', { bounds: JSON.stringify(bounds), changed: JSON.stringify(bounds) !== JSON.stringify(before), needsRestart })
+    this.settings = { ...this.settings, bounds }
+  }
+
   /** Lets callers go elsewhere, ends what runs, and closes; resolves when the process may end. */
   async drain (): Promise<void> {
     const { clock, target } = this
@@ -95,34 +138,80 @@
 
   private checkReady (): boolean {
     if (this.leaving) this.missedChecks++
-    return !this.leaving && this.configuration.known && this.listed
+    return this.ready
+  }
+
+  /** Starts the parts in the order in which they need each other; the supervisor keeps them running. */
+  private async start (): Promise<void> {
+    const { supervisor, clock } = this
+    const { ip, listen } = this.settings
+    await supervisor.add('callers', async () => await this.openCallers(listen.callers))
+    await supervisor.add('nodes', async () => await this.openNodes(listen.nodes))
+    await supervisor.add('reports', async () => await this.openReports(ip))
+    await supervisor.add('follower', async fail => this.follow(fail))
+    await supervisor.add('prober', async fail => this.probe(fail))
+    await supervisor.add('pauses', async () => PauseWatch.create({ clock, wallClock: Date.now, onPause: pausedMs => { this.recover(pausedMs) } }))
+    this.showMetrics()
+    await supervisor.add('metrics', async () => await MetricsServer.create({ ip, port: metricsPort, path: metricsPath, metrics: this.metrics }))
+    await supervisor.add('readiness', async () => await ReadinessServer.create({ ip: hostOf(listen.readiness), port: portOf(listen.readiness), isReady: () => this.checkReady() }))
+  }
+
+  private async openCallers (address: string): Promise<Part> {
+    const server = await this.serve(address, async (request, response) => { await this.ingress.serve(request, response) })
+    server.keepAliveTimeout = idleUntilConfiguredMs
+    server.on('connection', () => {
+      const { limits } = this.configuration
+      if (limits === undefined) return
+      server.keepAliveTimeout = limits.idleTimeoutMs
+      server.headersTimeout = limits.headerTimeoutMs
+    })
+    return closing(server)
+  }
+
+  private async openNodes (address: string): Promise<Part> {
+    const { clock, target, configuration, settings: { service } } = this
+    const serving = { clock, protocol, target, service, maxBodyBytes: () => configuration.limits?.maxBodyBytes ?? Infinity }
+    const server = await this.serve(address, async (request, response) => { await servePeer(request, response, serving) })
+    server.keepAliveTimeout = peerIdleMs
+    return closing(server)
   }
 
-  private async listen (): Promise<void> {
-    const { settings, clock, logger, directory, target, configuration } = this
-    const { ip, listen, internalPorts, upstream, service } = settings
-    const peerServing = { clock, protocol, target, service, maxBodyBytes: () => configuration.limits?.maxBodyBytes ?? Infinity }
-    const callers = await this.serve(listen.callers, async (request, response) => { await this.ingress.serve(request, response) })
-    this.configureCallers(callers)
-    const nodes = await this.serve(listen.nodes, async (request, response) => { await servePeer(request, response, peerServing) })
-    nodes.keepAliveTimeout = peerIdleMs
-    const datagrams = await Datagrams.create({ ip, port: internalPorts[0], logger, receive: (from, report) => { directory.hear(from, report.target) } })
-    this.reporter = Reporter.create({
+  private async openReports (ip: string): Promise<Part> {
+    const { clock, logger, directory, target, configuration, settings } = this
+    const datagrams = await Datagrams.create({ ip, port: settings.internalPorts[0], logger, receive: (from, report) => { directory.hear(from, report.target) } })
+    const reporter = Reporter.create({
       clock,
       describe: () => ({ target: target.describe(), configurationVersion: configuration.version }),
       receivers: () => [...directory.ips].filter(other => other !== ip),
       send: (bytes, to) => { datagrams.send(bytes, to) }
     })
-    Prober.create({
-      address: upstream,
-      clock,
-      protocol,
-      target,
-      healthPath: () => configuration.known ? configuration.findService(service)?.healthPath : undefined,
-      onFailure: error => { logger.error('prober-failed', { error: String(error) }) }
-    })
-    PauseWatch.create({ clock, wallClock: Date.now, onPause: pausedMs => { this.recover(pausedMs) } })
-    await ReadinessServer.create({ ip: hostOf(listen.readiness), port: portOf(listen.readiness), isReady: () => this.checkReady() })
+    this.reporter = reporter
+    return {
+      close: async () => {
+        reporter.close()
+        datagrams.close()
+      }
+    }
+  }
+
+  private follow (fail: (error: unknown) => void): Part {
+    const { store: source, clock, random, logger } = this
+    const follower = Follower.create({ source, clock, random, logger, apply: (changes, whole) => { this.apply(changes, whole) }, onFailure: fail })
+    return { close: async () => { follower.close() } }
+  }
+
+  private probe (onFailure: (error: unknown) => void): Part {
+    const { clock, target, configuration, settings: { upstream, service } } = this
+    const prober = Prober.create({ address: upstream, clock, protocol, target, healthPath: () => configuration.findService(service)?.healthPath, onFailure })
+    return { close: async () => { prober.close() } }
+  }
+
+  private showMetrics (): void {
+    const { metrics, target, configuration } = this
+    metrics.show('in_flight', 'gauge', () => this.inFlight)
+    metrics.show('admission_running', 'gauge', () => target.slots.running)
+    metrics.show('admission_queued', 'gauge', () => target.slots.waiting)
+    metrics.show('configuration_version', 'gauge', () => configuration.version)
   }
 
   private async serve (address: string, handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>): Promise<Server> {
@@ -139,17 +228,6 @@
     return server
   }
 
-  private configureCallers (server: Server): void {
-    const { configuration } = this
-    server.keepAliveTimeout = 60_000
-    server.on('connection', () => {
-      const { limits } = configuration
-      if (limits === undefined) return
-      server.keepAliveTimeout = limits.idleTimeoutMs
-      server.headersTimeout = limits.headerTimeoutMs
-    })
-  }
-
   private apply (changes: readonly Change[], whole: boolean): void {
     this.directory.markAnswered()
     if (whole) {
@@ -189,6 +267,15 @@
   }
 }
 
+function closing (server: Server): Part {
+  return {
+    close: async () => {
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+}
+
 function portOf (address: string): number {
   return Number(address.slice(address.lastIndexOf(':') + 1))
 }
--- a/packages/sidecar/src/platform/readiness.ts
+++ b/packages/sidecar/src/platform/readiness.ts
@@ -22,7 +22,7 @@
     return new ReadinessServer(server)
   }
 
-  close (): void {
+  async close (): Promise<void> {
     this.server.close()
     this.server.closeAllConnections()
   }
--- /dev/null
+++ b/packages/sidecar/test/small-parts.test.ts
@@ -0,0 +1,138 @@
+import fc from 'fast-check'
+import { ManualClock } from 'auburnturn/core/clock'
+import { Logger } from 'auburnturn/core/logger'
+import { Random } from 'auburnturn/core/random'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { Follower } from '../src/core/following/index.js'
+import type { SourceAnswer } from '../src/core/following/index.js'
+import { LineWriter } from '../src/core/logging/index.js'
+import { PauseWatch } from '../src/core/pauses/index.js'
+import { decodeReport, encodeReport } from '../src/core/reports/index.js'
+import { RetryWindow } from '../src/core/retries/index.js'
+
+const test = suite('small parts')
+
+const report = fc.record({
+  configurationVersion: fc.integer({ min: 0, max: 2 ** 40 }),
+  target: fc.record({
+    id: fc.stringMatching(/^[a-z0-9-]{0,40}$/),
+    service: fc.stringMatching(/^[a-z0-9-]{0,40}$/),
+    zone: fc.stringMatching(/^[a-z0-9-]{0,40}$/),
+    state: fc.constantFrom('up' as const, 'down' as const, 'closing' as const),
+    fresh: fc.boolean(),
+    running: fc.integer({ min: 0, max: 60_000 }),
+    waiting: fc.integer({ min: 0, max: 60_000 }),
+    limit: fc.integer({ min: 1, max: 60_000 }),
+    slowness: fc.integer({ min: 0, max: 60_000 }).map(hundredths => hundredths / 100),
+    failures: fc.integer({ min: 0, max: 255 }).map(parts => parts / 255)
+  }, { noNullPrototype: true })
+}, { noNullPrototype: true })
+
+test('a report comes out as it went in', () => {
+  fc.assert(fc.property(report, one => { assert.equal(decodeReport(encodeReport(one)), one) }), { seed: 3 })
+})
+
+test('bytes that are no report are none, whatever they are', () => {
+  fc.assert(fc.property(fc.uint8Array({ maxLength: 80 }), bytes => { decodeReport(Buffer.from(bytes)) }), { seed: 3 })
+  const whole = encodeReport({ configurationVersion: 1, target: { id: 'i', service: 's', zone: 'z', state: 'up', fresh: false, running: 1, waiting: 0, limit: 1, slowness: 1, failures: 0 } })
+  for (let length = 0; length < whole.length; length++) assert.is(decodeReport(whole.subarray(0, length)), undefined)
+})
+
+test('repeats stay within their share of every sliding window', () => {
+  fc.assert(fc.property(fc.array(fc.record({ afterMs: fc.integer({ min: 0, max: 400 }), repeats: fc.integer({ min: 0, max: 3 }) }), { maxLength: 200 }), events => {
+    const budget = RetryWindow.create()
+    const firsts: number[] = []
+    const repeats: number[] = []
+    let now = 0
+    for (const { afterMs, repeats: wanted } of events) {
+      now += afterMs
+      budget.countFirst(now)
+      firsts.push(now)
+      for (let count = 0; count < wanted; count++) if (budget.take(now, 0.2, 5)) repeats.push(now)
+      const recent = (times: readonly number[]): number => times.filter(time => time > now - 10_000).length
+      // The requests may be counted half a window earlier.
+      assert.ok(recent(repeats) <= firsts.filter(time => time > now - 10_500).length * 0.2 + 5)
+    }
+  }), { seed: 5 })
+})
+
+test('log lines over the rate are left out, and counted', async () => {
+  const clock = ManualClock.create()
+  let text = ''
+  const writer = LineWriter.create({ clock, sink: (part, done) => { text += part; done() } })
+  for (let count = 0; count < 1_000; count++) writer.write(`line ${count}`)
+  assert.is(text.split('\n').length - 1, 200)
+  await clock.advance(1_000)
+  writer.write('later')
+  assert.match(text, 'event=lines-left-out count=800')
+  assert.match(text, 'later')
+})
+
+test('a slow reader of the log costs lines, not time or memory', () => {
+  const clock = ManualClock.create()
+  const writer = LineWriter.create({ clock, sink: () => {} })
+  for (let count = 0; count < 200; count++) writer.write('x'.repeat(10_000))
+  assert.ok(true)
+})
+
+test('a pause is seen by a late timer, and by a time of day that ran on alone', async () => {
+  const clock = ManualClock.create()
+  let wall = 0
+  const pauses: number[] = []
+  const watch = PauseWatch.create({ clock, wallClock: () => wall, onPause: milliseconds => { pauses.push(milliseconds) } })
+  await clock.advance(1_000)
+  assert.equal(pauses, [])
+  clock.jump(3_000)
+  await clock.advance(300)
+  assert.is(pauses.length, 1)
+  wall += 5_000
+  await clock.advance(300)
+  assert.is(pauses.length, 2)
+  wall -= 9_000
+  await clock.advance(300)
+  assert.is(pauses.length, 2)
+  await watch.close()
+})
+
+/** Answers the calls of a follower from a list; then it hears nothing more. */
+async function follow (answers: SourceAnswer[]): Promise<string[]> {
+  const clock = ManualClock.create()
+  const calls: string[] = []
+  const next = async (call: string): Promise<SourceAnswer> => {
+    calls.push(call)
+    return answers.shift() ?? await new Promise<SourceAnswer>(() => {})
+  }
+  const follower = Follower.create({
+    source: { list: async () => await next('list'), watch: async revision => await next(`watch ${revision}`) },
+    clock,
+    random: Random.create(1),
+    logger: Logger.createSilent(),
+    apply: changes => { calls.push(`apply ${changes.length}`) },
+    onFailure: error => { throw error }
+  })
+  await clock.advance(10_000)
+  follower.close()
+  return calls
+}
+
+test('the store is listed once, and watched from its revision', async () => {
+  const calls = await follow([
+    { kind: 'changes', changes: [], revision: 7 },
+    { kind: 'changes', changes: [{ kind: 'gone', id: 'x' }], revision: 9 }
+  ])
+  assert.equal(calls, ['list', 'apply 0', 'watch 7', 'apply 1', 'watch 9'])
+})
+
+test('a store that lost its history is listed again, one that fails is asked again', async () => {
+  const calls = await follow([
+    { kind: 'failed', cause: 'status 503' },
+    { kind: 'changes', changes: [], revision: 7 },
+    { kind: 'failed', cause: 'reset' },
+    { kind: 'forgotten' },
+    { kind: 'changes', changes: [], revision: 20 }
+  ])
+  assert.equal(calls, ['list', 'list', 'apply 0', 'watch 7', 'watch 7', 'list', 'apply 0', 'watch 20'])
+})
+
+test.run()
