Start work where and when it is quick: slowness counts at the start

Change: a slow target refuses what may go elsewhere as not run; where all are slow, work waits at the target for its usual pace, up to half a second, unless the slow time is expected to last longer than the work gains. Slow is judged by the least slowness of late, so that a target that has just started (2) is not.

--- a/packages/sidecar/src/core/admission/constants.ts
+++ b/packages/sidecar/src/core/admission/constants.ts
@@ -9,3 +9,6 @@
 
 /** Share of its time for which a request waits on once its answer has lost worth: then it is told to come back. */
 export const lateWaitShare = 0.2
+
+/** Longest time in milliseconds that a request waits for the target's usual speed. */
+export const maxHoldMs = 500
--- a/packages/sidecar/src/core/admission/index.ts
+++ b/packages/sidecar/src/core/admission/index.ts
@@ -2,4 +2,4 @@
 export { compareApplicants, isTimely } from './order.js'
 export { Slots } from './slots.js'
 export type { Application } from './slots.js'
-export type { Admittance, Applicant, Refusal } from './types.js'
+export type { Admittance, Applicant, Pace, Refusal } from './types.js'
--- a/packages/sidecar/src/core/admission/slots.ts
+++ b/packages/sidecar/src/core/admission/slots.ts
@@ -1,8 +1,9 @@
 import type { Clock, Timeout } from 'auburnturn/core/clock'
-import { lateWaitShare, leastRetryAfterMs, meanWeight, queueShare } from './constants.js'
+import { slowFactor } from '../targets/index.js'
+import { lateWaitShare, leastRetryAfterMs, maxHoldMs, meanWeight, queueShare } from './constants.js'
 import { compareApplicants } from './order.js'
 import type { Moment } from './order.js'
-import type { Admittance, Applicant, Refusal } from './types.js'
+import type { Admittance, Applicant, Pace, Refusal } from './types.js'
 
 /** A request that waits for a slot. */
 interface Waiting {
@@ -26,7 +27,7 @@
   private runningCount = 0
   private runningMs = 0
   private limitCount = 1
-  private slowness = 1
+  private pace: Pace = { slowness: 1, usual: 1, slowMs: 0 }
   private meanWorkMs = 0
   private open = true
 
@@ -50,10 +51,10 @@
     return this.limitCount
   }
 
-  /** Takes the present capacity of the target. */
-  resize (limit: number, slowness: number): void {
+  /** Takes the present capacity of the target: how many requests may run, and how fast they do. */
+  resize (limit: number, pace: Pace): void {
     this.limitCount = Math.max(1, limit)
-    this.slowness = Math.max(0.1, slowness)
+    this.pace = pace
     this.startNext()
   }
 
@@ -75,7 +76,7 @@
     this.meanWorkMs += (applicant.workMs - this.meanWorkMs) * (this.meanWorkMs === 0 ? 1 : meanWeight)
     const cause = this.findObstacle(applicant, now)
     if (cause !== undefined) return decided(this.describeRefusal(cause))
-    if (!this.hasRoom) return this.enqueue(applicant, now)
+    if (!this.hasRoom || this.isHeld(applicant, now, now)) return this.enqueue(applicant, now)
     this.occupy(applicant)
     return decided({ kind: 'admitted', waitedMs: 0 })
   }
@@ -99,13 +100,38 @@
   /** Milliseconds until a request that comes now may start, when `ahead` milliseconds of work go first. */
   private expectWait (ahead: number): number {
     const halfOfRunning = this.runningCount === 0 ? 0 : this.runningMs / this.runningCount / 2
-    return (halfOfRunning / Math.max(1, Math.min(this.runningCount, this.limitCount)) + ahead / this.limitCount) * this.slowness
+    const { slowness } = this.moment(0)
+    const holdMs = this.isHolding ? this.pace.slowMs : 0
+    return holdMs + (halfOfRunning / Math.max(1, Math.min(this.runningCount, this.limitCount)) + ahead / this.limitCount) * slowness
+  }
+
+  /** Work that starts while the target is slow takes long to its end: it is better to wait, unless that takes longer. */
+  private get isHolding (): boolean {
+    return this.isSlow && this.isWorthHolding(this.meanWorkMs)
+  }
+
+  private get isSlow (): boolean {
+    return this.pace.slowness >= this.pace.usual * slowFactor
+  }
+
+  /** Whether work gains more from the usual pace than the wait for it takes. */
+  private isWorthHolding (workMs: number): boolean {
+    const { slowness, usual, slowMs } = this.pace
+    return workMs * (slowness - usual) > slowMs
+  }
+
+  /** Whether a request that has waited since `since` waits on for the usual speed. */
+  private isHeld ({ workMs, endsAt }: Applicant, since: number, now: number): boolean {
+    if (!this.isHolding || !this.isWorthHolding(workMs)) return false
+    const endsInTime = now + workMs * this.pace.slowness <= endsAt
+    return now - since < maxHoldMs || !endsInTime
   }
 
   private findObstacle (applicant: Applicant, now: number): Refusal | undefined {
     if (!this.open) return 'closed'
     const left = applicant.endsAt - now
     if (left <= 0) return 'expired'
+    if (!applicant.patient && this.isSlow) return 'slow'
     // An estimate is no reason to leave a slot empty.
     if (this.hasRoom) return undefined
     if (this.queue.length >= this.limitCount * queueShare) return 'overloaded'
@@ -115,13 +141,14 @@
   }
 
   private moment (now: number): Moment {
-    const { slowness, meanWorkMs } = this
-    return { now, slowness, meanWorkMs }
+    const { slowness, usual } = this.pace
+    // What is held back starts at the usual pace.
+    return { now, slowness: this.isHolding ? usual : slowness, meanWorkMs: this.meanWorkMs }
   }
 
   /** For how long a request may wait: until its answer loses worth and some time on, and never so long that its end is missed. */
   private longestWait ({ workMs, wantedBy, endsAt }: Applicant, now: number): number {
-    const work = workMs * this.slowness
+    const work = workMs * this.moment(now).slowness
     const timely = Math.max(0, wantedBy - now - work)
     return Math.min(endsAt - now - work, timely + (endsAt - now) * lateWaitShare)
   }
@@ -141,6 +168,8 @@
       leave = () => { drop('left') }
       this.queue.push(waiting)
     })
+    // Others may be held back while this one need not wait.
+    this.startNext()
     return { admittance, leave: () => { leave() } }
   }
 
@@ -148,21 +177,23 @@
     const now = this.clock.now()
     while (this.open && this.runningCount < this.limitCount && this.queue.length > 0) {
       const next = this.takeFirst(now)
+      if (next === undefined) return
       next.timer?.cancel()
       this.occupy(next.applicant)
       next.decide({ kind: 'admitted', waitedMs: now - next.since })
     }
   }
 
-  private takeFirst (now: number): Waiting {
+  /** The request to start next; undefined when all wait for the usual speed. */
+  private takeFirst (now: number): Waiting | undefined {
     const moment = this.moment(now)
-    let first = 0
-    for (let index = 1; index < this.queue.length; index++) {
-      const one = (this.queue[index] as Waiting).applicant
-      const best = (this.queue[first] as Waiting).applicant
-      if (compareApplicants(one, best, moment) < 0) first = index
+    let first: Waiting | undefined
+    for (const waiting of this.queue) {
+      if (this.isHeld(waiting.applicant, waiting.since, now)) continue
+      if (first === undefined || compareApplicants(waiting.applicant, first.applicant, moment) < 0) first = waiting
     }
-    return this.queue.splice(first, 1)[0] as Waiting
+    if (first !== undefined) this.queue.splice(this.queue.indexOf(first), 1)
+    return first
   }
 
   private occupy (applicant: Applicant): void {
--- a/packages/sidecar/src/core/admission/types.ts
+++ b/packages/sidecar/src/core/admission/types.ts
@@ -8,12 +8,24 @@
   readonly endsAt: number
   /** What it is expected to take on the target at its usual speed, in milliseconds. */
   readonly workMs: number
+  /** May wait for the target's usual speed; else it is refused while the target is slow, to go elsewhere. */
+  readonly patient: boolean
 }
 
 /** Why a request did not get a slot: it did not run. */
-export type Refusal = 'closed' | 'overloaded' | 'expired' | 'left'
+export type Refusal = 'closed' | 'overloaded' | 'slow' | 'expired' | 'left'
 
 /** What became of an application. */
 export type Admittance =
   | { readonly kind: 'admitted', readonly waitedMs: number }
   | { readonly kind: 'refused', readonly cause: Refusal, readonly retryAfterMs: number }
+
+/** How fast a target works. */
+export interface Pace {
+  /** How long work takes that starts now; 1 is what the target calls usual. */
+  readonly slowness: number
+  /** The least slowness of late. */
+  readonly usual: number
+  /** Milliseconds for which it is expected to stay slower than usual. */
+  readonly slowMs: number
+}
--- a/packages/sidecar/src/core/forwarding/constants.ts
+++ b/packages/sidecar/src/core/forwarding/constants.ts
@@ -18,3 +18,15 @@
 
 /** Longest request head, in bytes, before a configuration says so. */
 export const maxHeadBytes = 65_536
+
+/** Work may take this much longer than its mean before another target is asked as well. */
+export const hedgeMargin = 1.25
+
+/** How often a late request is looked at, in milliseconds. */
+export const hedgeCheckMs = 40
+
+/** Expected work of a route that was not seen yet, as a share of its objective. */
+export const hedgeFirstShare = 0.5
+
+/** Offers that a slow target may refuse for a faster one. */
+export const maxImpatientOffers = 2
--- a/packages/sidecar/src/core/forwarding/forwarder.ts
+++ b/packages/sidecar/src/core/forwarding/forwarder.ts
@@ -3,12 +3,13 @@
 import type { Metrics } from 'auburnturn/core/metrics'
 import type { Random } from 'auburnturn/core/random'
 import type { Route } from '../configuration/index.js'
-import { notRun } from '../own-target/index.js'
+import { notRun, WorkEstimate } from '../own-target/index.js'
 import type { Job, Outcome, OwnTarget } from '../own-target/index.js'
 import { RetryWindow } from '../retries/index.js'
-import { chooseTarget } from '../targets/index.js'
+import { chooseTarget, slowFactor } from '../targets/index.js'
 import type { Candidate, Directory } from '../targets/index.js'
-import { maxOffers, unknownRetryMs } from './constants.js'
+import { hedgeFirstShare, maxImpatientOffers, maxOffers, unknownRetryMs } from './constants.js'
+import { awaitHedge, createLane, firstGood, firstLookAt, isWorthHedging } from './hedge.js'
 import type { Peers } from './peers.js'
 
 /** What came of one request so far. */
@@ -24,6 +25,7 @@
 export class Forwarder {
   private readonly options: ForwarderOptions
   private readonly budgets = new Map<string, RetryWindow>()
+  private readonly work = WorkEstimate.create()
 
   private constructor (options: ForwarderOptions) {
     this.options = options
@@ -35,15 +37,22 @@
 
   /** Runs a request to its outcome. Never rejects. */
   async run (job: Job, route: Route, signal: CancelSignal): Promise<Outcome> {
-    const { clock } = this.options
+    const { clock, directory } = this.options
     const progress: Progress = { tried: new Set(), arrivals: 0, outcome: notRun('no-target', unknownRetryMs) }
     this.budgetOf(job.service).countFirst(clock.now())
-    while (progress.tried.size < maxOffers) {
+    for (let offers = 0; offers < maxOffers; offers++) {
       const target = this.choose(job, progress.tried)
       if (target === undefined || !this.mayOffer(job, route, progress)) break
-      if (progress.tried.size > 0) this.options.metrics.count('retries_total')
+      if (offers > 0) this.options.metrics.count('retries_total')
       progress.tried.add(target.id)
-      const outcome = await this.offer(job, target, signal)
+      // Where even the best target is slow, or the last one to be asked, the request waits there.
+      const patient = target.slowness >= slowFactor || offers >= maxImpatientOffers
+      const outcome = await this.offerHedged({ ...job, patient }, route, target, progress, signal)
+      if (outcome.kind === 'not-run' && outcome.cause === 'slow') {
+        progress.tried.delete(target.id)
+        directory.noteSlow(target.id)
+        continue
+      }
       if (this.isFinal(outcome, job, signal)) return keepDoubt(progress.outcome, outcome)
       this.note(progress, outcome, job, target)
     }
@@ -64,15 +73,43 @@
     return usable ? [...others, { ...report, ip, cold: false, silentMs: 0 }] : others
   }
 
+  /** Offers an idempotent request to a second target when the first is late and the second is expected not to be. */
+  private async offerHedged (job: Job, route: Route, target: Candidate, progress: Progress, signal: CancelSignal): Promise<Outcome> {
+    if (!job.idempotent || progress.arrivals > 0) return await this.offer(job, target, signal)
+    const { clock, logger, metrics } = this.options
+    const workMs = this.work.read(job.route, job.objectiveMs * hedgeFirstShare)
+    const lanes = [createLane(signal), createLane(signal)] as const
+    const first = this.offer(job, target, lanes[0])
+    const other = await awaitHedge(first, {
+      clock,
+      firstLook: firstLookAt(job, workMs),
+      endsAt: job.endsAt,
+      find: () => this.findHedge(job, route, target, progress, workMs)
+    })
+    if (other === undefined || signal.aborted) return await first
+    progress.tried.add(other.id)
+    progress.arrivals++
+    metrics.count('retries_total')
+    logger.info('offered-twice', { request: job.id, first: target.id, second: other.id, workMs: Math.round(workMs), slowness: other.slowness })
+    return await firstGood([first, this.offer(job, other, lanes[1])], lanes)
+  }
+
+  private findHedge (job: Job, route: Route, target: Candidate, progress: Progress, workMs: number): Candidate | undefined {
+    const candidates = this.withOwn(this.options.directory.candidates(job.service), job.service)
+    const present = candidates.find(({ id }) => id === target.id)
+    const other = this.choose(job, progress.tried)
+    if (other === undefined || !isWorthHedging({ job, workMs, present, other, now: this.options.clock.now() })) return undefined
+    return this.mayOffer(job, route, { ...progress, arrivals: 1 }) ? other : undefined
+  }
+
   private async offer (job: Job, target: Candidate, signal: CancelSignal): Promise<Outcome> {
     const { directory, own, ip, peers } = this.options
-    if (target.ip === ip) return await own.run(job, target.id, signal)
+    const startedAt = this.options.clock.now()
     directory.started(target.id)
-    try {
-      return await peers.send(job, target, signal)
-    } finally {
-      directory.finished(target.id)
-    }
+    const outcome = target.ip === ip ? await own.run(job, target.id, signal) : await peers.send(job, target, signal)
+    directory.finished(target.id)
+    if (outcome.kind === 'answer') this.work.record(job.route, this.options.clock.now() - startedAt, target.slowness)
+    return outcome
   }
 
   /** Whether one more target may get the request: the first always, a second within the budget. */
--- a/packages/sidecar/src/core/forwarding/hop-header.ts
+++ b/packages/sidecar/src/core/forwarding/hop-header.ts
@@ -12,22 +12,24 @@
   /** The route's objective, in milliseconds. */
   readonly objectiveMs: number
   readonly idempotent: boolean
+  /** May wait until the target works at its usual speed. */
+  readonly patient: boolean
   /** Name of the route, as both nodes know it. */
   readonly route: string
 }
 
-export function formatHop ({ wantedMs, priority, objectiveMs, idempotent, route }: Hop): string {
-  return `${Math.round(wantedMs)},${priority},${objectiveMs},${idempotent ? 1 : 0},${route}`
+export function formatHop ({ wantedMs, priority, objectiveMs, idempotent, patient, route }: Hop): string {
+  return `${Math.round(wantedMs)},${priority},${objectiveMs},${idempotent ? 1 : 0},${patient ? 1 : 0},${route}`
 }
 
 /** Undefined when the header is missing or damaged. */
 export function parseHop (headers: Headers): Hop | undefined {
   const parts = findHeader(headers, hopHeader)?.split(',')
-  if (parts === undefined || parts.length < 5) return undefined
-  const [wanted, priority, objective, idempotent, ...route] = parts
+  if (parts === undefined || parts.length < 6) return undefined
+  const [wanted, priority, objective, idempotent, patient, ...route] = parts
   const wantedMs = Number(wanted)
   const rank = Number(priority)
   const objectiveMs = Number(objective)
   if (![wantedMs, rank, objectiveMs].every(Number.isFinite)) return undefined
-  return { wantedMs, priority: rank, objectiveMs, idempotent: idempotent === '1', route: route.join(',') }
+  return { wantedMs, priority: rank, objectiveMs, idempotent: idempotent === '1', patient: patient === '1', route: route.join(',') }
 }
--- a/packages/sidecar/src/core/forwarding/ingress.ts
+++ b/packages/sidecar/src/core/forwarding/ingress.ts
@@ -71,6 +71,7 @@
       idempotent: route.kind === 'idempotent',
       objectiveMs: route.objectiveMs,
       priority: route.priority,
+      patient: false,
       wantedBy: arrivedAt + route.objectiveMs - this.spentMs(route.name, waitMs),
       endsAt: arrivedAt + Math.min(waitMs, route.timeoutMs)
     }
--- a/packages/sidecar/src/core/forwarding/peer-server.ts
+++ b/packages/sidecar/src/core/forwarding/peer-server.ts
@@ -31,6 +31,7 @@
     idempotent: hop.idempotent,
     objectiveMs: hop.objectiveMs,
     priority: hop.priority,
+    patient: hop.patient,
     wantedBy: arrivedAt + hop.wantedMs,
     endsAt: arrivedAt + (head.timeoutMs ?? 0)
   }
--- a/packages/sidecar/src/core/own-target/constants.ts
+++ b/packages/sidecar/src/core/own-target/constants.ts
@@ -30,3 +30,12 @@
 
 /** A place is free at a target that was full after about this long, in milliseconds. */
 export const rejectedRetryMs = 200
+
+/** Expected length of a slow time before one was seen, in milliseconds. */
+export const firstSpellMs = 400
+
+/** Weight of a new measurement in the moving mean of slow times. */
+export const spellWeight = 0.2
+
+/** Half of the time over which the least slowness counts as usual, in milliseconds. */
+export const usualWindowMs = 800
--- a/packages/sidecar/src/core/own-target/index.ts
+++ b/packages/sidecar/src/core/own-target/index.ts
@@ -1,5 +1,7 @@
 /** The target on this VM. */
 export { OwnTarget } from './own-target.js'
+export { PaceKeeper } from './pace.js'
 export { Prober } from './prober.js'
 export { mayHaveRun, notRun } from './types.js'
+export { WorkEstimate } from './work-estimate.js'
 export type { Job, MayHaveRunCause, NotRunCause, Outcome } from './types.js'
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -8,8 +8,9 @@
 import type { AnswerHead, Protocol } from '../forwarding/types.js'
 import { FailureShare, usableShare } from '../targets/index.js'
 import type { Directory, TargetReport, TargetState } from '../targets/index.js'
-import { connectMs, firstSlots, freshMs, maxConnections, rejectedRetryMs, unhealthyFailures } from './constants.js'
+import { connectMs, firstSlots, firstWorkShare, freshMs, maxConnections, rejectedRetryMs, unhealthyFailures } from './constants.js'
 import { mayHaveRun, notRun } from './types.js'
+import { PaceKeeper } from './pace.js'
 import type { Job, Outcome } from './types.js'
 import { WorkEstimate } from './work-estimate.js'
 
@@ -23,6 +24,7 @@
   private readonly connections: Connections
   private readonly failures = FailureShare.create()
   private readonly work = WorkEstimate.create()
+  private readonly pace = PaceKeeper.create()
   private knownId = ''
   private reachable = false
   private healthy = true
@@ -136,7 +138,9 @@
       this.slowness = head.load.slowness ?? 1
     }
     const slots = this.slotCount ?? this.options.directory.findAt(this.options.address)?.slots ?? firstSlots
-    this.slots.resize(Math.floor(slots * usableShare), this.slowness)
+    const now = clock.now()
+    this.pace.update(now, this.slowness)
+    this.slots.resize(Math.floor(slots * usableShare), this.pace.read(now))
     onChange()
   }
 
@@ -150,8 +154,8 @@
   }
 
   private describeApplicant (job: Job): Applicant {
-    const { priority, wantedBy, endsAt, objectiveMs } = job
-    return { priority, wantedBy, endsAt, workMs: this.work.read(job.route, objectiveMs) }
+    const { priority, wantedBy, endsAt, objectiveMs, patient } = job
+    return { priority, wantedBy, endsAt, patient, workMs: this.work.read(job.route, objectiveMs * firstWorkShare) }
   }
 
   private async send (job: Job, target: string, signal: CancelSignal): Promise<Outcome> {
--- a/packages/sidecar/src/core/own-target/types.ts
+++ b/packages/sidecar/src/core/own-target/types.ts
@@ -18,6 +18,8 @@
   /** Time within which an answer has its full worth, in milliseconds. */
   readonly objectiveMs: number
   readonly priority: number
+  /** No other target is better: it may wait until this one works at its usual speed. */
+  readonly patient: boolean
   /** Until when an answer has its full worth. */
   readonly wantedBy: number
   /** After this moment nobody waits for the answer. */
@@ -28,6 +30,7 @@
 export type NotRunCause =
   | 'closed' // the target or its node is leaving
   | 'overloaded'
+  | 'slow' // the target works slowly at the moment
   | 'expired'
   | 'left' // the caller is gone
   | 'moved' // another lifetime of a target has the place
--- a/packages/sidecar/src/core/own-target/work-estimate.ts
+++ b/packages/sidecar/src/core/own-target/work-estimate.ts
@@ -1,4 +1,4 @@
-import { firstWorkShare, workWeight } from './constants.js'
+import { workWeight } from './constants.js'
 
 /** What requests of each route take on the target at its usual speed, in milliseconds. */
 export class WorkEstimate {
@@ -16,8 +16,8 @@
     this.means.set(route, mean === undefined ? work : mean + workWeight * (work - mean))
   }
 
-  /** What was measured; before that, a share of the route's objective. */
-  read (route: string, objectiveMs: number): number {
-    return this.means.get(route) ?? objectiveMs * firstWorkShare
+  /** What was measured; before that, `first`. */
+  read (route: string, first: number): number {
+    return this.means.get(route) ?? first
   }
 }
--- a/packages/sidecar/src/core/targets/choose.ts
+++ b/packages/sidecar/src/core/targets/choose.ts
@@ -1,5 +1,5 @@
 import type { Random } from 'auburnturn/core/random'
-import { coldFactor, crossZonePrice, failurePrice, loadPrice, silentAfterMs, silentPrice } from './constants.js'
+import { coldFactor, crossZonePrice, failurePrice, loadPrice, silentAfterMs, silentPrice, slowFactor, slowPrice, slowShare } from './constants.js'
 import type { Candidate } from './types.js'
 
 /** What a choice is made with. */
@@ -30,7 +30,8 @@
 
 /** Expected time of one more request at a target, in service times of an idle target. */
 export function priceOf (candidate: Candidate, zone: string): number {
-  const speed = candidate.slowness * (candidate.cold ? coldFactor : 1)
+  const slow = candidate.slowness >= slowFactor
+  const speed = slow ? 1 + slowPrice + slowShare * candidate.slowness : Math.max(candidate.slowness, candidate.cold ? coldFactor : 1)
   const ahead = candidate.running + candidate.waiting
   const limit = Math.max(1, candidate.limit)
   const work = 1 + loadPrice * Math.min(1, ahead / limit)
--- a/packages/sidecar/src/core/targets/constants.ts
+++ b/packages/sidecar/src/core/targets/constants.ts
@@ -33,3 +33,12 @@
 
 /** Time in milliseconds after which half of a remembered failure is forgotten. */
 export const failureHalfLifeMs = 2_000
+
+/** From this slowness on, by what is usual, it is better to start work elsewhere, or later; a target that has just started is below it. */
+export const slowFactor = 2.5
+
+/** Price of a slow target, in service times: work that waits there for its usual speed. */
+export const slowPrice = 1.4
+
+/** Part of its slowness by which one slow target is preferred to another. */
+export const slowShare = 0.1
--- a/packages/sidecar/src/core/targets/directory.ts
+++ b/packages/sidecar/src/core/targets/directory.ts
@@ -1,5 +1,5 @@
 import type { Clock } from 'auburnturn/core/clock'
-import { outageMs, returnGraceMs, silentAfterMs, unlistedMs, usableShare } from './constants.js'
+import { outageMs, returnGraceMs, silentAfterMs, slowFactor, unlistedMs, usableShare } from './constants.js'
 import type { Candidate, ListedTarget, TargetReport } from './types.js'
 
 /** A listed target with what was learned since. */
@@ -83,6 +83,14 @@
     if (sent !== undefined) sent.unreported = 0
   }
 
+  /** A target has said that it works slowly, before its next report does. */
+  noteSlow (id: string): void {
+    for (const [ip, heard] of this.heard) {
+      if (heard.report.id !== id || heard.report.slowness >= slowFactor) continue
+      this.heard.set(ip, { ...heard, report: { ...heard.report, slowness: slowFactor } })
+    }
+  }
+
   /** Whether the list shows a lifetime of a target as ready. */
   isListed (id: string): boolean {
     const listing = this.findListing(id)
--- a/packages/sidecar/src/core/targets/index.ts
+++ b/packages/sidecar/src/core/targets/index.ts
@@ -1,6 +1,6 @@
 /** Which targets there are, how they do, and which one a request goes to. */
 export { chooseTarget, priceOf } from './choose.js'
-export { usableShare } from './constants.js'
+export { silentAfterMs, slowFactor, usableShare } from './constants.js'
 export { Directory } from './directory.js'
 export { FailureShare } from './failure-share.js'
 export type { Candidate, ListedTarget, TargetReport, TargetState } from './types.js'
