Tell load in 14 bytes, less often to other failure domains; gather changes of the store

Change: full reports at changes of state and each half second, else figures with a checksum of the id; load changes go to other failure domains from five requests on; changes of the store are gathered for 500 ms. Ruled out: longer watches, which need another way to see a silent connection.

--- a/packages/sidecar/src/core/following/constants.ts
+++ b/packages/sidecar/src/core/following/constants.ts
@@ -2,7 +2,7 @@
 export const watchMs = 2_500
 
 /** Pause before the next watch, in milliseconds, so that changes in quick succession come as one. */
-export const gatherMs = 200
+export const gatherMs = 500
 
 /** Pause after the first failure, in milliseconds; it grows with each. */
 export const firstBackoffMs = 100
--- a/packages/sidecar/src/core/forwarding/forwarder.ts
+++ b/packages/sidecar/src/core/forwarding/forwarder.ts
@@ -60,8 +60,8 @@
   }
 
   private choose (job: Job, tried: ReadonlySet<string>): Candidate | undefined {
-    const { directory, zone, random } = this.options
-    return chooseTarget({ candidates: this.withOwn(directory.candidates(job.service), job.service), zone, tried, random })
+    const { directory, failureDomain, random } = this.options
+    return chooseTarget({ candidates: this.withOwn(directory.candidates(job.service), job.service), failureDomain, tried, random })
   }
 
   /** Replaces what was heard of the own target by what is known of it. */
@@ -164,7 +164,7 @@
   readonly peers: Peers
   /** Address and failure domain of this VM. */
   readonly ip: string
-  readonly zone: string
+  readonly failureDomain: string
   /** Repeats allowed for each request of a service. */
   readonly retryRatio: () => number
   /** Repeats allowed to this node beside those, in each window. */
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -56,11 +56,11 @@
 
   /** What the other nodes are told. */
   describe (): TargetReport {
-    const { service, zone, clock } = this.options
+    const { service, failureDomain, clock } = this.options
     const { running, waiting, limit } = this.slots
     const now = clock.now()
     const failures = Math.min(1, this.failures.read(now) + (this.healthy ? 0 : unhealthyFailures))
-    return { id: this.knownId, service, zone, state: this.state(), fresh: this.isFresh(now), running, waiting, limit, slowness: this.slowness, failures }
+    return { id: this.knownId, service, failureDomain, state: this.state(), fresh: this.isFresh(now), running, waiting, limit, slowness: this.slowness, failures }
   }
 
   /** Runs a request, or says that it did not run. */
@@ -214,7 +214,7 @@
   /** `IP:PORT`. */
   readonly address: string
   readonly service: string
-  readonly zone: string
+  readonly failureDomain: string
   readonly clock: Clock
   readonly logger: Logger
   readonly metrics: Metrics
--- a/packages/sidecar/src/core/reports/codec.ts
+++ b/packages/sidecar/src/core/reports/codec.ts
@@ -1,31 +1,40 @@
+import { crc32 } from 'node:zlib'
 import type { TargetReport, TargetState } from '../targets/index.js'
 
-/** A report as it travels, with the version of the configuration that its sender has in force. */
+/** All that a node tells of its target, with the version of the configuration that it has in force. */
 export interface Report {
+  readonly kind: 'full'
   readonly target: TargetReport
   readonly configurationVersion: number
 }
 
-/** First byte of each datagram: the layout below. */
-const layout = 1
-const fixedBytes = 17
+/** What changes many times a second, of a target whose full report came before. */
+export type Figures = Pick<TargetReport, 'state' | 'fresh' | 'running' | 'waiting' | 'limit' | 'slowness' | 'failures'>
+
+/** Figures only; bytes between failure domains are dear. */
+export interface ShortReport {
+  readonly kind: 'short'
+  /** Checksum of the target's id. */
+  readonly idSum: number
+  readonly figures: Figures
+}
+
+/** First byte of each datagram. */
+const layouts = { full: 1, short: 2 } as const
+const figuresBytes = 10
+const shortBytes = figuresBytes + 4
+const fullBytes = figuresBytes + 6
 const states: readonly TargetState[] = ['up', 'down', 'closing']
 const freshBit = 4
 const maxUint16 = 0xffff
 
-/** Packs a report: fixed figures, then id, service and failure domain, each with its length in front. */
+/** Packs a report: figures, version, then id, service and failure domain, each with its length in front. */
 export function encodeReport ({ target, configurationVersion }: Report): Buffer {
-  const texts = [target.id, target.service, target.zone].map(text => Buffer.from(text.slice(0, 255), 'latin1'))
-  const bytes = Buffer.alloc(fixedBytes + texts.reduce((sum, text) => sum + 1 + text.length, 0))
-  bytes.writeUInt8(layout, 0)
-  bytes.writeUInt8(states.indexOf(target.state) | (target.fresh ? freshBit : 0), 1)
-  bytes.writeUInt16LE(clamp(target.running), 2)
-  bytes.writeUInt16LE(clamp(target.waiting), 4)
-  bytes.writeUInt16LE(clamp(target.limit), 6)
-  bytes.writeUInt16LE(clamp(target.slowness * 100), 8)
-  bytes.writeUInt8(Math.min(255, Math.round(target.failures * 255)), 10)
-  bytes.writeUIntLE(configurationVersion, 11, 6)
-  let at = fixedBytes
+  const texts = [target.id, target.service, target.failureDomain].map(text => Buffer.from(text.slice(0, 255), 'latin1'))
+  const bytes = Buffer.alloc(fullBytes + texts.reduce((sum, text) => sum + 1 + text.length, 0))
+  writeFigures(bytes, layouts.full, target)
+  bytes.writeUIntLE(configurationVersion, figuresBytes, 6)
+  let at = fullBytes
   for (const text of texts) {
     bytes.writeUInt8(text.length, at)
     text.copy(bytes, at + 1)
@@ -34,34 +43,72 @@
   return bytes
 }
 
+/** Packs the figures of a target. */
+export function encodeShortReport (target: TargetReport): Buffer {
+  const bytes = Buffer.alloc(shortBytes)
+  writeFigures(bytes, layouts.short, target)
+  bytes.writeUInt32LE(sumId(target.id), figuresBytes)
+  return bytes
+}
+
 /** Undefined for anything that is not a whole report. */
-export function decodeReport (bytes: Buffer): Report | undefined {
-  if (bytes.length < fixedBytes || bytes.readUInt8(0) !== layout) return undefined
+export function decodeReport (bytes: Buffer): Report | ShortReport | undefined {
+  switch (bytes[0]) {
+    case layouts.full: return decodeFull(bytes)
+    case layouts.short: return decodeShort(bytes)
+    default: return undefined
+  }
+}
+
+/** What a short report carries of a target's id. */
+export function sumId (id: string): number {
+  return crc32(id)
+}
+
+function decodeFull (bytes: Buffer): Report | undefined {
+  if (bytes.length < fullBytes) return undefined
+  const figures = readFigures(bytes)
+  const texts = readTexts(bytes)
+  if (figures === undefined || texts === undefined) return undefined
+  const [id, service, failureDomain] = texts as [string, string, string]
+  return { kind: 'full', configurationVersion: bytes.readUIntLE(figuresBytes, 6), target: { id, service, failureDomain, ...figures } }
+}
+
+function decodeShort (bytes: Buffer): ShortReport | undefined {
+  if (bytes.length !== shortBytes) return undefined
+  const figures = readFigures(bytes)
+  return figures === undefined ? undefined : { kind: 'short', idSum: bytes.readUInt32LE(figuresBytes), figures }
+}
+
+function writeFigures (bytes: Buffer, layout: number, { state, fresh, running, waiting, limit, slowness, failures }: Figures): void {
+  bytes.writeUInt8(layout, 0)
+  bytes.writeUInt8(states.indexOf(state) | (fresh ? freshBit : 0), 1)
+  bytes.writeUInt16LE(clamp(running), 2)
+  bytes.writeUInt16LE(clamp(waiting), 4)
+  bytes.writeUInt16LE(clamp(limit), 6)
+  // Tenths are enough to choose by, and leave room for a slowness of 25.
+  bytes.writeUInt8(Math.min(255, Math.round(slowness * 10)), 8)
+  bytes.writeUInt8(Math.min(255, Math.round(failures * 255)), 9)
+}
+
+function readFigures (bytes: Buffer): Figures | undefined {
   const flags = bytes.readUInt8(1)
   const state = states[flags & 3]
-  const texts = readTexts(bytes)
-  if (state === undefined || texts === undefined) return undefined
-  const [id, service, zone] = texts as [string, string, string]
+  if (state === undefined) return undefined
   return {
-    configurationVersion: bytes.readUIntLE(11, 6),
-    target: {
-      id,
-      service,
-      zone,
-      state,
-      fresh: (flags & freshBit) !== 0,
-      running: bytes.readUInt16LE(2),
-      waiting: bytes.readUInt16LE(4),
-      limit: bytes.readUInt16LE(6),
-      slowness: bytes.readUInt16LE(8) / 100,
-      failures: bytes.readUInt8(10) / 255
-    }
+    state,
+    fresh: (flags & freshBit) !== 0,
+    running: bytes.readUInt16LE(2),
+    waiting: bytes.readUInt16LE(4),
+    limit: bytes.readUInt16LE(6),
+    slowness: bytes.readUInt8(8) / 10,
+    failures: bytes.readUInt8(9) / 255
   }
 }
 
 function readTexts (bytes: Buffer): string[] | undefined {
   const texts: string[] = []
-  let at = fixedBytes
+  let at = fullBytes
   while (texts.length < 3) {
     if (at >= bytes.length) return undefined
     const end = at + 1 + bytes.readUInt8(at)
--- a/packages/sidecar/src/core/reports/constants.ts
+++ b/packages/sidecar/src/core/reports/constants.ts
@@ -1,11 +1,14 @@
 /** A node that has nothing new to say reports after this long, in milliseconds. */
-export const heartbeatMs = 400
+export const heartbeatMs = 500
 
-/** Shortest time between two reports of changed load, in milliseconds. */
-export const loadIntervalMs = 80
+/** How often the present figures are looked at, in milliseconds. */
+export const lookMs = 80
 
 /** Slowness that changed by this factor is reported at once. */
 export const slownessStep = 1.2
 
-/** Load that changed by this many requests is reported. */
-export const loadStep = 2
+/** Load that changed by this many requests is reported to the nodes of the same failure domain. */
+export const nearLoadStep = 2
+
+/** The same for all other nodes, to which bytes are dear. */
+export const farLoadStep = 5
--- a/packages/sidecar/src/core/reports/datagrams.ts
+++ b/packages/sidecar/src/core/reports/datagrams.ts
@@ -2,10 +2,10 @@
 import type { Socket } from 'node:dgram'
 import type { Logger } from 'auburnturn/core/logger'
 import { decodeReport } from './codec.js'
-import type { Report } from './codec.js'
+import type { Report, ShortReport } from './codec.js'
 
 /** Receives a report and the address of the node that sent it. */
-export type Receive = (ip: string, report: Report) => void
+export type Receive = (ip: string, report: Report | ShortReport) => void
 
 /** Sends and receives reports as datagrams on one port, the same on all nodes. */
 export class Datagrams {
--- a/packages/sidecar/src/core/reports/index.ts
+++ b/packages/sidecar/src/core/reports/index.ts
@@ -1,5 +1,6 @@
 /** How each node tells the others of the target beside it. */
-export { decodeReport, encodeReport } from './codec.js'
-export type { Report } from './codec.js'
+export { decodeReport, encodeReport, encodeShortReport, sumId } from './codec.js'
+export type { Report, ShortReport } from './codec.js'
 export { Datagrams } from './datagrams.js'
 export { Reporter } from './reporter.js'
+export type { Receivers } from './reporter.js'
--- a/packages/sidecar/src/core/reports/reporter.ts
+++ b/packages/sidecar/src/core/reports/reporter.ts
@@ -1,18 +1,33 @@
 import type { Cancel, Clock } from 'auburnturn/core/clock'
-import { encodeReport } from './codec.js'
+import type { TargetReport } from '../targets/index.js'
+import { encodeReport, encodeShortReport } from './codec.js'
 import type { Report } from './codec.js'
-import { heartbeatMs, loadIntervalMs, loadStep, slownessStep } from './constants.js'
+import { farLoadStep, heartbeatMs, lookMs, nearLoadStep, slownessStep } from './constants.js'
+
+/** Addresses of other nodes, by whether they are in the same failure domain. */
+export interface Receivers {
+  readonly near: readonly string[]
+  readonly far: readonly string[]
+}
+
+/** What a group of receivers was told last. */
+interface Told {
+  readonly loadStep: number
+  report: Report | undefined
+  /** When the last full report went out. */
+  fullAt: number
+}
 
 /** Tells the other nodes how the own target does: changes at once, and a heartbeat. */
 export class Reporter {
   private readonly options: ReporterOptions
   private readonly cancel: Cancel
-  private last: Report | undefined
-  private lastAt = -Infinity
+  private readonly near: Told = { loadStep: nearLoadStep, report: undefined, fullAt: -Infinity }
+  private readonly far: Told = { loadStep: farLoadStep, report: undefined, fullAt: -Infinity }
 
   private constructor (options: ReporterOptions) {
     this.options = options
-    this.cancel = options.clock.every(loadIntervalMs, () => { this.tell() })
+    this.cancel = options.clock.every(lookMs, () => { this.tell() })
   }
 
   static create (options: ReporterOptions): Reporter {
@@ -21,39 +36,43 @@
 
   /** Looks at the present figures and sends them where they are worth it. */
   tell (): void {
-    const { clock, describe } = this.options
-    const now = clock.now()
+    const { describe, receivers } = this.options
     const report = describe()
-    if (!this.isDue(report, now)) return
-    this.last = report
-    this.lastAt = now
-    const bytes = encodeReport(report)
-    for (const ip of this.options.receivers()) this.options.send(bytes, ip)
+    const groups = receivers()
+    this.tellGroup(this.near, groups.near, report)
+    this.tellGroup(this.far, groups.far, report)
   }
 
   close (): void {
     this.cancel()
   }
 
-  private isDue (report: Report, now: number): boolean {
-    const { last } = this
-    const elapsed = now - this.lastAt
-    if (last === undefined || elapsed >= heartbeatMs) return true
-    const { target } = report
-    if (target.state !== last.target.state || target.id !== last.target.id || target.fresh !== last.target.fresh) return true
-    if (report.configurationVersion !== last.configurationVersion) return true
-    const change = target.slowness / last.target.slowness
-    if (change > slownessStep || change < 1 / slownessStep) return true
-    if (elapsed < loadIntervalMs) return false
-    const load = target.running + target.waiting - last.target.running - last.target.waiting
-    return Math.abs(load) >= loadStep
+  private tellGroup (told: Told, ips: readonly string[], report: Report): void {
+    const { clock, send } = this.options
+    const full = told.report === undefined || clock.now() - told.fullAt >= heartbeatMs || isOther(report, told.report)
+    if (!full && !isChanged(report.target, told.report?.target ?? report.target, told.loadStep)) return
+    told.report = report
+    if (full) told.fullAt = clock.now()
+    const bytes = full ? encodeReport(report) : encodeShortReport(report.target)
+    for (const ip of ips) send(bytes, ip)
   }
 }
 
+/** Whether a report says what a short one can't. */
+function isOther (one: Report, other: Report): boolean {
+  return one.configurationVersion !== other.configurationVersion || one.target.id !== other.target.id ||
+    one.target.state !== other.target.state || one.target.fresh !== other.target.fresh
+}
+
+function isChanged (one: TargetReport, other: TargetReport, loadStep: number): boolean {
+  const slowness = one.slowness / other.slowness
+  if (slowness > slownessStep || slowness < 1 / slownessStep) return true
+  return Math.abs(one.running + one.waiting - other.running - other.waiting) >= loadStep
+}
+
 interface ReporterOptions {
   readonly clock: Clock
   readonly describe: () => Report
-  /** Addresses to send to. */
-  readonly receivers: () => Iterable<string>
+  readonly receivers: () => Receivers
   readonly send: (bytes: Buffer, ip: string) => void
 }
--- a/packages/sidecar/src/core/targets/constants.ts
+++ b/packages/sidecar/src/core/targets/constants.ts
@@ -1,5 +1,5 @@
 /** Price of a target in another failure domain, in service times. */
-export const crossZonePrice = 0.3
+export const crossDomainPrice = 0.3
 
 /** How much slower a target that has just started works. */
 export const coldFactor = 2
--- a/packages/sidecar/src/core/targets/directory.ts
+++ b/packages/sidecar/src/core/targets/directory.ts
@@ -83,6 +83,12 @@
     if (sent !== undefined) sent.unreported = 0
   }
 
+  /** Takes newer figures of the target that the node at `ip` spoke of last; `isSame` tells by its id. */
+  hearFigures (ip: string, figures: Partial<TargetReport>, isSame: (id: string) => boolean): void {
+    const before = this.heard.get(ip)
+    if (before !== undefined && isSame(before.report.id)) this.hear(ip, { ...before.report, ...figures })
+  }
+
   /** A target has said that it works slowly, before its next report does. */
   noteSlow (id: string): void {
     for (const [ip, heard] of this.heard) {
@@ -120,9 +126,12 @@
     return found
   }
 
-  /** Addresses of all VMs that the list or their own nodes name. */
-  get ips (): Set<string> {
-    return new Set([...[...this.listings.values()].map(({ target }) => target.ip), ...this.heard.keys()])
+  /** Addresses of all VMs that the list or their own nodes name, with their failure domains. */
+  get failureDomains (): Map<string, string> {
+    const domains = new Map<string, string>()
+    for (const [ip, { report }] of this.heard) domains.set(ip, report.failureDomain)
+    for (const { target } of this.listings.values()) domains.set(target.ip, target.failureDomain)
+    return domains
   }
 
   /** The listed targets, for nodes that can't read the list themselves. */
@@ -187,12 +196,12 @@
   }
 
   private describe ({ target, coldUntil }: Listing, heard: Heard | undefined, now: number): Candidate {
-    const { id, service, ip, zone } = target
+    const { id, service, ip, failureDomain } = target
     const cold = coldUntil > now
-    if (heard !== undefined) return { ...this.describeHeard(ip, heard, now), zone, cold }
+    if (heard !== undefined) return { ...this.describeHeard(ip, heard, now), failureDomain, cold }
     const { underWay } = this.sent.get(id) ?? { underWay: 0 }
     const limit = Math.max(1, Math.floor(target.slots * usableShare))
-    return { id, service, ip, zone, state: 'up', running: underWay, waiting: 0, limit, slowness: 1.5, cold, failures: 0, silentMs: this.silentMs(ip) }
+    return { id, service, ip, failureDomain, state: 'up', running: underWay, waiting: 0, limit, slowness: 1.5, cold, failures: 0, silentMs: this.silentMs(ip) }
   }
 
   private describeUnlisted (ip: string, heard: Heard, now: number): Candidate {
@@ -200,8 +209,8 @@
   }
 
   private describeHeard (ip: string, { report, at }: Heard, now: number): Candidate {
-    const { id, service, zone, state, running, waiting, limit, slowness, failures } = report
+    const { id, service, failureDomain, state, running, waiting, limit, slowness, failures } = report
     const { underWay, unreported } = this.sent.get(id) ?? { underWay: 0, unreported: 0 }
-    return { id, service, ip, zone, state, running: Math.max(running + unreported, underWay), waiting, limit, slowness, failures, cold: false, silentMs: now - at }
+    return { id, service, ip, failureDomain, state, running: Math.max(running + unreported, underWay), waiting, limit, slowness, failures, cold: false, silentMs: now - at }
   }
 }
--- a/packages/sidecar/src/core/targets/types.ts
+++ b/packages/sidecar/src/core/targets/types.ts
@@ -6,7 +6,7 @@
   /** `IP:PORT` of the upstream itself, reachable on its own VM only. */
   readonly address: string
   readonly ip: string
-  readonly zone: string
+  readonly failureDomain: string
   /** Requests it processes at a time. */
   readonly slots: number
   readonly state: 'ready' | 'draining'
@@ -21,7 +21,7 @@
 export interface TargetReport {
   readonly id: string
   readonly service: string
-  readonly zone: string
+  readonly failureDomain: string
   readonly state: TargetState
   /** The target has started while the node looked on, so the list may not show it yet. */
   readonly fresh: boolean
@@ -40,7 +40,7 @@
   readonly id: string
   readonly service: string
   readonly ip: string
-  readonly zone: string
+  readonly failureDomain: string
   readonly state: TargetState
   readonly running: number
   readonly waiting: number
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -13,7 +13,8 @@
 import { MetricsServer } from './core/metrics/index.js'
 import { OwnTarget, Prober } from './core/own-target/index.js'
 import { PauseWatch } from './core/pauses/index.js'
-import { Datagrams, Reporter } from './core/reports/index.js'
+import { Datagrams, Reporter, sumId } from './core/reports/index.js'
+import type { Receivers, Report, ShortReport } from './core/reports/index.js'
 import type { Settings } from './core/settings.js'
 import { Directory } from './core/targets/index.js'
 import type { ListedTarget } from './core/targets/index.js'
@@ -44,7 +45,7 @@
   private inFlight = 0
 
   private constructor ({ settings, clock, random, logger }: NodeOptions) {
-    const { ip, failureDomain: zone, service, upstream, listen } = settings
+    const { ip, failureDomain, service, upstream, listen } = settings
     this.settings = settings
     this.clock = clock
     this.random = random
@@ -54,7 +55,7 @@
     this.configuration = CurrentConfiguration.create({ random })
     this.directory = Directory.create({ clock })
     const { configuration, directory } = this
-    this.target = OwnTarget.create({ address: upstream, service, zone, clock, logger, metrics, protocol, directory, onChange: () => { this.reporter?.tell() } })
+    this.target = OwnTarget.create({ address: upstream, service, failureDomain, clock, logger, metrics, protocol, directory, onChange: () => { this.reporter?.tell() } })
     this.peers = Peers.create({ port: portOf(listen.nodes), clock, protocol })
     const forwarder = Forwarder.create({
       clock,
@@ -65,9 +66,9 @@
       own: this.target,
       peers: this.peers,
       ip,
-      zone,
+      failureDomain,
       retryRatio: () => this.settings.bounds.retryRatio,
-      retryAllowance: () => this.settings.bounds.retryAllowance / Math.max(1, directory.ips.size)
+      retryAllowance: () => this.settings.bounds.retryAllowance / Math.max(1, directory.failureDomains.size)
     })
     this.ingress = Ingress.create({ clock, logger, metrics, protocol, configuration, forwarder, service, isLeaving: () => this.leaving, isClosed: () => this.closed })
     this.store = Store.create({ address: settings.store, clock, onCall: kind => { metrics.count('platform_reads_total', { kind }) } })
@@ -177,12 +178,12 @@
   }
 
   private async openReports (ip: string): Promise<Part> {
-    const { clock, logger, directory, target, configuration, settings } = this
-    const datagrams = await Datagrams.create({ ip, port: settings.internalPorts[0], logger, receive: (from, report) => { directory.hear(from, report.target) } })
+    const { clock, logger, target, configuration, settings } = this
+    const datagrams = await Datagrams.create({ ip, port: settings.internalPorts[0], logger, receive: (from, report) => { this.hear(from, report) } })
     const reporter = Reporter.create({
       clock,
-      describe: () => ({ target: target.describe(), configurationVersion: configuration.version }),
-      receivers: () => [...directory.ips].filter(other => other !== ip),
+      describe: () => ({ kind: 'full', target: target.describe(), configurationVersion: configuration.version }),
+      receivers: () => this.listReceivers(),
       send: (bytes, to) => { datagrams.send(bytes, to) }
     })
     this.reporter = reporter
@@ -194,6 +195,20 @@
     }
   }
 
+  private hear (ip: string, report: Report | ShortReport): void {
+    if (report.kind === 'full') this.directory.hear(ip, report.target)
+    else this.directory.hearFigures(ip, report.figures, id => sumId(id) === report.idSum)
+  }
+
+  private listReceivers (): Receivers {
+    const near: string[] = []
+    const far: string[] = []
+    for (const [ip, failureDomain] of this.directory.failureDomains) {
+      if (ip !== this.settings.ip) (failureDomain === this.settings.failureDomain ? near : far).push(ip)
+    }
+    return { near, far }
+  }
+
   private follow (fail: (error: unknown) => void): Part {
     const { store: source, clock, random, logger } = this
     const follower = Follower.create({ source, clock, random, logger, apply: (changes, whole) => { this.apply(changes, whole) }, onFailure: fail })
--- a/packages/sidecar/src/platform/targets.ts
+++ b/packages/sidecar/src/platform/targets.ts
@@ -24,7 +24,7 @@
     service,
     address: place,
     ip,
-    zone: textOf(info?.['zone']) ?? '',
+    failureDomain: textOf(info?.['zone']) ?? '',
     slots,
     state,
     coldMs: countOf(status?.['cold_remaining_ms']) ?? 0
