Let calls of running requests wait to their end; leave connections that fell silent; bound heads

Open connections may fall silent together: each cost a request of its own. Change: requests much shorter than the mean wait as long as they can still end; a timeout on one connection closes the idle ones to the same address; 431 for heads over the limit. Tests of slots and path failed first. Ruled out for orders: order of the queue (they go before pages already).

--- a/packages/sidecar/src/core/admission/order.ts
+++ b/packages/sidecar/src/core/admission/order.ts
@@ -35,6 +35,7 @@
   return now + workMs * slowness * workMargin <= wantedBy
 }
 
-function isQuick ({ workMs }: Applicant, { meanWorkMs }: Moment): boolean {
+/** Whether a request is much shorter than the mean. */
+export function isQuick ({ workMs }: Applicant, { meanWorkMs }: Moment): boolean {
   return workMs < meanWorkMs * quickShare
 }
--- a/packages/sidecar/src/core/admission/slots.ts
+++ b/packages/sidecar/src/core/admission/slots.ts
@@ -1,7 +1,7 @@
 import type { Clock, Timeout } from 'auburnturn/core/clock'
 import { slowFactor } from '../targets/index.js'
 import { lateWaitShare, leastRetryAfterMs, maxHoldMs, meanWeight, queueShare } from './constants.js'
-import { compareApplicants } from './order.js'
+import { compareApplicants, isQuick } from './order.js'
 import type { Moment } from './order.js'
 import type { Admittance, Applicant, Pace, Refusal } from './types.js'
 
@@ -134,8 +134,8 @@
     if (!applicant.patient && this.isSlow) return 'slow'
     // An estimate is no reason to leave a slot empty.
     if (this.hasRoom) return undefined
-    if (this.queue.length >= this.limitCount * queueShare) return 'overloaded'
     const moment = this.moment(now)
+    if (this.queue.length >= this.limitCount * queueShare && !isQuick(applicant, moment)) return 'overloaded'
     const ahead = this.queue.reduce((sum, { applicant: other }) => compareApplicants(other, applicant, moment) <= 0 ? sum + other.workMs : sum, 0)
     return this.expectWait(ahead) > this.longestWait(applicant, now) ? 'overloaded' : undefined
   }
@@ -146,9 +146,15 @@
     return { now, slowness: this.isHolding ? usual : slowness, meanWorkMs: this.meanWorkMs }
   }
 
-  /** For how long a request may wait: until its answer loses worth and some time on, and never so long that its end is missed. */
-  private longestWait ({ workMs, wantedBy, endsAt }: Applicant, now: number): number {
-    const work = workMs * this.moment(now).slowness
+  /**
+   * For how long a request may wait: until its answer loses worth and some time on, and never so long that its end
+   * is missed. Quick ones wait to their end: mostly a running request needs their answer, late or not.
+   */
+  private longestWait (applicant: Applicant, now: number): number {
+    const { workMs, wantedBy, endsAt } = applicant
+    const moment = this.moment(now)
+    const work = workMs * moment.slowness
+    if (isQuick(applicant, moment)) return endsAt - now - work
     const timely = Math.max(0, wantedBy - now - work)
     return Math.min(endsAt - now - work, timely + (endsAt - now) * lateWaitShare)
   }
--- a/packages/sidecar/src/core/forwarding/ingress.ts
+++ b/packages/sidecar/src/core/forwarding/ingress.ts
@@ -37,6 +37,7 @@
     const head = protocol.readRequest(request.rawHeaders)
     if (this.options.isClosed()) return this.finish(response, head, undefined, arrivedAt, notRun('closed', unknownRetryMs))
     if (!configuration.known) return this.finish(response, head, undefined, arrivedAt, notRun('no-configuration', unknownRetryMs))
+    if (countBytes(request.rawHeaders) > (configuration.limits?.maxHeaderBytes ?? Infinity)) return this.reject(response, head, 431, 'head-too-large')
     const route = configuration.findRoute(request.headers.host ?? '', request.url ?? '/')
     if (route === undefined) return this.reject(response, head, 404, 'no-route')
     const cancellation = Cancellation.create()
@@ -88,6 +89,7 @@
     const { logger, metrics, configuration } = this.options
     metrics.count('calls_total', { verdict: 'not-run', cause })
     logger.info('request-rejected', { request: head.id, status, cause, version: configuration.version })
+    // A head is over with its last byte; the rest of a body would be taken for the next request.
     respond(response, status, status === 413 ? ['connection', 'close'] : [], empty)
   }
 
@@ -109,6 +111,10 @@
   }
 }
 
+function countBytes (headers: readonly string[]): number {
+  return headers.reduce((bytes, text) => bytes + text.length + 2, 0)
+}
+
 interface IngressOptions {
   readonly clock: Clock
   readonly logger: Logger
--- a/packages/sidecar/src/core/forwarding/peers.ts
+++ b/packages/sidecar/src/core/forwarding/peers.ts
@@ -29,8 +29,9 @@
     if (timeoutMs <= 0) return notRun('expired')
     const headers = protocol.writeRequest(job.headers, { id: job.id, timeoutMs, caller: job.caller, target: target.id })
     headers.push(hopHeader, formatHop({ ...job, wantedMs: job.wantedBy - clock.now() }))
+    const connections = this.connectionsTo(target.ip)
     const reply = await exchange({
-      connections: this.connectionsTo(target.ip),
+      connections,
       clock,
       method: job.method,
       path: job.path,
@@ -41,6 +42,8 @@
       signal,
       accept: (status, answered) => parseOutcome(answered) !== undefined || protocol.readAnswer(status, answered).id === job.id
     })
+    // The others may have fallen silent with this one.
+    if (reply.kind === 'lost' && reply.cause === 'timeout') connections.dropIdle()
     return readReply(reply)
   }
 
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -191,7 +191,11 @@
       if (reply.cause === 'connect-failed') this.markDown()
       return reply.cause === 'left' ? notRun('left') : notRun('unreachable')
     }
-    if (reply.kind === 'lost') return mayHaveRun(reply.cause)
+    if (reply.kind === 'lost') {
+      // The others may have fallen silent with this one.
+      if (reply.cause === 'timeout') this.connections.dropIdle()
+      return mayHaveRun(reply.cause)
+    }
     const { status, headers, body } = reply
     const head = this.options.protocol.readAnswer(status, headers)
     this.learn(head)
--- a/packages/sidecar/test/path.test.ts
+++ b/packages/sidecar/test/path.test.ts
@@ -36,10 +36,12 @@
   })
 })
 
-test('a path without a route is refused with 404, a body over the limit with 413', async () => {
+test('a path without a route is refused with 404, a head over the limit with 431, a body with 413', async () => {
   await inWorld(['shop'], async world => {
     assert.is((await world.send(0, '/nowhere/')).status, 404)
+    assert.is((await world.send(0, '/pages/1', { headers: { 'x-long': 'x'.repeat(17_000) } })).status, 431)
     assert.is((await world.send(0, '/orders/1', { method: 'POST', body: 'x'.repeat(2_000) })).status, 413)
+    assert.is(world.targets[0]?.arrivals.length, 0)
   })
 })
 
@@ -186,6 +188,19 @@
   })
 })
 
+test('open connections that fall silent cost one request, not one each', async () => {
+  await inWorld(['shop'], async world => {
+    const target = world.targets[0]
+    if (target === undefined) throw new Error('no target')
+    world.configure({ timeoutMs: 300 })
+    await world.until(() => world.nodes[0]?.version === 2)
+    await Promise.all(['a', 'b', 'c', 'd'].map(async name => await world.send(0, `/orders/${name}`, { method: 'POST', body: 'x' })))
+    target.silence()
+    assert.is((await world.send(0, '/orders/lost', { method: 'POST', body: 'x' })).status, 504)
+    for (const name of ['e', 'f', 'g']) assert.is((await world.send(0, `/orders/${name}`, { method: 'POST', body: 'x' })).status, 200)
+  })
+})
+
 test('a caller that leaves takes its idempotent request from the target', async () => {
   await inWorld(['shop', 'stock'], async world => {
     const target = world.targets[0]
--- a/packages/sidecar/test/slots.test.ts
+++ b/packages/sidecar/test/slots.test.ts
@@ -85,6 +85,14 @@
   assert.is((await waiting).kind, 'refused')
 })
 
+test('overload: calls that running requests wait for get through, late rather than never', async () => {
+  const bench = new Bench(1)
+  for (let count = 0; count < 40; count++) bench.send('page', { workMs: 500, wantedBy: 10_000, endsAt: 60_000 })
+  const lookup = bench.send('lookup', { workMs: 50, wantedBy: 150, endsAt: 600 })
+  await bench.clock.advance(600)
+  assert.is((await lookup).kind, 'admitted')
+})
+
 test('a target that turns slow for moments: work waits for its usual speed', async () => {
   const bench = new Bench(2)
   bench.setPace(2, 4, 150)
