Log each refusal and each failed offer with what it was decided on

Cause: the line of a failed order named no target, and a refusal at the node beside the target left no line there, so an id did not lead to its cause. Change: 'offer-failed' for every offer without a good answer and 'refused' at the target's node, with load, limit, slowness and the age of each.

--- a/packages/sidecar/src/core/forwarding/forwarder.ts
+++ b/packages/sidecar/src/core/forwarding/forwarder.ts
@@ -53,8 +53,9 @@
         directory.noteSlow(target.id)
         continue
       }
+      this.logFailure(outcome, job, target, offers)
       if (this.isFinal(outcome, job, signal)) return keepDoubt(progress.outcome, outcome)
-      this.note(progress, outcome, job, target)
+      note(progress, outcome)
     }
     return progress.outcome
   }
@@ -129,12 +130,21 @@
     }
   }
 
-  private note (progress: Progress, outcome: Outcome, job: Job, target: Candidate): void {
-    const { logger } = this.options
-    const cause = outcome.kind === 'answer' ? `status ${outcome.status}` : outcome.cause
-    logger.info('offer-failed', { request: job.id, target: target.id, kind: outcome.kind, cause, silentMs: Math.round(target.silentMs), running: target.running, slowness: target.slowness })
-    if (outcome.kind !== 'not-run' || outcome.cause === 'rejected') progress.arrivals++
-    progress.outcome = keepDoubt(progress.outcome, outcome)
+  /** One line for each offer without a good answer: what it was decided on, and how old that was. */
+  private logFailure (outcome: Outcome, job: Job, target: Candidate, offers: number): void {
+    if (outcome.kind === 'answer' && outcome.status < 500) return
+    this.options.logger.info('offer-failed', {
+      request: job.id,
+      offer: offers + 1,
+      target: target.id,
+      kind: outcome.kind,
+      cause: outcome.kind === 'answer' ? `status ${outcome.status}` : outcome.cause,
+      heardMsAgo: Math.round(target.silentMs),
+      running: target.running,
+      waiting: target.waiting,
+      limit: target.limit,
+      slowness: target.slowness
+    })
   }
 
   private budgetOf (service: string): RetryWindow {
@@ -146,6 +156,12 @@
   }
 }
 
+/** Remembers what an offer that is not the last one came to. */
+function note (progress: Progress, outcome: Outcome): void {
+  if (outcome.kind !== 'not-run' || outcome.cause === 'rejected') progress.arrivals++
+  progress.outcome = keepDoubt(progress.outcome, outcome)
+}
+
 /** What is known after a later offer: an answer stays, and so does doubt, until there is an answer. */
 function keepDoubt (earlier: Outcome, later: Outcome): Outcome {
   if (later.kind === 'answer') return later
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -2,7 +2,7 @@
 import type { Logger } from 'auburnturn/core/logger'
 import type { Metrics } from 'auburnturn/core/metrics'
 import { Slots } from '../admission/index.js'
-import type { Applicant } from '../admission/index.js'
+import type { Admittance, Applicant } from '../admission/index.js'
 import { Connections, exchange } from '../exchange/index.js'
 import type { Reply } from '../exchange/index.js'
 import type { AnswerHead, Protocol } from '../forwarding/types.js'
@@ -72,7 +72,10 @@
     signal.addEventListener('abort', application.leave, { once: true })
     const admittance = await application.admittance
     signal.removeEventListener('abort', application.leave)
-    if (admittance.kind === 'refused') return notRun(admittance.cause, admittance.retryAfterMs)
+    if (admittance.kind === 'refused') {
+      this.logRefusal(job, admittance)
+      return notRun(admittance.cause, admittance.retryAfterMs)
+    }
     this.options.metrics.record('call_queue_seconds', admittance.waitedMs)
     const outcome = this.findObstacle(target) ?? await this.send(job, target, signal)
     this.slots.release(applicant)
@@ -186,6 +189,13 @@
     return outcome
   }
 
+  private logRefusal (job: Job, { cause, retryAfterMs }: Extract<Admittance, { kind: 'refused' }>): void {
+    const { running, waiting, limit } = this.slots
+    const leftMs = Math.round(job.endsAt - this.options.clock.now())
+    const loadMsAgo = Math.round(this.loadAgeMs)
+    this.options.logger.info('refused', { request: job.id, cause, retryAfterMs, leftMs, running, waiting, limit, slowness: this.slowness, loadMsAgo, target: this.knownId })
+  }
+
   private judge (reply: Reply): Outcome {
     if (reply.kind === 'unsent') {
       if (reply.cause === 'connect-failed') this.markDown()
