Let nodes that can't read the store learn from the others; split the node

Change: a report names the version in force; a node that is behind asks that one for its configuration, and for its list where it has none. Servers, requests under way and changes of the store are modules of their own. Test: a node started while the store refuses all; it fails without the catch-up (checked by taking the call out).

--- a/packages/sidecar/src/core/configuration/current.ts
+++ b/packages/sidecar/src/core/configuration/current.ts
@@ -30,6 +30,11 @@
     return this.configuration !== undefined
   }
 
+  /** The whole configuration in force. */
+  get whole (): Configuration | undefined {
+    return this.configuration
+  }
+
   get limits (): Limits | undefined {
     return this.configuration?.limits
   }
--- /dev/null
+++ b/packages/sidecar/src/core/following/apply-changes.ts
@@ -0,0 +1,41 @@
+import type { Logger } from 'auburnturn/core/logger'
+import type { CurrentConfiguration } from '../configuration/index.js'
+import type { Directory, ListedTarget } from '../targets/index.js'
+import type { Change } from './types.js'
+
+/** What changes of the store are applied to. */
+export interface Beliefs {
+  readonly directory: Directory
+  readonly configuration: CurrentConfiguration
+  readonly logger: Logger
+}
+
+/** Takes what the store says; `whole` when it is all that the store holds. */
+export function applyChanges (changes: readonly Change[], whole: boolean, beliefs: Beliefs): void {
+  const { directory } = beliefs
+  if (whole) directory.replace(changes.flatMap((change): ListedTarget[] => change.kind === 'target' ? [change.target] : []))
+  for (const change of changes) applyChange(change, whole, beliefs)
+}
+
+function applyChange (change: Change, whole: boolean, { directory, configuration, logger }: Beliefs): void {
+  switch (change.kind) {
+    case 'configuration': {
+      const offer = configuration.offer(change.configuration)
+      logger.info('configuration-offered', { version: change.configuration.version, offer, routes: change.configuration.routes.length })
+      break
+    }
+    case 'target': {
+      const { id, service, state, address } = change.target
+      if (!whole) directory.put(change.target)
+      logger.info('target-listed', { id, service, state, address })
+      break
+    }
+    case 'gone':
+      directory.remove(change.id)
+      logger.info('target-gone', { id: change.id })
+      break
+    case 'unusable':
+      if (change.id !== undefined) directory.remove(change.id)
+      logger.warn('entry-unusable', { key: change.key })
+  }
+}
--- a/packages/sidecar/src/core/following/constants.ts
+++ b/packages/sidecar/src/core/following/constants.ts
@@ -9,3 +9,6 @@
 
 /** Longest pause after failures, in milliseconds. */
 export const maxBackoffMs = 800
+
+/** How long the store has to bring what another node has already, in milliseconds. */
+export const catchUpDelayMs = 800
--- a/packages/sidecar/src/core/following/index.ts
+++ b/packages/sidecar/src/core/following/index.ts
@@ -1,3 +1,7 @@
 /** Keeps up with what the platform's store says. */
+export { applyChanges } from './apply-changes.js'
+export type { Beliefs } from './apply-changes.js'
+export { CatchUp } from './catch-up.js'
+export type { SharedState } from './catch-up.js'
 export { Follower } from './follower.js'
 export type { Change, Source, SourceAnswer } from './types.js'
--- a/packages/sidecar/src/core/forwarding/constants.ts
+++ b/packages/sidecar/src/core/forwarding/constants.ts
@@ -16,9 +16,6 @@
 /** Idle connections between nodes are closed by the sender first; this is the receiver's bound, in milliseconds. */
 export const peerIdleMs = 120_000
 
-/** Longest request head, in bytes, before a configuration says so. */
-export const maxHeadBytes = 65_536
-
 /** Work may take this much longer than its mean before another target is asked as well. */
 export const hedgeMargin = 1.25
 
@@ -30,3 +27,9 @@
 
 /** Offers that a slow target may refuse for a faster one. */
 export const maxImpatientOffers = 2
+
+/** Where a node tells others its configuration and targets. */
+export const statePath = '/auburnturn/state'
+
+/** Longest time to read them, in milliseconds. */
+export const stateMs = 1_000
--- a/packages/sidecar/src/core/forwarding/peer-server.ts
+++ b/packages/sidecar/src/core/forwarding/peer-server.ts
@@ -2,6 +2,8 @@
 import { Cancellation } from 'auburnturn/core/clock'
 import type { Clock } from 'auburnturn/core/clock'
 import type { Job, OwnTarget } from '../own-target/index.js'
+import type { SharedState } from '../following/index.js'
+import { statePath } from './constants.js'
 import { parseHop } from './hop-header.js'
 import { formatOutcome } from './outcome-headers.js'
 import { readBody } from './request-body.js'
@@ -9,10 +11,11 @@
 import type { Protocol } from './types.js'
 
 /** Serves one request that another node passed on to the target beside this one. */
-export async function servePeer (request: IncomingMessage, response: ServerResponse, { clock, protocol, target, service, maxBodyBytes }: PeerServing): Promise<void> {
+export async function servePeer (request: IncomingMessage, response: ServerResponse, { clock, protocol, target, service, maxBodyBytes, readState }: PeerServing): Promise<void> {
   const arrivedAt = clock.now()
   const { rawHeaders: headers, method = 'GET', url: path = '/' } = request
   const hop = parseHop(headers)
+  if (hop === undefined && path === statePath) return respondState(response, readState())
   const head = protocol.readRequest(headers)
   if (hop === undefined) return respond(response, 400, ['connection', 'close'], Buffer.alloc(0))
   const cancellation = Cancellation.create()
@@ -40,6 +43,11 @@
   else respond(response, statusOf(outcome), formatOutcome(outcome), Buffer.alloc(0))
 }
 
+function respondState (response: ServerResponse, state: SharedState | undefined): void {
+  if (state === undefined) respond(response, 503, [], Buffer.alloc(0))
+  else respond(response, 200, ['content-type', 'application/json'], Buffer.from(JSON.stringify(state)))
+}
+
 /** What a request from another node is served with. */
 export interface PeerServing {
   readonly clock: Clock
@@ -48,4 +56,6 @@
   /** Service of the target. */
   readonly service: string
   readonly maxBodyBytes: () => number
+  /** What this node can tell others; undefined before it knows a configuration. */
+  readonly readState: () => SharedState | undefined
 }
--- a/packages/sidecar/src/core/forwarding/peers.ts
+++ b/packages/sidecar/src/core/forwarding/peers.ts
@@ -4,7 +4,8 @@
 import { mayHaveRun, notRun } from '../own-target/index.js'
 import type { Job, Outcome } from '../own-target/index.js'
 import type { Candidate } from '../targets/index.js'
-import { maxPeerConnections, peerConnectMs } from './constants.js'
+import type { SharedState } from '../following/index.js'
+import { maxPeerConnections, peerConnectMs, stateMs, statePath } from './constants.js'
 import { formatHop, hopHeader } from './hop-header.js'
 import { parseOutcome } from './outcome-headers.js'
 import type { Protocol } from './types.js'
@@ -47,6 +48,16 @@
     return readReply(reply)
   }
 
+  /** Asks the node at an address for its configuration and targets. */
+  async readState (ip: string): Promise<SharedState | undefined> {
+    const { clock } = this.options
+    const reply = await exchange({
+      connections: this.connectionsTo(ip), clock, method: 'GET', path: statePath, headers: ['host', ip], body: Buffer.alloc(0), connectMs: peerConnectMs, timeoutMs: stateMs
+    })
+    if (reply.kind !== 'answer' || reply.status !== 200) return undefined
+    return JSON.parse(reply.body.toString()) as SharedState
+  }
+
   close (): void {
     for (const connections of this.connections.values()) connections.close()
   }
--- /dev/null
+++ b/packages/sidecar/src/core/listening/address.ts
@@ -0,0 +1,9 @@
+/** The IP number of `IP:PORT`. */
+export function hostOf (address: string): string {
+  return address.slice(0, address.lastIndexOf(':'))
+}
+
+/** The port of `IP:PORT`. */
+export function portOf (address: string): number {
+  return Number(address.slice(address.lastIndexOf(':') + 1))
+}
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -1,5 +1,4 @@
-import { createServer } from 'node:http'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Server } from 'node:http'
 import type { Clock } from 'auburnturn/core/clock'
 import type { Logger } from 'auburnturn/core/logger'
 import { Metrics } from 'auburnturn/core/metrics'
@@ -7,9 +6,10 @@
 import { Supervisor } from 'auburnturn/core/supervisor'
 import type { Part } from 'auburnturn/core/supervisor'
 import { CurrentConfiguration } from './core/configuration/index.js'
-import { Follower } from './core/following/index.js'
-import type { Change } from './core/following/index.js'
-import { Forwarder, Ingress, maxHeadBytes, peerIdleMs, Peers, servePeer } from './core/forwarding/index.js'
+import { applyChanges, CatchUp, Follower } from './core/following/index.js'
+import type { Change, SharedState } from './core/following/index.js'
+import { Forwarder, Ingress, peerIdleMs, Peers, servePeer } from './core/forwarding/index.js'
+import { hostOf, openServer, portOf, UnderWay } from './core/listening/index.js'
 import { MetricsServer } from './core/metrics/index.js'
 import { OwnTarget, Prober } from './core/own-target/index.js'
 import { PauseWatch } from './core/pauses/index.js'
@@ -17,7 +17,6 @@
 import type { Receivers, Report, ShortReport } from './core/reports/index.js'
 import type { Settings } from './core/settings.js'
 import { Directory } from './core/targets/index.js'
-import type { ListedTarget } from './core/targets/index.js'
 import { answerMarginMs, callersGoneMs, checksUntilGone, drainCheckMs, endMarginMs, idleUntilConfiguredMs, lastRequestMs, metricsPath, metricsPort } from './constants.js'
 import { protocol, ReadinessServer, Store } from './platform/index.js'
 
@@ -27,11 +26,13 @@
   private readonly clock: Clock
   private readonly logger: Logger
   private readonly metrics: Metrics
+  private readonly underWay: UnderWay
   private readonly configuration: CurrentConfiguration
   private readonly directory: Directory
   private readonly target: OwnTarget
   private readonly peers: Peers
   private readonly ingress: Ingress
+  private readonly catchUp: CatchUp
   private readonly store: Store
   private readonly random: Random
   private readonly supervisor: Supervisor
@@ -42,7 +43,6 @@
   private closed = false
   /** Readiness checks that were answered with a refusal since the signal. */
   private missedChecks = 0
-  private inFlight = 0
 
   private constructor ({ settings, clock, random, logger }: NodeOptions) {
     const { ip, failureDomain, service, upstream, listen } = settings
@@ -52,6 +52,7 @@
     this.logger = logger
     this.metrics = Metrics.create({ clock })
     const { metrics } = this
+    this.underWay = UnderWay.create({ clock })
     this.configuration = CurrentConfiguration.create({ random })
     this.directory = Directory.create({ clock })
     const { configuration, directory } = this
@@ -72,6 +73,7 @@
     })
     this.ingress = Ingress.create({ clock, logger, metrics, protocol, configuration, forwarder, service, isLeaving: () => this.leaving, isClosed: () => this.closed })
     this.store = Store.create({ address: settings.store, clock, onCall: kind => { metrics.count('platform_reads_total', { kind }) } })
+    this.catchUp = CatchUp.create({ clock, logger, version: () => configuration.version, ask: async other => await this.peers.readState(other), take: state => { this.take(state) } })
     this.supervisor = Supervisor.create({ clock, logger })
   }
 
@@ -124,17 +126,13 @@
     while (this.missedChecks < checksUntilGone && clock.now() < startedAt + callersGoneMs) await clock.sleep(drainCheckMs)
     target.close()
     // Callers that find no other node are served on for a while; calls of the own target until it has ended its work.
-    await this.waitUntilIdle(startedAt + lastRequestMs)
+    await this.underWay.settle(startedAt + lastRequestMs)
     this.closed = true
     const endsAt = startedAt + this.settings.bounds.graceMs - endMarginMs
-    await this.waitUntilIdle(endsAt - answerMarginMs)
+    await this.underWay.settle(endsAt - answerMarginMs)
     this.ingress.cancel()
-    await this.waitUntilIdle(endsAt)
-    this.logger.info('node-ended', { inFlight: this.inFlight, tookMs: Math.round(clock.now() - startedAt) })
-  }
-
-  private async waitUntilIdle (endsAt: number): Promise<void> {
-    while (this.inFlight > 0 && this.clock.now() < endsAt) await this.clock.sleep(drainCheckMs)
+    await this.underWay.settle(endsAt)
+    this.logger.info('node-ended', { inFlight: this.underWay.count, tookMs: Math.round(clock.now() - startedAt) })
   }
 
   private checkReady (): boolean {
@@ -158,7 +156,8 @@
   }
 
   private async openCallers (address: string): Promise<Part> {
-    const server = await this.serve(address, async (request, response) => { await this.ingress.serve(request, response) })
+    const { underWay, logger } = this
+    const server = await openServer({ address, underWay, logger, handle: async (request, response) => { await this.ingress.serve(request, response) } })
     server.keepAliveTimeout = idleUntilConfiguredMs
     server.on('connection', () => {
       const { limits } = this.configuration
@@ -170,9 +169,9 @@
   }
 
   private async openNodes (address: string): Promise<Part> {
-    const { clock, target, configuration, settings: { service } } = this
-    const serving = { clock, protocol, target, service, maxBodyBytes: () => configuration.limits?.maxBodyBytes ?? Infinity }
-    const server = await this.serve(address, async (request, response) => { await servePeer(request, response, serving) })
+    const { clock, logger, underWay, target, configuration, settings: { service } } = this
+    const serving = { clock, protocol, target, service, maxBodyBytes: () => configuration.limits?.maxBodyBytes ?? Infinity, readState: () => this.readState() }
+    const server = await openServer({ address, underWay, logger, handle: async (request, response) => { await servePeer(request, response, serving) } })
     server.keepAliveTimeout = peerIdleMs
     return closing(server)
   }
@@ -196,8 +195,12 @@
   }
 
   private hear (ip: string, report: Report | ShortReport): void {
-    if (report.kind === 'full') this.directory.hear(ip, report.target)
-    else this.directory.hearFigures(ip, report.figures, id => sumId(id) === report.idSum)
+    if (report.kind === 'full') {
+      this.directory.hear(ip, report.target)
+      this.catchUp.hear(ip, report.configurationVersion)
+      return
+    }
+    this.directory.hearFigures(ip, report.figures, id => sumId(id) === report.idSum)
   }
 
   private listReceivers (): Receivers {
@@ -223,56 +226,33 @@
 
   private showMetrics (): void {
     const { metrics, target, configuration } = this
-    metrics.show('in_flight', 'gauge', () => this.inFlight)
+    metrics.show('in_flight', 'gauge', () => this.underWay.count)
     metrics.show('admission_running', 'gauge', () => target.slots.running)
     metrics.show('admission_queued', 'gauge', () => target.slots.waiting)
     metrics.show('configuration_version', 'gauge', () => configuration.version)
   }
 
-  private async serve (address: string, handle: (request: IncomingMessage, response: ServerResponse) => Promise<void>): Promise<Server> {
-    const server = createServer({ maxHeaderSize: maxHeadBytes, noDelay: true }, (request, response) => {
-      this.inFlight++
-      handle(request, response)
-        .catch((error: unknown) => {
-          this.logger.error('request-crashed', { error: error instanceof Error ? error.stack : String(error) })
-          response.destroy()
-        })
-        .finally(() => { this.inFlight-- })
-    })
-    await new Promise<void>((resolve, reject) => { server.once('error', reject).listen(portOf(address), hostOf(address), resolve) })
-    return server
-  }
-
   private apply (changes: readonly Change[], whole: boolean): void {
-    this.directory.markAnswered()
-    if (whole) {
-      this.directory.replace(changes.flatMap((change): ListedTarget[] => change.kind === 'target' ? [change.target] : []))
-      this.listed = true
-    }
-    for (const change of changes) this.applyOne(change, whole)
+    const { directory, configuration, logger } = this
+    directory.markAnswered()
+    applyChanges(changes, whole, { directory, configuration, logger })
+    this.listed ||= whole
     this.reporter?.tell()
   }
 
-  private applyOne (change: Change, whole: boolean): void {
-    const { directory, configuration, logger } = this
-    switch (change.kind) {
-      case 'configuration': {
-        const offer = configuration.offer(change.configuration)
-        logger.info('configuration-offered', { version: change.configuration.version, offer, routes: change.configuration.routes.length })
-        break
-      }
-      case 'target':
-        if (!whole) directory.put(change.target)
-        logger.info('target-listed', { id: change.target.id, service: change.target.service, state: change.target.state, address: change.target.address })
-        break
-      case 'gone':
-        directory.remove(change.id)
-        logger.info('target-gone', { id: change.id })
-        break
-      case 'unusable':
-        if (change.id !== undefined) directory.remove(change.id)
-        logger.warn('entry-unusable', { key: change.key })
-    }
+  private readState (): SharedState | undefined {
+    const { whole } = this.configuration
+    return whole === undefined ? undefined : { configuration: whole, targets: this.directory.listed }
+  }
+
+  /** Takes what another node knows: the configuration, and its list where this node has none. */
+  private take ({ configuration, targets }: SharedState): void {
+    const changes: Change[] = [{ kind: 'configuration', configuration }]
+    if (!this.listed) for (const target of targets) changes.push({ kind: 'target', target })
+    const { directory, logger } = this
+    applyChanges(changes, false, { directory, configuration: this.configuration, logger })
+    this.listed = true
+    this.reporter?.tell()
   }
 
   /** After a pause nobody knows how old the waiting requests are. */
@@ -291,14 +271,6 @@
   }
 }
 
-function portOf (address: string): number {
-  return Number(address.slice(address.lastIndexOf(':') + 1))
-}
-
-function hostOf (address: string): string {
-  return address.slice(0, address.lastIndexOf(':'))
-}
-
 interface NodeOptions {
   readonly settings: Settings
   readonly clock: Clock
--- a/packages/sidecar/test/path.test.ts
+++ b/packages/sidecar/test/path.test.ts
@@ -169,6 +169,16 @@
   })
 })
 
+test('a node that starts while the store is away learns all from the others', async () => {
+  await inWorld(['shop', 'stock'], async world => {
+    world.store.refusal = 503
+    await world.nodes[1]?.close()
+    await world.start(1, 'stock')
+    await world.until(() => world.nodes[1]?.ready === true && world.nodes[1].knows('shop'))
+    assert.is((await world.send(1, '/pages/a')).body, 'i-0 /pages/a')
+  })
+})
+
 test('damaged entries of the store hurt nothing else', async () => {
   await inWorld(['shop', 'stock'], async world => {
     world.store.put('servers/i-forged', 'not json')
