--- a/packages/sidecar/test/path.test.ts
+++ b/packages/sidecar/test/path.test.ts
@@ -134,6 +134,21 @@
   })
 })
 
+test('an answer that comes before a long body was read leaves the connection clean for the next request', async () => {
+  await inWorld(['shop'], async world => {
+    const target = world.targets[0]
+    if (target === undefined) throw new Error('no target')
+    target.answersEarly = true
+    const first = await world.send(0, '/orders/1', { method: 'POST', body: 'x'.repeat(1_000) })
+    assert.ok(first.status === 200 || first.status === 502)
+    target.answersEarly = false
+    for (const name of ['2', '3', '4']) {
+      const seen = await world.send(0, `/orders/${name}`, { method: 'POST', body: 'y' })
+      assert.is(seen.body, `i-0 /orders/${name}`)
+    }
+  })
+})
+
 test('a target that starts again under another id is reached under that', async () => {
   await inWorld(['shop', 'stock'], async world => {
     const target = world.targets[0]
