Keep health checks within what a deployment allows; dump the state; forget what is long gone

Cause, found on reading the code: the prober took 20 checks a second whatever the deployment allows; ids that left and nodes not heard any more were kept for good; the state could not be looked at; a method that nothing called.

--- a/packages/sidecar/src/core/admission/slots.ts
+++ b/packages/sidecar/src/core/admission/slots.ts
@@ -58,12 +58,6 @@
     this.startNext()
   }
 
-  /** Lets work in again. */
-  reopen (): void {
-    this.open = true
-    this.startNext()
-  }
-
   /** Refuses what waits and what comes from now on; what runs goes on. */
   close (): void {
     this.open = false
--- a/packages/sidecar/src/core/metrics/metrics-server.ts
+++ b/packages/sidecar/src/core/metrics/metrics-server.ts
@@ -2,7 +2,10 @@
 import type { Server } from 'node:http'
 import type { Metrics } from 'auburnturn/core/metrics'
 
-/** Serves the metrics as text. */
+/** Where the state of the node is read, as JSON. */
+const dumpPath = '/dump'
+
+/** Serves the metrics as text, and the state of the node as JSON. */
 export class MetricsServer {
   private readonly server: Server
 
@@ -10,8 +13,9 @@
     this.server = server
   }
 
-  static async create ({ ip, port, path, metrics }: { ip: string, port: number, path: string, metrics: Metrics }): Promise<MetricsServer> {
+  static async create ({ ip, port, path, metrics, dump }: MetricsServerOptions): Promise<MetricsServer> {
     const server = createServer((request, response) => {
+      if (request.url === dumpPath) return response.writeHead(200, { 'content-type': 'application/json' }).end(JSON.stringify(dump(), null, 2))
       if (request.url !== path) return response.writeHead(404, { 'content-length': 0 }).end()
       return response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(metrics.format())
     })
@@ -24,3 +28,12 @@
     this.server.closeAllConnections()
   }
 }
+
+interface MetricsServerOptions {
+  readonly ip: string
+  readonly port: number
+  readonly path: string
+  readonly metrics: Metrics
+  /** The state of the node. */
+  readonly dump: () => unknown
+}
--- a/packages/sidecar/src/core/own-target/constants.ts
+++ b/packages/sidecar/src/core/own-target/constants.ts
@@ -1,6 +1,9 @@
 /** Shortest time between two health checks, in milliseconds. */
 export const probeMs = 50
 
+/** Share of the allowed health checks that is used. */
+export const usableProbes = 0.8
+
 /** A health check that takes longer, in milliseconds, counts as unanswered. */
 export const probeTimeoutMs = 500
 
--- a/packages/sidecar/src/core/own-target/prober.ts
+++ b/packages/sidecar/src/core/own-target/prober.ts
@@ -1,7 +1,7 @@
 import type { Clock } from 'auburnturn/core/clock'
 import { Connections, exchange } from '../exchange/index.js'
 import type { Protocol } from '../forwarding/types.js'
-import { connectMs, probeMs, probesUntilDown, probeTimeoutMs } from './constants.js'
+import { connectMs, probeMs, probesUntilDown, probeTimeoutMs, usableProbes } from './constants.js'
 import type { OwnTarget } from './own-target.js'
 
 /** Checks the health of the own target as often as its load is worth to know. */
@@ -29,12 +29,13 @@
   }
 
   private async run (): Promise<void> {
-    const { clock, target, healthPath } = this.options
+    const { clock, target, healthPath, probesPerSecond } = this.options
     while (!this.closed) {
       const path = healthPath()
       // Answers tell the load as well as a check does.
-      if (path !== undefined && (target.loadAgeMs >= probeMs || target.id === '')) await this.probe(path)
-      await clock.sleep(probeMs)
+      const intervalMs = Math.max(probeMs, 1_000 / (probesPerSecond() * usableProbes))
+      if (path !== undefined && (target.loadAgeMs >= intervalMs || target.id === '')) await this.probe(path)
+      await clock.sleep(intervalMs)
     }
   }
 
@@ -61,5 +62,7 @@
   readonly target: OwnTarget
   /** Undefined before a configuration is known. */
   readonly healthPath: () => string | undefined
+  /** Most health checks a second that the deployment allows. */
+  readonly probesPerSecond: () => number
   readonly onFailure: (error: unknown) => void
 }
--- a/packages/sidecar/src/core/targets/constants.ts
+++ b/packages/sidecar/src/core/targets/constants.ts
@@ -42,3 +42,9 @@
 
 /** Part of its slowness by which one slow target is preferred to another. */
 export const slowShare = 0.1
+
+/** Ids of targets that left are remembered up to this number. */
+export const maxLeft = 10_000
+
+/** A node that was not heard for this long is forgotten when a target leaves, in milliseconds. */
+export const forgetAfterMs = 60_000
--- a/packages/sidecar/src/core/targets/directory.ts
+++ b/packages/sidecar/src/core/targets/directory.ts
@@ -1,5 +1,5 @@
 import type { Clock } from 'auburnturn/core/clock'
-import { outageMs, returnGraceMs, silentAfterMs, slowFactor, unlistedMs, usableShare } from './constants.js'
+import { forgetAfterMs, maxLeft, outageMs, returnGraceMs, silentAfterMs, slowFactor, unlistedMs, usableShare } from './constants.js'
 import type { Candidate, ListedTarget, TargetReport } from './types.js'
 
 /** A listed target with what was learned since. */
@@ -187,6 +187,14 @@
   private forget (id: string): void {
     this.listings.delete(id)
     this.left.add(id)
+    this.prune()
+  }
+
+  /** Forgets the oldest of those that left, and nodes that were not heard for long. */
+  private prune (): void {
+    const [oldest] = this.left
+    if (oldest !== undefined && this.left.size > maxLeft) this.left.delete(oldest)
+    for (const ip of [...this.heard.keys()]) if (this.silentMs(ip) > forgetAfterMs) this.heard.delete(ip)
   }
 
   private isUsableUnlisted ({ report, since }: Heard, service: string, now: number): boolean {
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -151,7 +151,7 @@
     await supervisor.add('prober', async fail => this.probe(fail))
     await supervisor.add('pauses', async () => PauseWatch.create({ clock, wallClock: Date.now, onPause: pausedMs => { this.recover(pausedMs) } }))
     this.showMetrics()
-    await supervisor.add('metrics', async () => await MetricsServer.create({ ip, port: metricsPort, path: metricsPath, metrics: this.metrics }))
+    await supervisor.add('metrics', async () => await MetricsServer.create({ ip, port: metricsPort, path: metricsPath, metrics: this.metrics, dump: () => this.dump() }))
     await supervisor.add('readiness', async () => await ReadinessServer.create({ ip: hostOf(listen.readiness), port: portOf(listen.readiness), isReady: () => this.checkReady() }))
   }
 
@@ -215,15 +215,21 @@
   private follow (fail: (error: unknown) => void): Part {
     const { store: source, clock, random, logger } = this
     const follower = Follower.create({ source, clock, random, logger, apply: (changes, whole) => { this.apply(changes, whole) }, onFailure: fail })
-    return { close: async () => { follower.close() } }
+    return { close: async () => { follower.close() }, dump: () => ({ inTouch: follower.inTouch }) }
   }
 
   private probe (onFailure: (error: unknown) => void): Part {
     const { clock, target, configuration, settings: { upstream, service } } = this
-    const prober = Prober.create({ address: upstream, clock, protocol, target, healthPath: () => configuration.findService(service)?.healthPath, onFailure })
+    const prober = Prober.create({ address: upstream, clock, protocol, target, healthPath: () => configuration.findService(service)?.healthPath, probesPerSecond: () => this.settings.bounds.probesPerSecond, onFailure })
     return { close: async () => { prober.close() } }
   }
 
+  /** The state of this node, without bodies or header values of requests. */
+  private dump (): unknown {
+    const { settings, configuration, target, directory, supervisor } = this
+    return { name: settings.name, ready: this.ready, leaving: this.leaving, version: configuration.version, target: target.describe(), directory: directory.dump(), parts: supervisor.dump() }
+  }
+
   private showMetrics (): void {
     const { metrics, target, configuration } = this
     metrics.show('in_flight', 'gauge', () => this.underWay.count)
--- a/packages/sidecar/test/path.test.ts
+++ b/packages/sidecar/test/path.test.ts
@@ -36,6 +36,17 @@
   })
 })
 
+test('metrics and the state of a node can be read', async () => {
+  await inWorld(['shop'], async world => {
+    await world.send(0, '/pages/a')
+    const metrics = await (await fetch('http://127.0.0.11:9464/metrics')).text()
+    assert.match(metrics, 'calls_total{')
+    assert.match(metrics, 'call_seconds_count 1')
+    const state = await (await fetch('http://127.0.0.11:9464/dump')).json() as { version: number, ready: boolean, target: { id: string } }
+    assert.equal([state.version, state.ready, state.target.id], [1, true, 'i-0'])
+  })
+})
+
 test('a path without a route is refused with 404, a head over the limit with 431, a body with 413', async () => {
   await inWorld(['shop'], async world => {
     assert.is((await world.send(0, '/nowhere/')).status, 404)
--- a/packages/sidecar/test/small-parts.test.ts
+++ b/packages/sidecar/test/small-parts.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check'
-import { ManualClock } from 'auburnturn/core/clock'
+import { Clock, ManualClock } from 'auburnturn/core/clock'
 import { Logger } from 'auburnturn/core/logger'
+import { Metrics } from 'auburnturn/core/metrics'
 import { Random } from 'auburnturn/core/random'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -10,6 +11,10 @@
 import { PauseWatch } from '../src/core/pauses/index.js'
 import { decodeReport, encodeReport, encodeShortReport, sumId } from '../src/core/reports/index.js'
 import { RetryWindow } from '../src/core/retries/index.js'
+import { OwnTarget, Prober } from '../src/core/own-target/index.js'
+import { Directory } from '../src/core/targets/index.js'
+import { protocol } from '../src/platform/index.js'
+import { startRawServer } from './fixtures/raw-server.js'
 
 const test = suite('small parts')
 
@@ -100,6 +105,31 @@
   await watch.close()
 })
 
+/** Health checks of a second on a target that answers each, where so many are allowed. */
+async function countProbes (probesPerSecond: number): Promise<number> {
+  let probes = 0
+  const server = await startRawServer(socket => {
+    probes++
+    socket.write('HTTP/1.1 200 OK\r\nx-instance-id: i-1\r\ncontent-length: 0\r\n\r\n')
+  })
+  const clock = Clock.create()
+  const logger = Logger.createSilent()
+  const directory = Directory.create({ clock })
+  const metrics = Metrics.create({ clock })
+  const target = OwnTarget.create({ address: server.address, service: 's', failureDomain: 'a', clock, logger, metrics, protocol, directory, onChange: () => {} })
+  const prober = Prober.create({ address: server.address, clock, protocol, target, healthPath: () => '/health', probesPerSecond: () => probesPerSecond, onFailure: error => { throw error } })
+  await clock.sleep(1_000)
+  prober.close()
+  target.disconnect()
+  server.close()
+  return probes
+}
+
+test('health checks stay within what the deployment allows', async () => {
+  const few = await countProbes(5)
+  assert.ok(few >= 1 && few <= 5, `${few}`)
+})
+
 /** Answers the calls of a follower from a list; then it hears nothing more. */
 async function follow (answers: SourceAnswer[]): Promise<string[]> {
   const clock = ManualClock.create()
