--- a/packages/bench/test/matrix.test.ts
+++ b/packages/bench/test/matrix.test.ts
@@ -1,6 +1,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { listCells } from '../src/matrix/cells.js'
+import { checkHistory } from 'auburnturn'
+import { allowedIn, listCells } from '../src/matrix/cells.js'
 import { faults } from '../src/matrix/faults.js'
 import { runInterleavings } from '../src/matrix/interleavings.js'
 import { runMatrix, runPairs } from '../src/matrix/matrix.js'
@@ -26,6 +27,18 @@
   for (const { fault, step, impossible: reason } of impossible) process.stdout.write(`\n  not run: ${fault} at ${step}: ${reason ?? ''}`)
 })
 
+matrix('a ticketed call is told "not run" by a draining target that knows no other one, and only if it has not run', () => {
+  const pause = listCells().filter(({ fault }) => fault === 'pause')
+  const between = pause.filter(({ step }) => step === 'between-attempts')
+  assert.ok(between.every(cell => allowedIn(cell, 'ticketed').includes('not-run')))
+  for (const cell of between) for (const kind of ['idempotent', 'plain'] as const) assert.not(allowedIn(cell, kind).includes('not-run'))
+  const refused = { kind: 'refused', sending: 'call-0/1', verdict: 'not-run', cause: 'admission-closed', at: 3 } as const
+  const sent = { kind: 'call-sent', sending: 'call-0/1', call: 'call-0', idempotent: false, ticketed: true, timeoutMs: 250, at: 1 } as const
+  const rulesOf = (...events: Parameters<typeof checkHistory>[0]): readonly string[] => checkHistory(events).map(({ rule }) => rule)
+  assert.equal(rulesOf(sent, refused, { kind: 'history-ended', at: 4 }), [])
+  assert.ok(rulesOf(sent, { kind: 'execution-started', sending: 'call-0/1', call: 'call-0', execution: 'e-1', target: 'orders-1', at: 2 }, refused, { kind: 'history-ended', at: 4 }).length > 0)
+})
+
 matrix('no cell breaks a promise or tells a verdict that it does not allow', async () => {
   const results = await runMatrix(seed, 1)
   assert.equal(format(results.flatMap(({ findings }) => findings)), [])
