Let a few nodes read the store and tell the others

Change: one node of each failure domain (two where there is only one) watches; nobody elects it: who hears no reader near it begins after a random time, and of two the higher address stops. Changes go to all nodes as datagrams with the revisions that they lie between; who misses some asks that reader for its list. A new version of the configuration is read from the store by key, cheaply first, from another node where the store does not give it. While the store answers nobody, three nodes of a failure domain try, and take turns. A quiet store no longer looks like an outage to the directory: until now each answer of a calm watch, 2.5 s after the one before, gave every entry that vanished 1.9 s more. Tests: readers (crowds with lost datagrams, silent, refused and leaving readers), following (gaps, order, nodes that can't list), path (six nodes, two read).

--- a/packages/sidecar/src/core/following/catch-up.ts
+++ b/packages/sidecar/src/core/following/catch-up.ts
@@ -1,16 +1,9 @@
 import type { Clock } from 'auburnturn/core/clock'
 import type { Logger } from 'auburnturn/core/logger'
 import type { Configuration } from '../configuration/index.js'
-import type { ListedTarget } from '../targets/index.js'
-import { catchUpDelayMs } from './constants.js'
+import type { SharedState, Source } from './types.js'
 
-/** What one node can give another that can't read the store. */
-export interface SharedState {
-  readonly configuration: Configuration
-  readonly targets: readonly ListedTarget[]
-}
-
-/** Asks another node for its configuration where that is newer and the store does not bring it. */
+/** Gets a configuration that another node has already: from the store, or from that node where the store does not give it. */
 export class CatchUp {
   private readonly options: CatchUpOptions
   private busy = false
@@ -33,14 +26,29 @@
   }
 
   private async catchUp (ip: string, heard: number): Promise<void> {
-    const { clock, logger, version, ask, take } = this.options
-    // The store is mostly as quick; a node that knows nothing yet does not wait for it.
-    if (version() > 0) await clock.sleep(catchUpDelayMs)
+    const { clock, logger, version, ask, take, delayMs } = this.options
+    // A node that knows nothing yet waits for nothing.
+    if (version() > 0) {
+      await clock.sleep(delayMs())
+      if (heard <= version()) return
+      await this.read(heard)
+    }
     if (heard <= version()) return
     const state = await ask(ip)
     logger.info('state-from-node', { from: ip, heard, version: state?.configuration.version ?? 'none' })
     if (state !== undefined) take(state)
   }
+
+  /** Reads it from the store: cheaply first, which may give an older one. */
+  private async read (heard: number): Promise<void> {
+    const { version, source, takeConfiguration } = this.options
+    for (const how of ['cheap', 'newest'] as const) {
+      const configuration = await source.readConfiguration(how)
+      if (configuration === undefined) return
+      takeConfiguration(configuration)
+      if (heard <= version()) return
+    }
+  }
 }
 
 interface CatchUpOptions {
@@ -48,6 +56,10 @@
   readonly logger: Logger
   /** The version in force here, 0 before the first. */
   readonly version: () => number
+  /** How long the configuration may still come by itself, in milliseconds. */
+  readonly delayMs: () => number
+  readonly source: Pick<Source, 'readConfiguration'>
+  readonly takeConfiguration: (configuration: Configuration) => void
   /** Asks the node at an address; undefined when it does not tell. */
   readonly ask: (ip: string) => Promise<SharedState | undefined>
   readonly take: (state: SharedState) => void
--- a/packages/sidecar/src/core/following/constants.ts
+++ b/packages/sidecar/src/core/following/constants.ts
@@ -12,3 +12,15 @@
 
 /** How long the store has to bring what another node has already, in milliseconds. */
 export const catchUpDelayMs = 800
+
+/** How long changes that were missed may still come by themselves, in milliseconds. */
+export const gapMs = 150
+
+/** The same where a reader of another failure domain told of them. */
+export const farGapMs = 600
+
+/** How often a node that does not read looks whether it has to, in milliseconds. */
+export const dutyCheckMs = 50
+
+/** Nodes read a new configuration within this time, in milliseconds, so that they don't all come at once. */
+export const readSpreadMs = 60
--- a/packages/sidecar/src/core/following/types.ts
+++ b/packages/sidecar/src/core/following/types.ts
@@ -22,4 +22,14 @@
   list (): Promise<SourceAnswer>
   /** What changed behind a revision; answers at the first change, or after `waitMs` without one. */
   watch (revision: number, waitMs: number): Promise<SourceAnswer>
+  /** The newest configuration; a cheap answer may be seconds old. Undefined when there was none. */
+  readConfiguration (how: 'cheap' | 'newest'): Promise<Configuration | undefined>
+}
+
+/** What one node can give another. */
+export interface SharedState {
+  readonly configuration: Configuration
+  readonly targets: readonly ListedTarget[]
+  /** Revision of the store up to which the targets are known; undefined when they come from another node. */
+  readonly revision: number | undefined
 }
--- /dev/null
+++ b/packages/sidecar/src/core/readers/reading-duty.ts
@@ -0,0 +1,134 @@
+import type { Clock } from 'auburnturn/core/clock'
+import type { Logger } from 'auburnturn/core/logger'
+import type { Random } from 'auburnturn/core/random'
+import { maxTriers, readersOfOnlyDomain, restMs, silentReaderMs, takeUpSpreadMs, tryMs } from './constants.js'
+import type { ReaderState } from './types.js'
+
+/** Another reader, as it was last heard. */
+interface Heard {
+  readonly state: ReaderState
+  readonly failureDomain: string
+  readonly at: number
+}
+
+/**
+ * Decides whether this node reads the store for its failure domain. Nobody elects anybody: a node that hears no
+ * reader near it becomes one after a random time, and of two that do, the one with the higher address stops.
+ */
+export class ReadingDuty {
+  private readonly options: ReadingDutyOptions
+  private readonly readers = new Map<string, Heard>()
+  private dutyTaken = false
+  private stopped = false
+  private dueAt: number | undefined
+  private restUntil = -Infinity
+  private failingSince: number | undefined
+
+  private constructor (options: ReadingDutyOptions) {
+    this.options = options
+  }
+
+  static create (options: ReadingDutyOptions): ReadingDuty {
+    return new ReadingDuty(options)
+  }
+
+  get onDuty (): boolean {
+    return this.dutyTaken
+  }
+
+  get state (): ReaderState {
+    if (!this.dutyTaken) return 'stopped'
+    return this.failingSince === undefined ? 'reading' : 'failing'
+  }
+
+  hear (ip: string, state: ReaderState, failureDomain: string): void {
+    if (state === 'stopped') this.readers.delete(ip)
+    else this.readers.set(ip, { state, failureDomain, at: this.options.clock.now() })
+  }
+
+  /** Notes whether the store has answered a call of this node. */
+  record (answered: boolean): void {
+    const before = this.state
+    if (answered) this.failingSince = undefined
+    else this.failingSince ??= this.options.clock.now()
+    if (this.dutyTaken && before !== this.state) this.options.onChange()
+  }
+
+  /** Takes up the duty, or leaves it; whether this node is to read now. */
+  update (): boolean {
+    if (this.stopped) return false
+    if (this.dutyTaken) this.leaveIfRelieved()
+    else this.takeUpIfMissed()
+    return this.dutyTaken
+  }
+
+  /** Leaves the reading to others for good. */
+  stop (): void {
+    this.stopped = true
+    if (this.dutyTaken) this.leave('node leaves')
+  }
+
+  private leaveIfRelieved (): void {
+    const { clock, ip, neighbours } = this.options
+    const now = clock.now()
+    const failing = this.failingSince !== undefined
+    const better = this.listNear('reading', now).filter(other => failing || other < ip)
+    if (better.length >= this.wanted) return this.leave('another reader')
+    if (this.failingSince === undefined || now - this.failingSince < tryMs || neighbours() === 0) return
+    this.restUntil = now + restMs
+    this.leave('no answer')
+  }
+
+  private takeUpIfMissed (): void {
+    const { clock, random, logger, onChange } = this.options
+    const now = clock.now()
+    const enough = this.listNear('reading', now).length >= this.wanted || this.listNear('failing', now).length >= maxTriers
+    if (enough || now < this.restUntil) {
+      this.dueAt = undefined
+      return
+    }
+    this.dueAt ??= now + random.fraction() * takeUpSpreadMs
+    if (now < this.dueAt) return
+    this.dutyTaken = true
+    this.failingSince = undefined
+    logger.info('reading-started', { readers: this.readers.size })
+    onChange()
+  }
+
+  private leave (reason: string): void {
+    this.dutyTaken = false
+    this.dueAt = undefined
+    this.failingSince = undefined
+    this.options.logger.info('reading-stopped', { reason })
+    this.options.onChange()
+  }
+
+  private get wanted (): number {
+    return this.options.domains() > 1 ? 1 : readersOfOnlyDomain
+  }
+
+  /** Addresses of the other readers of this failure domain that fare so. */
+  private listNear (wanted: ReaderState, now: number): string[] {
+    const found: string[] = []
+    for (const [ip, { state, failureDomain, at }] of this.readers) {
+      if (now - at > silentReaderMs) this.readers.delete(ip)
+      else if (state === wanted && failureDomain === this.options.failureDomain) found.push(ip)
+    }
+    return found
+  }
+}
+
+interface ReadingDutyOptions {
+  readonly clock: Clock
+  readonly random: Random
+  readonly logger: Logger
+  /** Address and failure domain of this VM. */
+  readonly ip: string
+  readonly failureDomain: string
+  /** Failure domains that have nodes. */
+  readonly domains: () => number
+  /** Other nodes known in this failure domain. */
+  readonly neighbours: () => number
+  /** Called when the others are to hear of it at once. */
+  readonly onChange: () => void
+}
--- a/packages/sidecar/src/core/reports/datagrams.ts
+++ b/packages/sidecar/src/core/reports/datagrams.ts
@@ -1,13 +1,13 @@
 import { createSocket } from 'node:dgram'
 import type { Socket } from 'node:dgram'
 import type { Logger } from 'auburnturn/core/logger'
-import { decodeReport } from './codec.js'
-import type { Report, ShortReport } from './codec.js'
+import { decodeMessage } from './messages.js'
+import type { Message } from './messages.js'
 
-/** Receives a report and the address of the node that sent it. */
-export type Receive = (ip: string, report: Report | ShortReport) => void
+/** Receives a message and the address of the node that sent it. */
+export type Receive = (ip: string, message: Message) => void
 
-/** Sends and receives reports as datagrams on one port, the same on all nodes. */
+/** Sends and receives messages as datagrams on one port, the same on all nodes. */
 export class Datagrams {
   private readonly socket: Socket
   private readonly port: number
@@ -23,9 +23,9 @@
     const socket = createSocket({ type: 'udp4', lookup: (address, _options, callback) => { callback(null, address, 4) } })
     socket.on('error', error => { logger.warn('datagram-failed', { error: error.message }) })
     socket.on('message', (bytes, { address }) => {
-      const report = decodeReport(bytes)
-      if (report === undefined) logger.warn('datagram-unreadable', { from: address, bytes: bytes.length })
-      else receive(address, report)
+      const message = decodeMessage(bytes)
+      if (message === undefined) logger.warn('datagram-unreadable', { from: address, bytes: bytes.length })
+      else receive(address, message)
     })
     await new Promise<void>(resolve => { socket.bind(port, ip, resolve) })
     return new Datagrams(socket, port)
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -6,15 +6,16 @@
 import { Supervisor } from 'auburnturn/core/supervisor'
 import type { Part } from 'auburnturn/core/supervisor'
 import { CurrentConfiguration } from './core/configuration/index.js'
-import { applyChanges, CatchUp, Follower } from './core/following/index.js'
+import { applyChanges, CatchUp, catchUpDelayMs, Follower, readSpreadMs } from './core/following/index.js'
 import type { Change, SharedState } from './core/following/index.js'
 import { Forwarder, Ingress, peerIdleMs, Peers, servePeer } from './core/forwarding/index.js'
 import { hostOf, openServer, portOf, UnderWay } from './core/listening/index.js'
 import { MetricsServer } from './core/metrics/index.js'
 import { OwnTarget, Prober } from './core/own-target/index.js'
 import { PauseWatch } from './core/pauses/index.js'
+import { Announcer, ReadingDuty } from './core/readers/index.js'
 import { Datagrams, Reporter, sumId } from './core/reports/index.js'
-import type { Receivers, Report, ShortReport } from './core/reports/index.js'
+import type { Message, Receivers } from './core/reports/index.js'
 import type { Settings } from './core/settings.js'
 import { Directory } from './core/targets/index.js'
 import { answerMarginMs, callersGoneMs, checksUntilGone, drainCheckMs, endMarginMs, idleUntilConfiguredMs, lastRequestMs, metricsPath, metricsPort } from './constants.js'
@@ -36,7 +37,10 @@
   private readonly store: Store
   private readonly random: Random
   private readonly supervisor: Supervisor
+  private readonly duty: ReadingDuty
   private reporter: Reporter | undefined
+  private announcer: Announcer | undefined
+  private follower: Follower | undefined
   private listed = false
   private leaving = false
   /** No request of a caller is taken any more. */
@@ -73,7 +77,18 @@
     })
     this.ingress = Ingress.create({ clock, logger, metrics, protocol, configuration, forwarder, service, isLeaving: () => this.leaving, isClosed: () => this.closed })
     this.store = Store.create({ address: settings.store, clock, onCall: kind => { metrics.count('platform_reads_total', { kind }) } })
-    this.catchUp = CatchUp.create({ clock, logger, version: () => configuration.version, ask: async other => await this.peers.readState(other), take: state => { this.take(state) } })
+    this.duty = ReadingDuty.create({ clock, random, logger, ip, failureDomain, domains: () => this.countDomains(), neighbours: () => this.listReceivers().near.length, onChange: () => { this.announce() } })
+    this.catchUp = CatchUp.create({
+      clock,
+      logger,
+      version: () => configuration.version,
+      // A reader's own watch brings it; the others were told by a reader that has it.
+      delayMs: () => this.duty.onDuty ? catchUpDelayMs : random.fraction() * readSpreadMs,
+      source: this.store,
+      takeConfiguration: found => { this.apply([{ kind: 'configuration', configuration: found }], false) },
+      ask: async other => await this.peers.readState(other),
+      take: state => { this.take(state) }
+    })
     this.supervisor = Supervisor.create({ clock, logger })
   }
 
@@ -123,6 +138,7 @@
     const { clock, target } = this
     const startedAt = clock.now()
     this.leaving = true
+    this.duty.stop()
     while (this.missedChecks < checksUntilGone && clock.now() < startedAt + callersGoneMs) await clock.sleep(drainCheckMs)
     target.close()
     // Callers that find no other node are served on for a while; calls of the own target until it has ended its work.
@@ -177,30 +193,66 @@
   }
 
   private async openReports (ip: string): Promise<Part> {
-    const { clock, logger, target, configuration, settings } = this
-    const datagrams = await Datagrams.create({ ip, port: settings.internalPorts[0], logger, receive: (from, report) => { this.hear(from, report) } })
+    const { clock, logger, target, configuration, settings, duty, directory } = this
+    const datagrams = await Datagrams.create({ ip, port: settings.internalPorts[0], logger, receive: (from, message) => { this.hear(from, message) } })
+    const send = (bytes: Buffer, to: string): void => { datagrams.send(bytes, to) }
     const reporter = Reporter.create({
       clock,
       describe: () => ({ kind: 'full', target: target.describe(), configurationVersion: configuration.version }),
       receivers: () => this.listReceivers(),
-      send: (bytes, to) => { datagrams.send(bytes, to) }
+      send
+    })
+    const announcer = Announcer.create({
+      clock,
+      duty,
+      failureDomain: settings.failureDomain,
+      configurationVersion: () => configuration.version,
+      others: () => this.listOthers(),
+      send,
+      onReading: () => { directory.markAnswered() }
     })
     this.reporter = reporter
+    this.announcer = announcer
     return {
       close: async () => {
         reporter.close()
+        announcer.close()
         datagrams.close()
       }
     }
   }
 
-  private hear (ip: string, report: Report | ShortReport): void {
-    if (report.kind === 'full') {
-      this.directory.hear(ip, report.target)
-      this.catchUp.hear(ip, report.configurationVersion)
-      return
+  private hear (ip: string, message: Message): void {
+    const { directory, catchUp, follower } = this
+    switch (message.kind) {
+      case 'full':
+        directory.hear(ip, message.target)
+        return catchUp.hear(ip, message.configurationVersion)
+      case 'short':
+        return directory.hearFigures(ip, message.figures, id => sumId(id) === message.idSum)
+      case 'reader': {
+        const { state, failureDomain, revision, configurationVersion } = message
+        this.duty.hear(ip, state, failureDomain)
+        if (state === 'reading') directory.markAnswered()
+        follower?.hearRevision(ip, failureDomain === this.settings.failureDomain, revision)
+        return catchUp.hear(ip, configurationVersion)
+      }
+      case 'changes':
+        return follower?.hearChanges(ip, directory.failureDomains.get(ip) === this.settings.failureDomain, message)
     }
-    this.directory.hearFigures(ip, report.figures, id => sumId(id) === report.idSum)
+  }
+
+  /** Tells the other nodes at once that this one reads, or no longer does. */
+  private announce (): void {
+    this.announcer?.announce(this.duty.state)
+  }
+
+  private listOthers (): string[] {
+    return [...this.directory.failureDomains.keys()].filter(ip => ip !== this.settings.ip)
+  }
+
+  private countDomains (): number {
+    return new Set(this.directory.failureDomains.values()).size
   }
 
   private listReceivers (): Receivers {
@@ -213,9 +265,21 @@
   }
 
   private follow (fail: (error: unknown) => void): Part {
-    const { store: source, clock, random, logger } = this
-    const follower = Follower.create({ source, clock, random, logger, apply: (changes, whole) => { this.apply(changes, whole) }, onFailure: fail })
-    return { close: async () => { follower.close() }, dump: () => ({ inTouch: follower.inTouch }) }
+    const { store: source, clock, random, logger, duty } = this
+    const follower = Follower.create({
+      source,
+      clock,
+      random,
+      logger,
+      duty,
+      apply: (changes, whole) => { this.apply(changes, whole) },
+      onListed: revision => { this.announcer?.markListed(revision) },
+      share: (from, to, changes) => { this.announcer?.share(from, to, changes) },
+      ask: async other => await this.peers.readState(other),
+      onFailure: fail
+    })
+    this.follower = follower
+    return { close: async () => { follower.close() }, dump: () => ({ inTouch: follower.inTouch, reads: duty.state, revision: follower.knownRevision }) }
   }
 
   private probe (onFailure: (error: unknown) => void): Part {
@@ -225,7 +289,7 @@
   }
 
   /** The state of this node, without bodies or header values of requests. */
-  private dump (): unknown {
+  dump (): unknown {
     const { settings, configuration, target, directory, supervisor } = this
     return { name: settings.name, ready: this.ready, leaving: this.leaving, version: configuration.version, target: target.describe(), directory: directory.dump(), parts: supervisor.dump() }
   }
@@ -248,7 +312,7 @@
 
   private readState (): SharedState | undefined {
     const { whole } = this.configuration
-    return whole === undefined ? undefined : { configuration: whole, targets: this.directory.listed }
+    return whole === undefined ? undefined : { configuration: whole, targets: this.directory.listed, revision: this.follower?.knownRevision }
   }
 
   /** Takes what another node knows: the configuration, and its list where this node has none. */
--- a/packages/sidecar/src/platform/store.ts
+++ b/packages/sidecar/src/platform/store.ts
@@ -1,5 +1,7 @@
 import type { Clock } from 'auburnturn/core/clock'
+import type { Configuration } from '../core/configuration/index.js'
 import { Connections, exchange } from '../core/exchange/index.js'
+import type { Reply } from '../core/exchange/index.js'
 import type { Change, Source, SourceAnswer } from '../core/following/index.js'
 import { configurationKey, decodeConfiguration } from './configuration.js'
 import { countOf, fieldsOf, parseJson, textOf } from './decode.js'
@@ -12,12 +14,18 @@
 /** Longest time for a read, in milliseconds. */
 const readMs = 1_500
 
+/** Longest time for one item, in milliseconds: other nodes have it as well. */
+const keyMs = 700
+
 /** Time beyond the wait that was asked for, in milliseconds. */
 const watchSlackMs = 600
 
 /** Longest list that is read, in pages; a longer one is a fault of the store. */
 const maxPages = 1_000
 
+/** Kinds of calls, which differ in price. */
+type Call = 'list' | 'watch' | 'read' | 'cheap-read'
+
 /** A page of items, or of changes. */
 type Page =
   | { readonly kind: 'page', readonly entries: readonly unknown[], readonly revision: number, readonly more: boolean }
@@ -29,7 +37,7 @@
   private readonly host: string
   private readonly clock: Clock
   private readonly connections: Connections
-  private readonly onCall: (kind: 'list' | 'watch') => void
+  private readonly onCall: (kind: Call) => void
 
   private constructor ({ address, clock, onCall }: StoreOptions) {
     this.host = address
@@ -67,13 +75,27 @@
     return { kind: 'changes', changes: decodeEntries(page.entries), revision: page.revision }
   }
 
+  async readConfiguration (how: 'cheap' | 'newest'): Promise<Configuration | undefined> {
+    this.onCall(how === 'cheap' ? 'cheap-read' : 'read')
+    const stale = how === 'cheap' ? '&allow_stale=1' : ''
+    const reply = await this.get(`/api/kv-key?key=${encodeURIComponent(configurationKey)}${stale}`, keyMs)
+    if (reply.kind !== 'answer' || reply.status !== 200) return undefined
+    const item = fieldsOf(parseJson(reply.body))
+    const change = item === undefined ? undefined : decodeEntry(configurationKey, item)
+    return change?.kind === 'configuration' ? change.configuration : undefined
+  }
+
   close (): void {
     this.connections.close()
   }
 
-  private async call (path: string, timeoutMs: number, list: 'items' | 'events'): Promise<Page> {
+  private async get (path: string, timeoutMs: number): Promise<Reply> {
     const { connections, clock, host } = this
-    const reply = await exchange({ connections, clock, method: 'GET', path, headers: ['host', host], body: Buffer.alloc(0), connectMs, timeoutMs })
+    return await exchange({ connections, clock, method: 'GET', path, headers: ['host', host], body: Buffer.alloc(0), connectMs, timeoutMs })
+  }
+
+  private async call (path: string, timeoutMs: number, list: 'items' | 'events'): Promise<Page> {
+    const reply = await this.get(path, timeoutMs)
     if (reply.kind !== 'answer') return { kind: 'failed', cause: reply.cause }
     if (reply.status === 410) return { kind: 'forgotten' }
     if (reply.status !== 200) return { kind: 'failed', cause: `status ${reply.status}` }
@@ -111,5 +133,5 @@
   readonly address: string
   readonly clock: Clock
   /** Called before each call, which is priced. */
-  readonly onCall: (kind: 'list' | 'watch') => void
+  readonly onCall: (kind: Call) => void
 }
--- /dev/null
+++ b/packages/sidecar/test/following.test.ts
@@ -0,0 +1,177 @@
+import { ManualClock } from 'auburnturn/core/clock'
+import { Logger } from 'auburnturn/core/logger'
+import { Random } from 'auburnturn/core/random'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { CatchUp, Follower } from '../src/core/following/index.js'
+import type { Change, SharedState, SourceAnswer } from '../src/core/following/index.js'
+import { UntoldChanges } from '../src/core/following/untold-changes.js'
+import type { Configuration } from '../src/core/configuration/index.js'
+import { ReadingDuty } from '../src/core/readers/index.js'
+import type { ListedTarget } from '../src/core/targets/index.js'
+
+const test = suite('following')
+
+const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+
+function createConfiguration (version: number): Configuration {
+  return { version, routes: [], services: [], limits }
+}
+
+function createTarget (id: string, changes: Partial<ListedTarget> = {}): Change {
+  return { kind: 'target', target: { id, service: 'shop', address: '10.0.0.1:80', ip: '10.0.0.1', failureDomain: 'a', slots: 10, state: 'ready', coldMs: 0, ...changes } }
+}
+
+/** A follower whose source answers from a list, and then no more; it reads for others when it is alone. */
+function createScene (answers: SourceAnswer[], { alone = true, state = undefined as SharedState | undefined } = {}): { clock: ManualClock, calls: string[], follower: Follower, duty: ReadingDuty } {
+  const clock = ManualClock.create()
+  const calls: string[] = []
+  const random = Random.create(1)
+  const logger = Logger.createSilent()
+  const next = async (call: string): Promise<SourceAnswer> => {
+    calls.push(call)
+    return answers.shift() ?? await new Promise<SourceAnswer>(() => {})
+  }
+  const duty = ReadingDuty.create({ clock, random, logger, ip: '10.0.0.9', failureDomain: 'a', domains: () => 3, neighbours: () => 1, onChange: () => { calls.push(`duty ${duty.state}`) } })
+  if (!alone) clock.every(400, () => { duty.hear('10.0.0.1', 'reading', 'a') })
+  if (!alone) duty.hear('10.0.0.1', 'reading', 'a')
+  const follower = Follower.create({
+    source: { list: async () => await next('list'), watch: async revision => await next(`watch ${revision}`), readConfiguration: async () => undefined },
+    clock,
+    random,
+    logger,
+    duty,
+    apply: (changes, whole) => { calls.push(`apply ${changes.length}${whole ? ' whole' : ''}`) },
+    onListed: () => {},
+    share: (from, to, changes) => { calls.push(`share ${from}-${to}: ${changes.length}`) },
+    ask: async ip => {
+      calls.push(`ask ${ip}`)
+      return state
+    },
+    onFailure: error => { throw error }
+  })
+  return { clock, calls, follower, duty }
+}
+
+async function follow (answers: SourceAnswer[]): Promise<string[]> {
+  const { clock, calls, follower } = createScene(answers)
+  await clock.advance(10_000)
+  follower.close()
+  return calls.filter(call => !call.startsWith('duty'))
+}
+
+test('the store is listed once, and watched from its revision', async () => {
+  const calls = await follow([
+    { kind: 'changes', changes: [], revision: 7 },
+    { kind: 'changes', changes: [{ kind: 'gone', id: 'x' }], revision: 9 }
+  ])
+  assert.equal(calls, ['list', 'apply 0 whole', 'watch 7', 'apply 1', 'share 7-9: 1', 'watch 9'])
+})
+
+test('a store that lost its history is listed again, one that fails is asked again', async () => {
+  const calls = await follow([
+    { kind: 'failed', cause: 'status 503' },
+    { kind: 'changes', changes: [], revision: 7 },
+    { kind: 'failed', cause: 'reset' },
+    { kind: 'forgotten' },
+    { kind: 'changes', changes: [], revision: 20 }
+  ])
+  assert.equal(calls, ['list', 'list', 'apply 0 whole', 'watch 7', 'watch 7', 'list', 'apply 0 whole', 'watch 20'])
+})
+
+const listedAt7: SourceAnswer = { kind: 'changes', changes: [], revision: 7 }
+
+test('a node that hears a reader does not read, and takes what that tells', async () => {
+  const { clock, calls, follower } = createScene([listedAt7], { alone: false })
+  await clock.advance(2_000)
+  follower.hearChanges('10.0.0.1', true, { kind: 'changes', from: 5, to: 9, changes: [createTarget('one')] })
+  follower.hearChanges('10.0.0.2', false, { kind: 'changes', from: 7, to: 9, changes: [createTarget('one')] })
+  follower.hearRevision('10.0.0.1', true, 9)
+  await clock.advance(2_000)
+  follower.close()
+  assert.equal(calls, ['list', 'apply 0 whole', 'apply 1'])
+  assert.is(follower.knownRevision, 9)
+})
+
+test('changes that were missed are asked of the reader that told of later ones', async () => {
+  const state = { configuration: createConfiguration(1), targets: [], revision: 12 }
+  const { clock, calls, follower } = createScene([listedAt7], { alone: false, state })
+  await clock.advance(1_000)
+  follower.hearChanges('10.0.0.1', true, { kind: 'changes', from: 9, to: 11, changes: [createTarget('one')] })
+  await clock.advance(1_000)
+  follower.close()
+  assert.equal(calls, ['list', 'apply 0 whole', 'ask 10.0.0.1', 'apply 1 whole'])
+  assert.is(follower.knownRevision, 12)
+})
+
+test('changes that come in the wrong order need nobody to be asked', async () => {
+  const { clock, calls, follower } = createScene([listedAt7], { alone: false })
+  await clock.advance(1_000)
+  follower.hearChanges('10.0.0.1', true, { kind: 'changes', from: 9, to: 11, changes: [createTarget('two')] })
+  follower.hearChanges('10.0.0.2', false, { kind: 'changes', from: 7, to: 11, changes: [createTarget('one'), createTarget('two')] })
+  await clock.advance(1_000)
+  follower.close()
+  assert.equal(calls, ['list', 'apply 0 whole', 'apply 2'])
+})
+
+test('a node that can not list learns all from a reader', async () => {
+  const state = { configuration: createConfiguration(1), targets: [], revision: 12 }
+  const { clock, follower } = createScene(Array.from({ length: 50 }, (): SourceAnswer => ({ kind: 'failed', cause: 'status 503' })), { alone: false, state })
+  follower.hearRevision('10.0.0.1', true, 12)
+  await clock.advance(1_000)
+  follower.close()
+  assert.is(follower.knownRevision, 12)
+})
+
+test('what changes only how long a target stays slow is not told, and leaves no gap', () => {
+  const untold = UntoldChanges.create()
+  assert.equal(untold.add([createTarget('one')], 1, 3)?.from, 1)
+  assert.is(untold.add([createTarget('one', { coldMs: 500 })], 3, 5), undefined)
+  assert.is(untold.add([], 5, 6), undefined)
+  assert.is(untold.add([createTarget('one', { state: 'draining' })], 6, 8)?.from, 3)
+  assert.is(untold.add([createTarget('one', { state: 'draining', coldMs: 1 })], 8, 9), undefined)
+  // Another reader has told of what is behind 9: this node's own watch starts anew.
+  assert.is(untold.add([{ kind: 'gone', id: 'one' }], 11, 12)?.from, 11)
+})
+
+/** Versions that a node takes when it hears of version 5, with what the store and the other node give. */
+async function catchUp ({ cheap, newest, other }: { cheap?: number, newest?: number, other?: number }): Promise<string[]> {
+  const clock = ManualClock.create()
+  const calls: string[] = []
+  let version = 3
+  const wrap = (found: number | undefined): Configuration | undefined => found === undefined ? undefined : createConfiguration(found)
+  const take = (found: Configuration): void => { version = Math.max(version, found.version) }
+  const part = CatchUp.create({
+    clock,
+    logger: Logger.createSilent(),
+    version: () => version,
+    delayMs: () => 50,
+    source: {
+      readConfiguration: async how => {
+        calls.push(how)
+        return wrap(how === 'cheap' ? cheap : newest)
+      }
+    },
+    takeConfiguration: take,
+    ask: async ip => {
+      calls.push(`ask ${ip}`)
+      return other === undefined ? undefined : { configuration: createConfiguration(other), targets: [], revision: 1 }
+    },
+    take: state => { take(state.configuration) }
+  })
+  part.hear('10.0.0.1', 5)
+  await clock.advance(2_000)
+  return [...calls, `version ${version}`]
+}
+
+test('a new configuration is read from the store, cheaply where that is new enough', async () => {
+  assert.equal(await catchUp({ cheap: 5 }), ['cheap', 'version 5'])
+  assert.equal(await catchUp({ cheap: 3, newest: 6 }), ['cheap', 'newest', 'version 6'])
+})
+
+test('a new configuration comes from another node where the store does not give it', async () => {
+  assert.equal(await catchUp({ other: 5 }), ['cheap', 'ask 10.0.0.1', 'version 5'])
+  assert.equal(await catchUp({ cheap: 3, newest: 4, other: 5 }), ['cheap', 'newest', 'ask 10.0.0.1', 'version 5'])
+})
+
+test.run()
--- a/packages/sidecar/test/path.test.ts
+++ b/packages/sidecar/test/path.test.ts
@@ -195,6 +195,26 @@
   })
 })
 
+test('few nodes watch the store; all learn of targets and configurations, also when a reader ends', async () => {
+  await inWorld(['shop', 'shop', 'shop', 'stock', 'stock', 'stock'], async world => {
+    const isReader = (line: string): boolean => line.includes('event=reading-started')
+    await world.until(() => world.lines.filter(isReader).length >= 2)
+    const learn = async (version: number, id: string): Promise<void> => {
+      world.configure()
+      world.list(0, 'shop', 'ready', id)
+      await world.until(() => world.nodes.every(node => node.version === version && JSON.stringify(node.dump()).includes(id)))
+    }
+    await learn(2, 'i-next')
+    assert.is(world.store.callsOf.get('/api/kv-range'), 6 * 4)
+    assert.ok((world.store.callsOf.get('/api/kv-key') ?? 0) <= 4, 'readers have the configuration from their watch')
+    const readers = world.nodes.filter(node => JSON.stringify(node.dump()).includes('"reads":"reading"'))
+    assert.is(readers.length, 2)
+    await readers[0]?.close()
+    world.nodes.splice(world.nodes.indexOf(readers[0] as typeof readers[number]), 1)
+    await learn(3, 'i-third')
+  })
+})
+
 test('a node that starts while the store is away learns all from the others', async () => {
   await inWorld(['shop', 'stock'], async world => {
     world.store.refusal = 503
--- /dev/null
+++ b/packages/sidecar/test/readers.test.ts
@@ -0,0 +1,199 @@
+import fc from 'fast-check'
+import { ManualClock } from 'auburnturn/core/clock'
+import { Logger } from 'auburnturn/core/logger'
+import { Random } from 'auburnturn/core/random'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { Announcer, decodeChanges, decodeReader, encodeChanges, encodeReader, ReadingDuty } from '../src/core/readers/index.js'
+import type { ReaderState } from '../src/core/readers/index.js'
+
+const test = suite('readers')
+
+/** A node of the crowd: its duty, whether the store answers it, and whether others hear it. */
+interface Member {
+  readonly ip: string
+  readonly failureDomain: string
+  readonly duty: ReadingDuty
+  store: 'answers' | 'fails'
+  heard: boolean
+}
+
+/** Nodes that hear each other's notices; datagrams get lost with `loss`. */
+class Crowd {
+  readonly members: Member[] = []
+  private readonly clock = ManualClock.create()
+  private readonly random: Random
+  private readonly loss: number
+
+  constructor (domains: readonly string[], perDomain: number, seed: number, loss = 0) {
+    this.random = Random.create(seed)
+    this.loss = loss
+    for (const failureDomain of domains) for (let count = 0; count < perDomain; count++) this.add(failureDomain, perDomain, domains.length)
+  }
+
+  async advance (milliseconds: number): Promise<void> {
+    for (let elapsed = 0; elapsed < milliseconds; elapsed += 50) {
+      await this.clock.advance(50)
+      for (const member of this.members) {
+        if (!member.heard) continue
+        if (member.duty.update()) member.duty.record(member.store === 'answers')
+        if (member.duty.onDuty && this.clock.now() % 500 === 0) this.tell(member)
+      }
+    }
+  }
+
+  onDuty (failureDomain: string): Member[] {
+    return this.members.filter(member => member.heard && member.failureDomain === failureDomain && member.duty.onDuty)
+  }
+
+  private add (failureDomain: string, perDomain: number, domains: number): void {
+    const index = this.members.length
+    const ip = `10.0.0.${100 + index}`
+    const duty = ReadingDuty.create({
+      clock: this.clock,
+      random: Random.create(index),
+      logger: Logger.createSilent(),
+      ip,
+      failureDomain,
+      domains: () => domains,
+      neighbours: () => perDomain - 1,
+      onChange: () => { this.tell(member) }
+    })
+    const member: Member = { ip, failureDomain, duty, store: 'answers', heard: true }
+    this.members.push(member)
+  }
+
+  private tell ({ ip, failureDomain, duty, heard }: Member): void {
+    if (!heard) return
+    for (const other of this.members) {
+      if (other.ip !== ip && other.heard && this.random.fraction() >= this.loss) other.duty.hear(ip, duty.state, failureDomain)
+    }
+  }
+}
+
+test('one node of each failure domain reads, two where there is only one', async () => {
+  const crowd = new Crowd(['a', 'b', 'c'], 25, 1)
+  await crowd.advance(2_000)
+  for (const domain of ['a', 'b', 'c']) assert.is(crowd.onDuty(domain).length, 1)
+  const single = new Crowd(['a'], 5, 1)
+  await single.advance(2_000)
+  assert.is(single.onDuty('a').length, 2)
+})
+
+test('a node that is alone reads', async () => {
+  const crowd = new Crowd(['a'], 1, 1)
+  await crowd.advance(400)
+  assert.is(crowd.onDuty('a').length, 1)
+})
+
+test('a reader that falls silent is replaced within 1.6 s', async () => {
+  const crowd = new Crowd(['a', 'b', 'c'], 25, 2)
+  await crowd.advance(2_000)
+  const [silent] = crowd.onDuty('a')
+  if (silent !== undefined) silent.heard = false
+  await crowd.advance(1_600)
+  assert.is(crowd.onDuty('a').length, 1)
+})
+
+test('a reader that leaves is replaced at once', async () => {
+  const crowd = new Crowd(['a', 'b', 'c'], 25, 3)
+  await crowd.advance(2_000)
+  crowd.onDuty('a')[0]?.duty.stop()
+  await crowd.advance(400)
+  assert.is(crowd.onDuty('a').length, 1)
+})
+
+test('where the store refuses some nodes, another one reads', async () => {
+  const crowd = new Crowd(['a', 'b'], 20, 4)
+  await crowd.advance(2_000)
+  const [refused] = crowd.onDuty('a')
+  if (refused !== undefined) refused.store = 'fails'
+  await crowd.advance(1_000)
+  const readers = crowd.onDuty('a')
+  assert.is(readers.length, 1)
+  assert.is.not(readers[0], refused)
+})
+
+test('while the store answers nobody, few nodes ask it, and all read again when it is back', async () => {
+  const crowd = new Crowd(['a', 'b'], 20, 5)
+  await crowd.advance(2_000)
+  for (const member of crowd.members) member.store = 'fails'
+  for (let turn = 0; turn < 40; turn++) {
+    await crowd.advance(500)
+    const asking = crowd.onDuty('a').length
+    assert.ok(asking <= 4, `${asking} of 20 ask`)
+  }
+  for (const member of crowd.members) member.store = 'answers'
+  await crowd.advance(3_000)
+  assert.is(crowd.onDuty('a').length, 1)
+})
+
+test('someone reads nearly always, whatever nodes fall silent and return, with a tenth of the datagrams lost', async () => {
+  for (let seed = 0; seed < 10; seed++) {
+    const crowd = new Crowd(['a', 'b'], 6, seed, 0.1)
+    const random = Random.create(seed)
+    let missed = 0
+    let most = 0
+    for (let turn = 0; turn < 300; turn++) {
+      await crowd.advance(100)
+      if (turn % 40 === 39) {
+        const member = crowd.members[random.below(crowd.members.length)]
+        if (member !== undefined) member.heard = !member.heard || crowd.members.filter(({ heard }) => heard).length < 9
+      }
+      const readers = crowd.onDuty('a').length
+      missed = readers === 0 ? missed + 1 : 0
+      most = Math.max(most, readers)
+      assert.ok(missed <= 18, `nobody for ${missed * 100} ms, seed ${seed}`)
+    }
+    assert.ok(most <= 4, `${most} readers at once, seed ${seed}`)
+  }
+})
+
+const notice = fc.record({
+  kind: fc.constant('reader' as const),
+  state: fc.constantFrom<ReaderState>('reading', 'failing', 'stopped'),
+  failureDomain: fc.stringMatching(/^[a-z0-9-]{0,40}$/),
+  revision: fc.integer({ min: 0, max: 2 ** 47 }),
+  configurationVersion: fc.integer({ min: 0, max: 2 ** 47 })
+}, { noNullPrototype: true })
+
+test('notices come out as they went in, and other bytes are none', () => {
+  fc.assert(fc.property(notice, one => { assert.equal(decodeReader(encodeReader(one)), one) }), { seed: 7 })
+  const changes = { kind: 'changes' as const, from: 3, to: 9, changes: [{ kind: 'gone' as const, id: 'x' }] }
+  assert.equal(decodeChanges(encodeChanges(changes) ?? Buffer.alloc(0)), changes)
+  fc.assert(fc.property(fc.uint8Array({ maxLength: 60 }), bytes => {
+    decodeReader(Buffer.from(bytes))
+    decodeChanges(Buffer.from([5, ...bytes]))
+  }), { seed: 7 })
+})
+
+test('a store that has nothing new to say counts as answering all the while', async () => {
+  const clock = ManualClock.create()
+  const marks: number[] = []
+  const duty = ReadingDuty.create({ clock, random: Random.create(1), logger: Logger.createSilent(), ip: '10.0.0.1', failureDomain: 'a', domains: () => 1, neighbours: () => 1, onChange: () => {} })
+  duty.update()
+  await clock.advance(400)
+  duty.update()
+  const announcer = Announcer.create({ clock, duty, failureDomain: 'a', configurationVersion: () => 4, others: () => [], send: () => {}, onReading: () => { marks.push(clock.now()) } })
+  await clock.advance(2_400)
+  assert.is(marks.length, 5)
+  duty.record(false)
+  await clock.advance(2_400)
+  announcer.close()
+  assert.is(marks.length, 5)
+})
+
+test('what does not fit in a datagram is told by its revision', async () => {
+  const clock = ManualClock.create()
+  const sent: Buffer[] = []
+  const duty = ReadingDuty.create({ clock, random: Random.create(1), logger: Logger.createSilent(), ip: '10.0.0.1', failureDomain: 'a', domains: () => 1, neighbours: () => 1, onChange: () => {} })
+  duty.update()
+  await clock.advance(400)
+  duty.update()
+  const announcer = Announcer.create({ clock, duty, failureDomain: 'a', configurationVersion: () => 4, others: () => ['10.0.0.2'], send: bytes => { sent.push(bytes) }, onReading: () => {} })
+  announcer.share(1, 50, Array.from({ length: 200 }, (_, index) => ({ kind: 'gone' as const, id: `target-${index}` })))
+  announcer.close()
+  assert.equal(sent.map(bytes => decodeReader(bytes)), [{ kind: 'reader', state: 'reading', failureDomain: 'a', revision: 50, configurationVersion: 4 }])
+})
+
+test.run()
--- /dev/null
+++ b/packages/sidecar/test/selection.test.ts
@@ -0,0 +1,96 @@
+import { ManualClock } from 'auburnturn/core/clock'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { Audience, Subscriber } from '../src/core/reports/index.js'
+import { Selection } from '../src/core/targets/index.js'
+import type { Place } from '../src/core/targets/index.js'
+
+const test = suite('selection')
+
+/** `count` targets of each service, dealt over the failure domains. */
+function createPlaces (services: readonly string[], count: number, domains: readonly string[]): Place[] {
+  return services.flatMap((service, serviceIndex) => Array.from({ length: count }, (_, index) => ({
+    ip: `10.${serviceIndex}.${Math.floor(index / 250)}.${index % 250}`,
+    service,
+    failureDomain: domains[index % domains.length] as string
+  })))
+}
+
+function select (ip: string, failureDomain: string, places: readonly Place[]): Selection {
+  const selection = Selection.create({ clock: ManualClock.create(), ip, failureDomain })
+  selection.refresh(places)
+  return selection
+}
+
+test('in a small deployment every node listens to all others', () => {
+  const places = createPlaces(['shop', 'stock', 'orders'], 4, ['a', 'b', 'c'])
+  assert.is(select('10.0.0.0', 'a', places).addresses.size, places.length - 1)
+})
+
+test('what a node listens to does not grow with the deployment', () => {
+  const sizes = [30, 100, 300, 6_000].map(count => select('10.0.0.0', 'a', createPlaces(['shop', 'stock', 'orders'], count, ['a', 'b', 'c'])).addresses.size)
+  assert.ok(Math.max(...sizes) <= 3 * (12 + 3), String(sizes))
+})
+
+test('nodes listen to different targets, so that each target has about as many listeners', () => {
+  const places = createPlaces(['shop'], 120, ['a', 'b', 'c'])
+  const listeners = new Map<string, number>()
+  for (const { ip, failureDomain } of places) for (const chosen of select(ip, failureDomain, places).addresses) listeners.set(chosen, (listeners.get(chosen) ?? 0) + 1)
+  const counts = places.map(({ ip }) => listeners.get(ip) ?? 0)
+  assert.ok(Math.min(...counts) >= 4 && Math.max(...counts) <= 40, `${Math.min(...counts)} to ${Math.max(...counts)}`)
+})
+
+test('one target more or less changes little', () => {
+  const places = createPlaces(['shop'], 120, ['a', 'b', 'c'])
+  const before = select('10.0.0.0', 'a', places).addresses
+  const after = select('10.0.0.0', 'a', places.filter(({ ip }) => ip !== [...before][0])).addresses
+  assert.is([...after].filter(ip => !before.has(ip)).length, 1)
+})
+
+test('a shortage widens the selection step by step, for a while', async () => {
+  const clock = ManualClock.create()
+  const places = createPlaces(['shop'], 120, ['a', 'b', 'c'])
+  const selection = Selection.create({ clock, ip: '10.0.0.0', failureDomain: 'a' })
+  selection.refresh(places)
+  const usual = selection.addresses.size
+  assert.is(selection.widen('shop'), true)
+  assert.is(selection.widen('shop'), false)
+  selection.refresh(places)
+  assert.is(selection.addresses.size, usual * 2)
+  await clock.advance(400)
+  assert.is(selection.widen('shop'), true)
+  selection.refresh(places)
+  assert.ok(selection.addresses.size > usual * 2)
+  await clock.advance(4_000)
+  selection.refresh(places)
+  assert.is(selection.addresses.size, usual)
+})
+
+test('a node that is asked for reports sends them until nobody has asked for seconds', async () => {
+  const clock = ManualClock.create()
+  const audience = Audience.create({ clock })
+  assert.is(audience.hear('10.0.0.1'), true)
+  await clock.advance(1_000)
+  assert.is(audience.hear('10.0.0.1'), false)
+  await clock.advance(3_000)
+  assert.equal(audience.list(), ['10.0.0.1'])
+  await clock.advance(500)
+  assert.equal(audience.list(), [])
+  assert.is(audience.hear('10.0.0.1'), true)
+})
+
+test('new nodes are asked at once, all of them again each second', async () => {
+  const clock = ManualClock.create()
+  const asked: string[] = []
+  let wanted = new Set(['one'])
+  const subscriber = Subscriber.create({ clock, refresh: () => {}, wanted: () => wanted, send: (_bytes, ip) => { asked.push(ip) } })
+  await clock.advance(10)
+  wanted = new Set(['one', 'two'])
+  subscriber.askNew()
+  assert.equal(asked, ['one', 'two'])
+  await clock.advance(1_000)
+  subscriber.close()
+  assert.equal(asked, ['one', 'two', 'one', 'two'])
+})
+
+test.run()
--- a/packages/sidecar/test/small-parts.test.ts
+++ b/packages/sidecar/test/small-parts.test.ts
@@ -2,11 +2,8 @@
 import { Clock, ManualClock } from 'auburnturn/core/clock'
 import { Logger } from 'auburnturn/core/logger'
 import { Metrics } from 'auburnturn/core/metrics'
-import { Random } from 'auburnturn/core/random'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { Follower } from '../src/core/following/index.js'
-import type { SourceAnswer } from '../src/core/following/index.js'
 import { LineWriter } from '../src/core/logging/index.js'
 import { PauseWatch } from '../src/core/pauses/index.js'
 import { decodeReport, encodeReport, encodeShortReport, sumId } from '../src/core/reports/index.js'
@@ -130,44 +127,4 @@
   assert.ok(few >= 1 && few <= 5, `${few}`)
 })
 
-/** Answers the calls of a follower from a list; then it hears nothing more. */
-async function follow (answers: SourceAnswer[]): Promise<string[]> {
-  const clock = ManualClock.create()
-  const calls: string[] = []
-  const next = async (call: string): Promise<SourceAnswer> => {
-    calls.push(call)
-    return answers.shift() ?? await new Promise<SourceAnswer>(() => {})
-  }
-  const follower = Follower.create({
-    source: { list: async () => await next('list'), watch: async revision => await next(`watch ${revision}`) },
-    clock,
-    random: Random.create(1),
-    logger: Logger.createSilent(),
-    apply: changes => { calls.push(`apply ${changes.length}`) },
-    onFailure: error => { throw error }
-  })
-  await clock.advance(10_000)
-  follower.close()
-  return calls
-}
-
-test('the store is listed once, and watched from its revision', async () => {
-  const calls = await follow([
-    { kind: 'changes', changes: [], revision: 7 },
-    { kind: 'changes', changes: [{ kind: 'gone', id: 'x' }], revision: 9 }
-  ])
-  assert.equal(calls, ['list', 'apply 0', 'watch 7', 'apply 1', 'watch 9'])
-})
-
-test('a store that lost its history is listed again, one that fails is asked again', async () => {
-  const calls = await follow([
-    { kind: 'failed', cause: 'status 503' },
-    { kind: 'changes', changes: [], revision: 7 },
-    { kind: 'failed', cause: 'reset' },
-    { kind: 'forgotten' },
-    { kind: 'changes', changes: [], revision: 20 }
-  ])
-  assert.equal(calls, ['list', 'list', 'apply 0', 'watch 7', 'watch 7', 'list', 'apply 0', 'watch 20'])
-})
-
 test.run()
