Hear reports only from the nodes that work is sent to

Change: a node listens to at most 12 targets of each service in its failure domain and 3 elsewhere (8 in all where those are fewer), chosen by a hash, so that each listens to others, and asks their nodes once a second; a report goes to those who asked, another lifetime or state of a target to all. Where the best known target costs two service times or more, twice as many are listened to, and again after 0.3 s. Ruled out: pushing to nodes that lately sent work here (nobody hears of a node that it has not tried yet).

--- a/packages/sidecar/src/core/forwarding/forwarder.ts
+++ b/packages/sidecar/src/core/forwarding/forwarder.ts
@@ -6,7 +6,7 @@
 import { notRun, WorkEstimate } from '../own-target/index.js'
 import type { Job, Outcome, OwnTarget } from '../own-target/index.js'
 import { RetryWindow } from '../retries/index.js'
-import { chooseTarget, slowFactor } from '../targets/index.js'
+import { chooseTarget, priceOf, slowFactor, widenAbovePrice } from '../targets/index.js'
 import type { Candidate, Directory } from '../targets/index.js'
 import { hedgeFirstShare, maxImpatientOffers, maxOffers, unknownRetryMs } from './constants.js'
 import { awaitHedge, createLane, firstGood, firstLookAt, isWorthHedging } from './hedge.js'
@@ -61,8 +61,12 @@
   }
 
   private choose (job: Job, tried: ReadonlySet<string>): Candidate | undefined {
-    const { directory, failureDomain, random } = this.options
-    return chooseTarget({ candidates: this.withOwn(directory.candidates(job.service), job.service), failureDomain, tried, random })
+    const { directory, failureDomain, random, onShortage } = this.options
+    const candidates = this.withOwn(directory.candidates(job.service), job.service)
+    const best = chooseTarget({ candidates, failureDomain, tried, random })
+    if (best !== undefined && priceOf(best, failureDomain) < widenAbovePrice) return best
+    onShortage(job.service)
+    return best ?? chooseTarget({ candidates: directory.candidates(job.service, 'any'), failureDomain, tried, random })
   }
 
   /** Replaces what was heard of the own target by what is known of it. */
@@ -181,6 +185,8 @@
   /** Address and failure domain of this VM. */
   readonly ip: string
   readonly failureDomain: string
+  /** Called when the known targets of a service do not suffice. */
+  readonly onShortage: (service: string) => void
   /** Repeats allowed for each request of a service. */
   readonly retryRatio: () => number
   /** Repeats allowed to this node beside those, in each window. */
--- a/packages/sidecar/src/core/reports/codec.ts
+++ b/packages/sidecar/src/core/reports/codec.ts
@@ -19,8 +19,13 @@
   readonly figures: Figures
 }
 
+/** A node wants the reports of the one that it sends this to. */
+export interface Subscription {
+  readonly kind: 'subscription'
+}
+
 /** First byte of each datagram. */
-const layouts = { full: 1, short: 2 } as const
+const layouts = { full: 1, short: 2, subscription: 3 } as const
 const figuresBytes = 10
 const shortBytes = figuresBytes + 4
 const fullBytes = figuresBytes + 6
@@ -51,9 +56,14 @@
   return bytes
 }
 
-/** Undefined for anything that is not a whole report. */
-export function decodeReport (bytes: Buffer): Report | ShortReport | undefined {
+export function encodeSubscription (): Buffer {
+  return Buffer.from([layouts.subscription])
+}
+
+/** Undefined for anything that is not a whole report, or the wish for some. */
+export function decodeReport (bytes: Buffer): Report | ShortReport | Subscription | undefined {
   switch (bytes[0]) {
+    case layouts.subscription: return { kind: 'subscription' }
     case layouts.full: return decodeFull(bytes)
     case layouts.short: return decodeShort(bytes)
     default: return undefined
--- a/packages/sidecar/src/core/reports/constants.ts
+++ b/packages/sidecar/src/core/reports/constants.ts
@@ -12,3 +12,9 @@
 
 /** The same for all other nodes, to which bytes are dear. */
 export const farLoadStep = 5
+
+/** How often a node asks for the reports that it wants, in milliseconds. */
+export const subscribeMs = 1_000
+
+/** A node that has not asked for this long gets no more reports, in milliseconds: three times in a row may get lost. */
+export const subscribedMs = 3_200
--- a/packages/sidecar/src/core/reports/reporter.ts
+++ b/packages/sidecar/src/core/reports/reporter.ts
@@ -18,12 +18,14 @@
   fullAt: number
 }
 
-/** Tells the other nodes how the own target does: changes at once, and a heartbeat. */
+/** Tells the nodes that want it how the own target does: changes at once, and a heartbeat; all hear of another lifetime or state. */
 export class Reporter {
   private readonly options: ReporterOptions
   private readonly cancel: Cancel
   private readonly near: Told = { loadStep: nearLoadStep, report: undefined, fullAt: -Infinity }
   private readonly far: Told = { loadStep: farLoadStep, report: undefined, fullAt: -Infinity }
+  /** What all nodes were told last. */
+  private known: TargetReport | undefined
 
   private constructor (options: ReporterOptions) {
     this.options = options
@@ -36,32 +38,59 @@
 
   /** Looks at the present figures and sends them where they are worth it. */
   tell (): void {
-    const { describe, receivers } = this.options
+    const { describe, receivers, others } = this.options
     const report = describe()
+    if (this.known === undefined || isOther(report.target, this.known)) {
+      this.known = report.target
+      this.sendAll(report, others())
+      this.near.fullAt = this.far.fullAt = this.options.clock.now()
+      this.near.report = this.far.report = report
+      return
+    }
+    const near = this.chooseKind(this.near, report)
+    const far = this.chooseKind(this.far, report)
+    if (near === 'none' && far === 'none') return
     const groups = receivers()
-    this.tellGroup(this.near, groups.near, report)
-    this.tellGroup(this.far, groups.far, report)
+    this.tellGroup(this.near, near, groups.near, report)
+    this.tellGroup(this.far, far, groups.far, report)
+  }
+
+  /** Tells a node that has just asked for reports. */
+  greet (ip: string): void {
+    this.sendAll(this.options.describe(), [ip])
   }
 
   close (): void {
     this.cancel()
   }
 
-  private tellGroup (told: Told, ips: readonly string[], report: Report): void {
-    const { clock, send } = this.options
-    const full = told.report === undefined || clock.now() - told.fullAt >= heartbeatMs || isOther(report, told.report)
-    if (!full && !isChanged(report.target, told.report?.target ?? report.target, told.loadStep)) return
+  /** What a group needs to hear now. */
+  private chooseKind (told: Told, report: Report): 'full' | 'short' | 'none' {
+    if (told.report === undefined || this.options.clock.now() - told.fullAt >= heartbeatMs) return 'full'
+    if (report.configurationVersion !== told.report.configurationVersion) return 'full'
+    return isChanged(report.target, told.report.target, told.loadStep) ? 'short' : 'none'
+  }
+
+  private tellGroup (told: Told, kind: 'full' | 'short' | 'none', ips: readonly string[], report: Report): void {
+    if (kind === 'none') return
     told.report = report
-    if (full) told.fullAt = clock.now()
-    const bytes = full ? encodeReport(report) : encodeShortReport(report.target)
-    for (const ip of ips) send(bytes, ip)
+    if (kind === 'full') {
+      told.fullAt = this.options.clock.now()
+      return this.sendAll(report, ips)
+    }
+    const bytes = encodeShortReport(report.target)
+    for (const ip of ips) this.options.send(bytes, ip)
+  }
+
+  private sendAll (report: Report, ips: Iterable<string>): void {
+    const bytes = encodeReport(report)
+    for (const ip of ips) this.options.send(bytes, ip)
   }
 }
 
-/** Whether a report says what a short one can't. */
-function isOther (one: Report, other: Report): boolean {
-  return one.configurationVersion !== other.configurationVersion || one.target.id !== other.target.id ||
-    one.target.state !== other.target.state || one.target.fresh !== other.target.fresh
+/** Whether all nodes need to hear of it: another lifetime of the target, or another state. */
+function isOther (one: TargetReport, other: TargetReport): boolean {
+  return one.id !== other.id || one.state !== other.state || one.fresh !== other.fresh
 }
 
 function isChanged (one: TargetReport, other: TargetReport, loadStep: number): boolean {
@@ -73,6 +102,9 @@
 interface ReporterOptions {
   readonly clock: Clock
   readonly describe: () => Report
+  /** Nodes that want reports. */
   readonly receivers: () => Receivers
+  /** Addresses of all other nodes. */
+  readonly others: () => Iterable<string>
   readonly send: (bytes: Buffer, ip: string) => void
 }
--- a/packages/sidecar/src/core/targets/constants.ts
+++ b/packages/sidecar/src/core/targets/constants.ts
@@ -48,3 +48,24 @@
 
 /** A node that was not heard for this long is forgotten when a target leaves, in milliseconds. */
 export const forgetAfterMs = 60_000
+
+/** Targets of one service in the own failure domain that a node listens to. */
+export const nearPlaces = 12
+
+/** Targets of one service in other failure domains that a node listens to. */
+export const farPlaces = 3
+
+/** Where the own failure domain has fewer, others make up this number. */
+export const leastPlaces = 8
+
+/** A node listens to at most so many times as many when those do not suffice. */
+export const maxWidth = 8
+
+/** Shortest time between two steps to more targets, in milliseconds: the answers of the new ones take a moment. */
+export const widenEveryMs = 300
+
+/** A node goes back to the usual number after this long, in milliseconds. */
+export const widenedMs = 3_000
+
+/** Price of the best target, in service times, from which on a node looks for others. */
+export const widenAbovePrice = 2
--- a/packages/sidecar/src/core/targets/directory.ts
+++ b/packages/sidecar/src/core/targets/directory.ts
@@ -1,6 +1,6 @@
 import type { Clock } from 'auburnturn/core/clock'
 import { forgetAfterMs, maxLeft, outageMs, returnGraceMs, silentAfterMs, slowFactor, unlistedMs, usableShare } from './constants.js'
-import type { Candidate, ListedTarget, TargetReport } from './types.js'
+import type { Candidate, ListedTarget, Place, TargetReport } from './types.js'
 
 /** A listed target with what was learned since. */
 interface Listing {
@@ -27,6 +27,7 @@
 /** All targets known to this node: the platform's list, corrected by the nodes beside them. */
 export class Directory {
   private readonly clock: Clock
+  private readonly isSelected: (ip: string) => boolean
   private readonly listings = new Map<string, Listing>()
   private readonly heard = new Map<string, Heard>()
   private readonly sent = new Map<string, Sent>()
@@ -35,12 +36,13 @@
   private answeredAt = -Infinity
   private returnedAt = -Infinity
 
-  private constructor (clock: Clock) {
+  private constructor ({ clock, isSelected }: DirectoryOptions) {
     this.clock = clock
+    this.isSelected = isSelected ?? (() => true)
   }
 
-  static create ({ clock }: { clock: Clock }): Directory {
-    return new Directory(clock)
+  static create (options: DirectoryOptions): Directory {
+    return new Directory(options)
   }
 
   /** Notes that the list has answered; after an outage, missing entries get time to come back. */
@@ -83,6 +85,11 @@
     if (sent !== undefined) sent.unreported = 0
   }
 
+  /** Whether a target of the service was known at an address. */
+  knows (ip: string, service: string): boolean {
+    return this.heard.get(ip)?.report.service === service || [...this.listings.values()].some(({ target }) => target.ip === ip && target.service === service)
+  }
+
   /** Takes newer figures of the target that the node at `ip` spoke of last; `isSame` tells by its id. */
   hearFigures (ip: string, figures: Partial<TargetReport>, isSame: (id: string) => boolean): void {
     const before = this.heard.get(ip)
@@ -108,20 +115,22 @@
     return this.left.has(id) || this.findListing(id)?.target.state === 'draining'
   }
 
-  /** Targets of a service that may be chosen now. */
-  candidates (service: string): Candidate[] {
+  /** Targets of a service that may be chosen now: beside the selected nodes, or beside any. */
+  candidates (service: string, beside: 'selected' | 'any' = 'selected'): Candidate[] {
+    const isWanted = beside === 'any' ? () => true : this.isSelected
     const found: Candidate[] = []
     const now = this.clock.now()
     for (const id of [...this.listings.keys()]) {
       const listing = this.findListing(id)
       if (listing === undefined || listing.target.service !== service || listing.target.state !== 'ready') continue
+      if (!isWanted(listing.target.ip)) continue
       const heard = this.recall(listing.target.ip, now)
       // The node beside it knows another one in its place, or none yet: this entry is about to lapse.
       if (heard !== undefined && heard.report.id !== id) continue
       found.push(this.describe(listing, heard, now))
     }
     for (const [ip, heard] of this.heard) {
-      if (this.isUsableUnlisted(heard, service, now)) found.push(this.describeUnlisted(ip, heard, now))
+      if (isWanted(ip) && this.isUsableUnlisted(heard, service, now)) found.push(this.describeUnlisted(ip, heard, now))
     }
     return found
   }
@@ -134,6 +143,13 @@
     return domains
   }
 
+  /** Where targets are, by the list and by the nodes beside them. */
+  get places (): Place[] {
+    const places = [...this.listings.values()].map(({ target: { ip, service, failureDomain } }) => ({ ip, service, failureDomain }))
+    for (const [ip, { report: { service, failureDomain } }] of this.heard) places.push({ ip, service, failureDomain })
+    return [...new Map(places.map(place => [`${place.ip} ${place.service}`, place])).values()]
+  }
+
   /** The listed targets, for nodes that can't read the list themselves. */
   get listed (): ListedTarget[] {
     return [...this.listings.values()].map(({ target }) => target)
@@ -222,3 +238,9 @@
     return { id, service, ip, failureDomain, state, running: Math.max(running + unreported, underWay), waiting, limit, slowness, failures, cold: false, silentMs: now - at }
   }
 }
+
+interface DirectoryOptions {
+  readonly clock: Clock
+  /** Whether this node listens to the one at an address; to all unless given. */
+  readonly isSelected?: (ip: string) => boolean
+}
--- a/packages/sidecar/src/core/targets/types.ts
+++ b/packages/sidecar/src/core/targets/types.ts
@@ -51,3 +51,11 @@
   /** Milliseconds since its node was last heard; Infinity when never. */
   readonly silentMs: number
 }
+
+/** Where a target is. */
+export interface Place {
+  /** Address of its VM. */
+  readonly ip: string
+  readonly service: string
+  readonly failureDomain: string
+}
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -14,10 +14,11 @@
 import { OwnTarget, Prober } from './core/own-target/index.js'
 import { PauseWatch } from './core/pauses/index.js'
 import { Announcer, ReadingDuty } from './core/readers/index.js'
-import { Datagrams, Reporter, sumId } from './core/reports/index.js'
+import { Audience, Datagrams, Reporter, Subscriber, sumId } from './core/reports/index.js'
 import type { Message, Receivers } from './core/reports/index.js'
 import type { Settings } from './core/settings.js'
-import { Directory } from './core/targets/index.js'
+import { Directory, Selection } from './core/targets/index.js'
+import type { TargetReport } from './core/targets/index.js'
 import { answerMarginMs, callersGoneMs, checksUntilGone, drainCheckMs, endMarginMs, idleUntilConfiguredMs, lastRequestMs, metricsPath, metricsPort } from './constants.js'
 import { protocol, ReadinessServer, Store } from './platform/index.js'
 
@@ -30,6 +31,8 @@
   private readonly underWay: UnderWay
   private readonly configuration: CurrentConfiguration
   private readonly directory: Directory
+  private readonly selection: Selection
+  private readonly audience: Audience
   private readonly target: OwnTarget
   private readonly peers: Peers
   private readonly ingress: Ingress
@@ -39,6 +42,7 @@
   private readonly supervisor: Supervisor
   private readonly duty: ReadingDuty
   private reporter: Reporter | undefined
+  private subscriber: Subscriber | undefined
   private announcer: Announcer | undefined
   private follower: Follower | undefined
   private listed = false
@@ -58,7 +62,9 @@
     const { metrics } = this
     this.underWay = UnderWay.create({ clock })
     this.configuration = CurrentConfiguration.create({ random })
-    this.directory = Directory.create({ clock })
+    this.selection = Selection.create({ clock, ip, failureDomain })
+    this.audience = Audience.create({ clock })
+    this.directory = Directory.create({ clock, isSelected: other => this.selection.has(other) })
     const { configuration, directory } = this
     this.target = OwnTarget.create({ address: upstream, service, failureDomain, clock, logger, metrics, protocol, directory, onChange: () => { this.reporter?.tell() } })
     this.peers = Peers.create({ port: portOf(listen.nodes), clock, protocol })
@@ -72,12 +78,13 @@
       peers: this.peers,
       ip,
       failureDomain,
+      onShortage: wanted => { if (this.selection.widen(wanted)) this.select() },
       retryRatio: () => this.settings.bounds.retryRatio,
       retryAllowance: () => this.settings.bounds.retryAllowance / Math.max(1, directory.failureDomains.size)
     })
     this.ingress = Ingress.create({ clock, logger, metrics, protocol, configuration, forwarder, service, isLeaving: () => this.leaving, isClosed: () => this.closed })
     this.store = Store.create({ address: settings.store, clock, onCall: kind => { metrics.count('platform_reads_total', { kind }) } })
-    this.duty = ReadingDuty.create({ clock, random, logger, ip, failureDomain, domains: () => this.countDomains(), neighbours: () => this.listReceivers().near.length, onChange: () => { this.announce() } })
+    this.duty = ReadingDuty.create({ clock, random, logger, ip, failureDomain, domains: () => this.countDomains(), neighbours: () => this.split(this.listOthers()).near.length, onChange: () => { this.announce() } })
     this.catchUp = CatchUp.create({
       clock,
       logger,
@@ -199,9 +206,11 @@
     const reporter = Reporter.create({
       clock,
       describe: () => ({ kind: 'full', target: target.describe(), configurationVersion: configuration.version }),
-      receivers: () => this.listReceivers(),
+      receivers: () => this.split(this.audience.list()),
+      others: () => this.listOthers(),
       send
     })
+    const subscriber = Subscriber.create({ clock, refresh: () => { this.selection.refresh(directory.places) }, wanted: () => this.selection.addresses, send })
     const announcer = Announcer.create({
       clock,
       duty,
@@ -213,10 +222,12 @@
     })
     this.reporter = reporter
     this.announcer = announcer
+    this.subscriber = subscriber
     return {
       close: async () => {
         reporter.close()
         announcer.close()
+        subscriber.close()
         datagrams.close()
       }
     }
@@ -226,10 +237,13 @@
     const { directory, catchUp, follower } = this
     switch (message.kind) {
       case 'full':
-        directory.hear(ip, message.target)
+        this.hearTarget(ip, message.target)
         return catchUp.hear(ip, message.configurationVersion)
       case 'short':
         return directory.hearFigures(ip, message.figures, id => sumId(id) === message.idSum)
+      case 'subscription':
+        if (this.audience.hear(ip)) this.reporter?.greet(ip)
+        return
       case 'reader': {
         const { state, failureDomain, revision, configurationVersion } = message
         this.duty.hear(ip, state, failureDomain)
@@ -255,13 +269,24 @@
     return new Set(this.directory.failureDomains.values()).size
   }
 
-  private listReceivers (): Receivers {
-    const near: string[] = []
-    const far: string[] = []
-    for (const [ip, failureDomain] of this.directory.failureDomains) {
-      if (ip !== this.settings.ip) (failureDomain === this.settings.failureDomain ? near : far).push(ip)
-    }
-    return { near, far }
+  /** A lifetime of a target that was not known before may be worth listening to. */
+  private hearTarget (ip: string, report: TargetReport): void {
+    const known = this.directory.knows(ip, report.service)
+    this.directory.hear(ip, report)
+    if (!known) this.select()
+  }
+
+  /** Chooses anew whose reports are wanted, and asks for those that are new. */
+  private select (): void {
+    this.selection.refresh(this.directory.places)
+    this.subscriber?.askNew()
+  }
+
+  /** Sorts addresses by whether they are in the same failure domain. */
+  private split (ips: readonly string[]): Receivers {
+    const domains = this.directory.failureDomains
+    const isNear = (ip: string): boolean => domains.get(ip) === this.settings.failureDomain
+    return { near: ips.filter(isNear), far: ips.filter(ip => !isNear(ip)) }
   }
 
   private follow (fail: (error: unknown) => void): Part {
@@ -307,6 +332,7 @@
     directory.markAnswered()
     applyChanges(changes, whole, { directory, configuration, logger })
     this.listed ||= whole
+    this.select()
     this.reporter?.tell()
   }
 
@@ -322,6 +348,7 @@
     const { directory, logger } = this
     applyChanges(changes, false, { directory, configuration: this.configuration, logger })
     this.listed = true
+    this.select()
     this.reporter?.tell()
   }
 
