Send what must not be repeated over no connection that was idle for long

Change: before such a request, connections to the own target that carried nothing for 150 ms are closed; Connections notes when each became idle. Test: exchange, on the manual clock.

--- a/packages/sidecar/src/core/exchange/connections.ts
+++ b/packages/sidecar/src/core/exchange/connections.ts
@@ -1,7 +1,9 @@
 import { Agent } from 'node:http'
+import type { AgentOptions } from 'node:http'
 import type { Duplex } from 'node:stream'
 import { connect } from 'node:net'
 import type { NetConnectOpts, Socket } from 'node:net'
+import type { Clock } from 'auburnturn/core/clock'
 import { idleMs, idleMarginMs } from './constants.js'
 
 /** Kept-alive connections to one address, the one used last first, each with one request at a time. */
@@ -10,25 +12,49 @@
   readonly address: string
   readonly agent: Agent
 
-  private constructor (address: string, limit: number) {
+  private readonly clock: Clock
+
+  private constructor ({ address, limit, clock }: ConnectionsOptions) {
     this.address = address
-    this.agent = new KeptAgent({ keepAlive: true, maxSockets: limit, maxFreeSockets: limit, scheduling: 'lifo', noDelay: true, timeout: idleMs })
+    this.clock = clock
+    this.agent = new KeptAgent({ keepAlive: true, maxSockets: limit, maxFreeSockets: limit, scheduling: 'lifo', noDelay: true, timeout: idleMs }, () => clock.now())
   }
 
-  static create ({ address, limit }: { address: string, limit: number }): Connections {
-    return new Connections(address, limit)
+  static create (options: ConnectionsOptions): Connections {
+    return new Connections(options)
   }
 
   /** Closes those that carry no request, as when they may all have fallen silent. */
   dropIdle (): void {
-    for (const sockets of Object.values(this.agent.freeSockets)) for (const socket of sockets ?? []) socket.destroy()
+    for (const socket of this.listIdle()) socket.destroy()
+  }
+
+  /** Closes those that have carried no request for `milliseconds`: the server may have forgotten them by now. */
+  dropIdleFor (milliseconds: number): void {
+    const now = this.clock.now()
+    for (const socket of this.listIdle()) if (now - (idleSince.get(socket) ?? now) >= milliseconds) socket.destroy()
   }
 
   close (): void {
     this.agent.destroy()
   }
+
+  private listIdle (): Socket[] {
+    return Object.values(this.agent.freeSockets).flatMap(sockets => sockets ?? [])
+  }
 }
 
+interface ConnectionsOptions {
+  /** `IP:PORT`. */
+  readonly address: string
+  /** Most connections at a time. */
+  readonly limit: number
+  readonly clock: Clock
+}
+
+/** When each idle socket carried its last request, in clock milliseconds. */
+const idleSince = new WeakMap<Duplex, number>()
+
 /** Sockets that ended with a reset. */
 const resets = new WeakSet<Duplex>()
 
@@ -39,6 +65,13 @@
 
 /** Node's agent, which leaves idle connections before the server does and reuses none with stray bytes. */
 class KeptAgent extends Agent {
+  private readonly now: () => number
+
+  constructor (options: AgentOptions, now: () => number) {
+    super(options)
+    this.now = now
+  }
+
   override createConnection (options: NetConnectOpts): Socket {
     const socket = connect(options)
     // First listeners: the HTTP client must not take a reset for an end.
@@ -50,6 +83,7 @@
 
   override keepSocketAlive (socket: Duplex): boolean {
     const { timeout } = socket as Socket
+    idleSince.set(socket, this.now())
     const kept = super.keepSocketAlive(socket as Socket) as unknown as boolean
     const hinted = (socket as Socket).timeout
     if (kept && hinted !== undefined && hinted !== timeout) (socket as Socket).setTimeout(Math.max(1, hinted - idleMarginMs))
--- a/packages/sidecar/src/core/forwarding/peers.ts
+++ b/packages/sidecar/src/core/forwarding/peers.ts
@@ -65,7 +65,7 @@
   private connectionsTo (ip: string): Connections {
     const known = this.connections.get(ip)
     if (known !== undefined) return known
-    const fresh = Connections.create({ address: `${ip}:${this.options.port}`, limit: maxPeerConnections })
+    const fresh = Connections.create({ address: `${ip}:${this.options.port}`, limit: maxPeerConnections, clock: this.options.clock })
     this.connections.set(ip, fresh)
     return fresh
   }
--- a/packages/sidecar/src/core/own-target/constants.ts
+++ b/packages/sidecar/src/core/own-target/constants.ts
@@ -16,6 +16,12 @@
 /** Most connections to the own target; its bound is far above its slots. */
 export const maxConnections = 64
 
+/**
+ * What must not be repeated goes over no connection that was idle for longer, in milliseconds: a target may have
+ * forgotten it, and then nobody knows whether the request ran.
+ */
+export const maxIdleMs = 150
+
 /** Expected work of a route that was not seen yet, as a share of its objective. */
 export const firstWorkShare = 0.37
 
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -8,7 +8,7 @@
 import type { AnswerHead, Protocol } from '../forwarding/types.js'
 import { FailureShare, usableShare } from '../targets/index.js'
 import type { Directory, TargetReport, TargetState } from '../targets/index.js'
-import { connectMs, firstSlots, firstWorkShare, freshMs, maxConnections, rejectedRetryMs, unhealthyFailures } from './constants.js'
+import { connectMs, firstSlots, firstWorkShare, freshMs, maxConnections, maxIdleMs, rejectedRetryMs, unhealthyFailures } from './constants.js'
 import { PaceKeeper } from './pace.js'
 import { mayHaveRun, notRun } from './types.js'
 import type { Job, Outcome } from './types.js'
@@ -37,7 +37,7 @@
   private constructor (options: OwnTargetOptions) {
     this.options = options
     this.slots = Slots.create({ clock: options.clock })
-    this.connections = Connections.create({ address: options.address, limit: maxConnections })
+    this.connections = Connections.create({ address: options.address, limit: maxConnections, clock: options.clock })
   }
 
   static create (options: OwnTargetOptions): OwnTarget {
@@ -167,6 +167,7 @@
     const { slowness } = this
     const timeoutMs = job.endsAt - startedAt
     if (timeoutMs <= 0) return notRun('expired')
+    if (!job.idempotent) this.connections.dropIdleFor(maxIdleMs)
     const reply = await exchange({
       connections: this.connections,
       clock,
--- a/packages/sidecar/src/core/own-target/prober.ts
+++ b/packages/sidecar/src/core/own-target/prober.ts
@@ -13,7 +13,7 @@
 
   private constructor (options: ProberOptions) {
     this.options = options
-    this.connections = Connections.create({ address: options.address, limit: 1 })
+    this.connections = Connections.create({ address: options.address, limit: 1, clock: options.clock })
   }
 
   /** Probes until it is closed. */
--- a/packages/sidecar/src/platform/store.ts
+++ b/packages/sidecar/src/platform/store.ts
@@ -43,7 +43,7 @@
     this.host = address
     this.clock = clock
     this.onCall = onCall
-    this.connections = Connections.create({ address, limit: 2 })
+    this.connections = Connections.create({ address, limit: 2, clock })
   }
 
   static create (options: StoreOptions): Store {
--- a/packages/sidecar/test/exchange.test.ts
+++ b/packages/sidecar/test/exchange.test.ts
@@ -1,4 +1,4 @@
-import { Clock } from 'auburnturn/core/clock'
+import { Clock, ManualClock } from 'auburnturn/core/clock'
 import type { Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
@@ -11,7 +11,7 @@
 /** Sends one request to a server that answers with `answer`. */
 async function send (answer: (socket: Socket) => void, options: Partial<Exchange> = {}): Promise<Reply> {
   const server = await startRawServer(answer)
-  const connections = Connections.create({ address: server.address, limit: 1 })
+  const connections = Connections.create({ address: server.address, limit: 1, clock: Clock.create() })
   const reply = await exchange({
     connections,
     clock: Clock.create(),
@@ -64,10 +64,34 @@
 test('where nobody listens nothing was sent', async () => {
   const server = await startRawServer(() => {})
   server.close()
-  const connections = Connections.create({ address: server.address, limit: 1 })
+  const connections = Connections.create({ address: server.address, limit: 1, clock: Clock.create() })
   const reply = await exchange({ connections, clock: Clock.create(), method: 'GET', path: '/', headers: ['host', 'x'], body: Buffer.alloc(0), connectMs: 2_000, timeoutMs: 5_000 })
   assert.equal(reply, { kind: 'unsent', cause: 'connect-failed' })
   connections.close()
 })
 
+test('a connection that was idle for long can be left before a request that must not be repeated', async () => {
+  const clock = ManualClock.create()
+  const used: Socket[] = []
+  const server = await startRawServer(socket => {
+    used.push(socket)
+    socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n')
+  })
+  const connections = Connections.create({ address: server.address, limit: 4, clock })
+  const ask = async (): Promise<void> => {
+    connections.dropIdleFor(150)
+    await exchange({ connections, clock, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), connectMs: 2_000, timeoutMs: 5_000 })
+    await new Promise(resolve => setImmediate(resolve))
+  }
+  await ask()
+  clock.jump(100)
+  await ask()
+  clock.jump(200)
+  await ask()
+  connections.close()
+  server.close()
+  assert.is(used[1], used[0])
+  assert.is.not(used[2], used[1])
+})
+
 test.run()
