Stop listening before the end, and serve what was connected before

Change: after its callers have gone the node stops listening, and ends when 60 ms passed without a request. Reports bind where other nodes are served, so that a relay can stand between nodes. Test: small-parts, manual clock.

--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -16,6 +16,9 @@
 /** After SIGTERM, requests are taken for this long, in milliseconds: what comes later might not end before the kill. */
 export const lastRequestMs = 3_000
 
+/** A node that no longer listens ends when no request has come for this long, in milliseconds. */
+export const quietMs = 60
+
 /** Where the metrics are served; deploy/system.toml names the same. */
 export const metricsPort = 9_464
 export const metricsPath = '/metrics'
--- a/packages/sidecar/src/core/listening/under-way.ts
+++ b/packages/sidecar/src/core/listening/under-way.ts
@@ -6,6 +6,8 @@
 /** Counts the requests that a node has under way. */
 export class UnderWay {
   count = 0
+  /** Requests that have ended so far. */
+  private ended = 0
   private readonly clock: Clock
 
   private constructor (clock: Clock) {
@@ -23,6 +25,7 @@
       await request
     } finally {
       this.count--
+      this.ended++
     }
   }
 
@@ -30,4 +33,16 @@
   async settle (endsAt: number): Promise<void> {
     while (this.count > 0 && this.clock.now() < endsAt) await this.clock.sleep(lookMs)
   }
+
+  /** Resolves when there was none for `quietMs`, or at `endsAt` (clock milliseconds). */
+  async settleQuiet (quietMs: number, endsAt: number): Promise<void> {
+    let quietSince = this.clock.now()
+    let ended = this.ended
+    while (this.clock.now() < endsAt && this.clock.now() - quietSince < quietMs) {
+      await this.clock.sleep(lookMs)
+      if (this.count === 0 && ended === this.ended) continue
+      quietSince = this.clock.now()
+      ended = this.ended
+    }
+  }
 }
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -19,7 +19,7 @@
 import type { Settings } from './core/settings.js'
 import { Directory, Selection } from './core/targets/index.js'
 import type { TargetReport } from './core/targets/index.js'
-import { answerMarginMs, callersGoneMs, checksUntilGone, drainCheckMs, endMarginMs, idleUntilConfiguredMs, lastRequestMs, metricsPath, metricsPort } from './constants.js'
+import { answerMarginMs, callersGoneMs, checksUntilGone, drainCheckMs, endMarginMs, idleUntilConfiguredMs, lastRequestMs, metricsPath, metricsPort, quietMs } from './constants.js'
 import { protocol, ReadinessServer, Store } from './platform/index.js'
 
 /** One node: everything beside one upstream. */
@@ -45,6 +45,7 @@
   private subscriber: Subscriber | undefined
   private announcer: Announcer | undefined
   private follower: Follower | undefined
+  private callers: Server | undefined
   private listed = false
   private leaving = false
   /** No request of a caller is taken any more. */
@@ -150,11 +151,14 @@
     target.close()
     // Callers that find no other node are served on for a while; calls of the own target until it has ended its work.
     await this.underWay.settle(startedAt + lastRequestMs)
+    // Connections that were taken before may still bring a request.
+    this.callers?.close()
+    await this.underWay.settleQuiet(quietMs, startedAt + lastRequestMs)
     this.closed = true
     const endsAt = startedAt + this.settings.bounds.graceMs - endMarginMs
     await this.underWay.settle(endsAt - answerMarginMs)
     this.ingress.cancel()
-    await this.underWay.settle(endsAt)
+    await this.underWay.settleQuiet(quietMs, endsAt)
     this.logger.info('node-ended', { inFlight: this.underWay.count, tookMs: Math.round(clock.now() - startedAt) })
   }
 
@@ -166,21 +170,22 @@
   /** Starts the parts in the order in which they need each other; the supervisor keeps them running. */
   private async start (): Promise<void> {
     const { supervisor, clock } = this
-    const { ip, listen } = this.settings
+    const { listen } = this.settings
     await supervisor.add('callers', async () => await this.openCallers(listen.callers))
     await supervisor.add('nodes', async () => await this.openNodes(listen.nodes))
-    await supervisor.add('reports', async () => await this.openReports(ip))
+    await supervisor.add('reports', async () => await this.openReports(hostOf(listen.nodes)))
     await supervisor.add('follower', async fail => this.follow(fail))
     await supervisor.add('prober', async fail => this.probe(fail))
     await supervisor.add('pauses', async () => PauseWatch.create({ clock, wallClock: Date.now, onPause: pausedMs => { this.recover(pausedMs) } }))
     this.showMetrics()
-    await supervisor.add('metrics', async () => await MetricsServer.create({ ip, port: metricsPort, path: metricsPath, metrics: this.metrics, dump: () => this.dump() }))
+    await supervisor.add('metrics', async () => await MetricsServer.create({ ip: hostOf(listen.nodes), port: metricsPort, path: metricsPath, metrics: this.metrics, dump: () => this.dump() }))
     await supervisor.add('readiness', async () => await ReadinessServer.create({ ip: hostOf(listen.readiness), port: portOf(listen.readiness), isReady: () => this.checkReady() }))
   }
 
   private async openCallers (address: string): Promise<Part> {
     const { underWay, logger } = this
     const server = await openServer({ address, underWay, logger, handle: async (request, response) => { await this.ingress.serve(request, response) } })
+    this.callers = server
     server.keepAliveTimeout = idleUntilConfiguredMs
     server.on('connection', () => {
       const { limits } = this.configuration
--- a/packages/sidecar/test/small-parts.test.ts
+++ b/packages/sidecar/test/small-parts.test.ts
@@ -4,6 +4,7 @@
 import { Metrics } from 'auburnturn/core/metrics'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { UnderWay } from '../src/core/listening/index.js'
 import { LineWriter } from '../src/core/logging/index.js'
 import { PauseWatch } from '../src/core/pauses/index.js'
 import { decodeReport, encodeReport, encodeShortReport, sumId } from '../src/core/reports/index.js'
@@ -102,6 +103,23 @@
   await watch.close()
 })
 
+test('a node ends only after a while in which no request came', async () => {
+  const clock = ManualClock.create()
+  const underWay = UnderWay.create({ clock })
+  let settledAt = Infinity
+  underWay.settleQuiet(60, 1_000).then(() => { settledAt = clock.now() }, assert.unreachable)
+  await clock.advance(40)
+  underWay.follow(clock.sleep(100)).catch(assert.unreachable)
+  await clock.advance(140)
+  assert.is(settledAt, Infinity)
+  await clock.advance(100)
+  assert.ok(settledAt >= 200 && settledAt <= 230, String(settledAt))
+  settledAt = Infinity
+  underWay.settleQuiet(60, clock.now() + 50).then(() => { settledAt = clock.now() }, assert.unreachable)
+  await clock.advance(60)
+  assert.ok(settledAt < Infinity)
+})
+
 /** Health checks of a second on a target that answers each, where so many are allowed. */
 async function countProbes (probesPerSecond: number): Promise<number> {
   let probes = 0
