Add a fault soak of real processes, struck from outside

Change: npm run soak starts nodes (the program as it ships), a stand-in store, targets and callers as separate processes; links over loopback delay, reset, swallow one direction, or fall silent; processes are terminated, killed, paused, crashed and restarted; the store refuses, pauses and loses its history; datagrams get lost; configurations and drains come between. Ten checks judge what callers, targets and the operator saw, with the library's history checker among them. Callers keep their connections until the node is gone. The stand-ins of the sidecar's tests move to packages/stand-ins, used by both. Also found while building it: a test that left half of a link open kept the test run from ending, with all its checks passed; the link now owns its sockets.

--- a/packages/bench/src/results.ts
+++ b/packages/bench/src/results.ts
@@ -1,5 +1,5 @@
 /** The committed result files: one JSON object a line. */
-import { existsSync, readFileSync, writeFileSync } from 'node:fs'
+import { appendFileSync, existsSync, readFileSync, writeFileSync } from 'node:fs'
 import { fileURLToPath } from 'node:url'
 
 /** One measured case: names and numbers. */
@@ -19,6 +19,11 @@
   writeFileSync(`${folder}${name}.json`, rows.map(row => `${JSON.stringify(row)}\n`).join(''))
 }
 
+/** Adds a line to a result file. */
+export function appendResult (name: string, row: Row): void {
+  appendFileSync(`${folder}${name}.json`, `${JSON.stringify(row)}\n`)
+}
+
 /** A number of a row; throws when it is missing, so that no table is made of nothing. */
 export function numberOf (row: Row | undefined, field: string): number {
   const value = row?.[field]
--- /dev/null
+++ b/packages/bench/src/soak/index.ts
@@ -0,0 +1,54 @@
+/**
+ * The fault soak: real nodes and stand-ins as separate processes on this machine, struck from outside.
+ * `npm run soak -- --seed N [--runs N] [--vms N] [--length SECONDS] [--rate N] [--keep] [--write]`
+ */
+import { rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { parseArgs } from 'node:util'
+import { appendResult } from '../results.js'
+import { checks } from './checks/checks.js'
+import { play } from './run.js'
+import type { Run } from './run.js'
+import type { Finding } from './types.js'
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: 'string', default: '1' },
+    runs: { type: 'string', default: '1' },
+    vms: { type: 'string', default: '9' },
+    length: { type: 'string', default: '12' },
+    /** Requests a second at each VM. */
+    rate: { type: 'string', default: '20' },
+    /** Keeps settings and output of runs without findings too. */
+    keep: { type: 'boolean', default: false },
+    /** Adds each run to the committed results. */
+    write: { type: 'boolean', default: false }
+  }
+})
+
+/** Addresses of loopback that runs in turn use. */
+const nets = 60
+
+let failed = 0
+for (let index = 0; index < Number(values.runs); index++) {
+  const seed = Number(values.seed) + index
+  const folder = join(tmpdir(), `auburnturn-soak-${process.pid}-${seed}`)
+  const run = await play({ seed, vms: Number(values.vms), lengthMs: Number(values.length) * 1_000, perSecond: Number(values.rate), folder, net: (process.pid + index) % nets })
+  const findings = Object.values(checks).flatMap(check => check(run.observation))
+  report(seed, run, findings, folder)
+  if (findings.length > 0) failed++
+  else if (!values.keep) rmSync(folder, { recursive: true })
+}
+process.stdout.write(`${Number(values.runs) - failed} of ${values.runs} runs kept all promises\n`)
+process.exit(failed === 0 ? 0 : 1)
+
+function report (seed: number, { plan, observation }: Run, findings: readonly Finding[], folder: string): void {
+  const { told } = observation
+  const served = told.filter(({ result }) => result === 200).length
+  const names = [...new Set(plan.map(({ name }) => name))].sort()
+  process.stdout.write(`seed ${seed}: ${plan.length} faults (${names.join(', ')}), ${told.length} requests, ${served} served, ${findings.length} findings\n`)
+  if (findings.length > 0) process.stdout.write(`  settings and output: ${folder}\n  plan: ${JSON.stringify(plan)}\n`)
+  for (const { rule, detail } of findings.slice(0, 12)) process.stdout.write(`  ${rule}: ${detail}\n`)
+  if (values.write) appendResult('soak', { seed, vms: Number(values.vms), lengthSeconds: Number(values.length), faults: plan.length, names: names.join(' '), requests: told.length, served, findings: [...new Set(findings.map(({ rule }) => rule))].join(' ') })
+}
