Take new configurations from a node nearby, and the first list cheaply

Change: a node asks the node nearby that told of a version for it; one of over 32 KiB it reads from the store, since 24 nodes would fill the link of a small VM; from that node after all where the store does not give it. The first list may be seconds old: the watch and the other readers bring the rest; after a lost history it may not. Ruled out: cheap reads again later (seconds old, the bound is 2 s). Tests: following, path (a long configuration is read once by each node that does not watch).

--- a/packages/sidecar/src/core/following/catch-up.ts
+++ b/packages/sidecar/src/core/following/catch-up.ts
@@ -3,10 +3,12 @@
 import type { Configuration } from '../configuration/index.js'
 import type { SharedState, Source } from './types.js'
 
-/** Gets a configuration that another node has already: from the store, or from that node where the store does not give it. */
+/** Gets a configuration that another node has already: from that node, or from the store where it is long. */
 export class CatchUp {
   private readonly options: CatchUpOptions
   private busy = false
+  /** The node to ask: the last one of this failure domain that told of a newer version, if any did. */
+  private teller: Teller | undefined
 
   private constructor (options: CatchUpOptions) {
     this.options = options
@@ -17,47 +19,61 @@
   }
 
   /** The node at `ip` has a version in force. */
-  hear (ip: string, version: number): void {
-    if (this.busy || version <= this.options.version()) return
+  hear (ip: string, near: boolean, version: number): void {
+    if (version <= this.options.version()) return
+    if (this.teller === undefined || near || !this.teller.near) this.teller = { ip, near, version }
+    if (this.busy) return
     this.busy = true
-    this.catchUp(ip, version)
+    this.catchUp(this.teller)
       .catch((error: unknown) => { this.options.logger.warn('catch-up-failed', { from: ip, error: String(error) }) })
-      .finally(() => { this.busy = false })
+      .finally(() => {
+        this.busy = false
+        this.teller = undefined
+      })
   }
 
-  private async catchUp (ip: string, heard: number): Promise<void> {
+  private async catchUp (first: Teller): Promise<void> {
     const { clock, logger, version, ask, take, delayMs } = this.options
     // A node that knows nothing yet waits for nothing.
     if (version() > 0) {
-      await clock.sleep(delayMs())
-      if (heard <= version()) return
-      await this.read(heard)
+      await clock.sleep(delayMs(first.near))
+      if (first.version > version()) await this.read(this.teller ?? first)
     }
+    const { ip, version: heard } = this.teller ?? first
     if (heard <= version()) return
     const state = await ask(ip)
     logger.info('state-from-node', { from: ip, heard, version: state?.configuration.version ?? 'none' })
     if (state !== undefined) take(state)
   }
 
-  /** Reads it from the store: cheaply first, which may give an older one. */
-  private async read (heard: number): Promise<void> {
-    const { version, source, takeConfiguration } = this.options
-    for (const how of ['cheap', 'newest'] as const) {
-      const configuration = await source.readConfiguration(how)
-      if (configuration === undefined) return
-      takeConfiguration(configuration)
-      if (heard <= version()) return
-    }
+  /** Asks the node for the configuration, and the store where it is too long for that. */
+  private async read ({ ip, version: heard }: Teller): Promise<void> {
+    const { logger, version, source, askConfiguration, takeConfiguration } = this.options
+    const told = await askConfiguration(ip)
+    logger.info('configuration-from-node', { from: ip, heard, version: typeof told === 'object' ? told.version : told ?? 'none' })
+    if (typeof told === 'object') takeConfiguration(told)
+    if (heard <= version()) return
+    const configuration = await source.readConfiguration()
+    if (configuration !== undefined) takeConfiguration(configuration)
   }
 }
 
+/** A node that has told of a version. */
+interface Teller {
+  readonly ip: string
+  readonly near: boolean
+  readonly version: number
+}
+
 interface CatchUpOptions {
   readonly clock: Clock
   readonly logger: Logger
   /** The version in force here, 0 before the first. */
   readonly version: () => number
   /** How long the configuration may still come by itself, in milliseconds. */
-  readonly delayMs: () => number
+  readonly delayMs: (near: boolean) => number
+  /** Asks the node at an address for its configuration only; it does not tell a long one. */
+  readonly askConfiguration: (ip: string) => Promise<Configuration | 'long' | undefined>
   readonly source: Pick<Source, 'readConfiguration'>
   readonly takeConfiguration: (configuration: Configuration) => void
   /** Asks the node at an address; undefined when it does not tell. */
--- a/packages/sidecar/src/core/following/constants.ts
+++ b/packages/sidecar/src/core/following/constants.ts
@@ -22,5 +22,8 @@
 /** How often a node that does not read looks whether it has to, in milliseconds. */
 export const dutyCheckMs = 50
 
-/** Nodes read a new configuration within this time, in milliseconds, so that they don't all come at once. */
+/** Nodes ask for a new configuration within this time, in milliseconds, so that they don't all come at once. */
 export const readSpreadMs = 60
+
+/** How much longer a node waits that heard of it from another failure domain only, in milliseconds. */
+export const farDelayMs = 300
--- a/packages/sidecar/src/core/following/follower.ts
+++ b/packages/sidecar/src/core/following/follower.ts
@@ -13,6 +13,8 @@
 export class Follower {
   private readonly options: FollowerOptions
   private readonly untold = UntoldChanges.create()
+  /** What a cheap list is behind with, the watch and the other readers bring; not so once the history was lost. */
+  private listing: 'cheap' | 'newest' = 'cheap'
   private revision: number | undefined
   private failures = 0
   private filling = false
@@ -64,7 +66,7 @@
         await clock.sleep(dutyCheckMs)
         continue
       }
-      const answer = asked === undefined ? await source.list() : await source.watch(asked, watchMs)
+      const answer = asked === undefined ? await source.list(this.listing) : await source.watch(asked, watchMs)
       if (this.closed) return
       const pauseMs = this.take(answer, asked)
       if (pauseMs > 0) await clock.sleep(pauseMs)
@@ -79,6 +81,7 @@
       case 'forgotten':
         this.options.logger.info('store-history-gone', { revision: this.revision })
         this.options.duty.record(true)
+        this.listing = 'newest'
         this.revision = undefined
         return 0
       case 'changes':
--- a/packages/sidecar/src/core/following/types.ts
+++ b/packages/sidecar/src/core/following/types.ts
@@ -18,12 +18,12 @@
 
 /** Reads the store. */
 export interface Source {
-  /** All that it holds. */
-  list (): Promise<SourceAnswer>
+  /** All that it holds; a cheap answer may be seconds old. */
+  list (how: 'cheap' | 'newest'): Promise<SourceAnswer>
   /** What changed behind a revision; answers at the first change, or after `waitMs` without one. */
   watch (revision: number, waitMs: number): Promise<SourceAnswer>
-  /** The newest configuration; a cheap answer may be seconds old. Undefined when there was none. */
-  readConfiguration (how: 'cheap' | 'newest'): Promise<Configuration | undefined>
+  /** The newest configuration; undefined when it did not come. */
+  readConfiguration (): Promise<Configuration | undefined>
 }
 
 /** What one node can give another. */
--- a/packages/sidecar/src/core/forwarding/constants.ts
+++ b/packages/sidecar/src/core/forwarding/constants.ts
@@ -31,5 +31,11 @@
 /** Where a node tells others its configuration and targets. */
 export const statePath = '/auburnturn/state'
 
+/** Where a node tells others its configuration only. */
+export const configurationPath = '/auburnturn/configuration'
+
+/** Longest configuration that a node tells, in bytes: the links of all others together carry more than its own. */
+export const maxToldBytes = 32 * 1024
+
 /** Longest time to read them, in milliseconds. */
 export const stateMs = 1_000
--- a/packages/sidecar/src/core/forwarding/peer-server.ts
+++ b/packages/sidecar/src/core/forwarding/peer-server.ts
@@ -2,8 +2,9 @@
 import { Cancellation } from 'auburnturn/core/clock'
 import type { Clock } from 'auburnturn/core/clock'
 import type { Job, OwnTarget } from '../own-target/index.js'
+import type { Configuration } from '../configuration/index.js'
 import type { SharedState } from '../following/index.js'
-import { statePath } from './constants.js'
+import { configurationPath, maxToldBytes, statePath } from './constants.js'
 import { parseHop } from './hop-header.js'
 import { formatOutcome } from './outcome-headers.js'
 import { readBody } from './request-body.js'
@@ -16,6 +17,7 @@
   const { rawHeaders: headers, method = 'GET', url: path = '/' } = request
   const hop = parseHop(headers)
   if (hop === undefined && path === statePath) return respondState(response, readState())
+  if (hop === undefined && path === configurationPath) return respondConfiguration(response, readState()?.configuration)
   const head = protocol.readRequest(headers)
   if (hop === undefined) return respond(response, 400, ['connection', 'close'], Buffer.alloc(0))
   const cancellation = Cancellation.create()
@@ -48,6 +50,14 @@
   else respond(response, 200, ['content-type', 'application/json'], Buffer.from(JSON.stringify(state)))
 }
 
+/** A configuration that is too long is answered without a body: the store gives it to many at once. */
+function respondConfiguration (response: ServerResponse, configuration: Configuration | undefined): void {
+  if (configuration === undefined) return respond(response, 503, [], Buffer.alloc(0))
+  const body = Buffer.from(JSON.stringify(configuration))
+  if (body.length > maxToldBytes) respond(response, 204, [], Buffer.alloc(0))
+  else respond(response, 200, ['content-type', 'application/json'], body)
+}
+
 /** What a request from another node is served with. */
 export interface PeerServing {
   readonly clock: Clock
--- a/packages/sidecar/src/core/forwarding/peers.ts
+++ b/packages/sidecar/src/core/forwarding/peers.ts
@@ -4,8 +4,9 @@
 import { mayHaveRun, notRun } from '../own-target/index.js'
 import type { Job, Outcome } from '../own-target/index.js'
 import type { Candidate } from '../targets/index.js'
+import type { Configuration } from '../configuration/index.js'
 import type { SharedState } from '../following/index.js'
-import { maxPeerConnections, peerConnectMs, stateMs, statePath } from './constants.js'
+import { configurationPath, maxPeerConnections, peerConnectMs, stateMs, statePath } from './constants.js'
 import { formatHop, hopHeader } from './hop-header.js'
 import { parseOutcome } from './outcome-headers.js'
 import type { Protocol } from './types.js'
@@ -50,18 +51,27 @@
 
   /** Asks the node at an address for its configuration and targets. */
   async readState (ip: string): Promise<SharedState | undefined> {
-    const { clock } = this.options
-    const reply = await exchange({
-      connections: this.connectionsTo(ip), clock, method: 'GET', path: statePath, headers: ['host', ip], body: Buffer.alloc(0), connectMs: peerConnectMs, timeoutMs: stateMs
-    })
-    if (reply.kind !== 'answer' || reply.status !== 200) return undefined
-    return JSON.parse(reply.body.toString()) as SharedState
+    const reply = await this.get(ip, statePath)
+    return reply.kind === 'answer' && reply.status === 200 ? JSON.parse(reply.body.toString()) as SharedState : undefined
+  }
+
+  /** Asks the node at an address for its configuration; it does not tell a long one. */
+  async readConfiguration (ip: string): Promise<Configuration | 'long' | undefined> {
+    const reply = await this.get(ip, configurationPath)
+    if (reply.kind !== 'answer') return undefined
+    if (reply.status === 204) return 'long'
+    return reply.status === 200 ? JSON.parse(reply.body.toString()) as Configuration : undefined
   }
 
   close (): void {
     for (const connections of this.connections.values()) connections.close()
   }
 
+  private async get (ip: string, path: string): Promise<Reply> {
+    const { clock } = this.options
+    return await exchange({ connections: this.connectionsTo(ip), clock, method: 'GET', path, headers: ['host', ip], body: Buffer.alloc(0), connectMs: peerConnectMs, timeoutMs: stateMs })
+  }
+
   private connectionsTo (ip: string): Connections {
     const known = this.connections.get(ip)
     if (known !== undefined) return known
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -6,7 +6,7 @@
 import { Supervisor } from 'auburnturn/core/supervisor'
 import type { Part } from 'auburnturn/core/supervisor'
 import { CurrentConfiguration } from './core/configuration/index.js'
-import { applyChanges, CatchUp, catchUpDelayMs, Follower, readSpreadMs } from './core/following/index.js'
+import { applyChanges, CatchUp, catchUpDelayMs, farDelayMs, Follower, readSpreadMs } from './core/following/index.js'
 import type { Change, SharedState } from './core/following/index.js'
 import { Forwarder, Ingress, peerIdleMs, Peers, servePeer } from './core/forwarding/index.js'
 import { hostOf, openServer, portOf, UnderWay } from './core/listening/index.js'
@@ -91,7 +91,8 @@
       logger,
       version: () => configuration.version,
       // A reader's own watch brings it; the others were told by a reader that has it.
-      delayMs: () => this.duty.onDuty ? catchUpDelayMs : random.fraction() * readSpreadMs,
+      delayMs: near => this.duty.onDuty ? catchUpDelayMs : random.fraction() * readSpreadMs + (near ? 0 : farDelayMs),
+      askConfiguration: async other => await this.peers.readConfiguration(other),
       source: this.store,
       takeConfiguration: found => { this.apply([{ kind: 'configuration', configuration: found }], false) },
       ask: async other => await this.peers.readState(other),
@@ -243,7 +244,7 @@
     switch (message.kind) {
       case 'full':
         this.hearTarget(ip, message.target)
-        return catchUp.hear(ip, message.configurationVersion)
+        return catchUp.hear(ip, message.target.failureDomain === this.settings.failureDomain, message.configurationVersion)
       case 'short':
         return directory.hearFigures(ip, message.figures, id => sumId(id) === message.idSum)
       case 'subscription':
@@ -253,8 +254,9 @@
         const { state, failureDomain, revision, configurationVersion } = message
         this.duty.hear(ip, state, failureDomain)
         if (state === 'reading') directory.markAnswered()
-        follower?.hearRevision(ip, failureDomain === this.settings.failureDomain, revision)
-        return catchUp.hear(ip, configurationVersion)
+        const near = failureDomain === this.settings.failureDomain
+        follower?.hearRevision(ip, near, revision)
+        return catchUp.hear(ip, near, configurationVersion)
       }
       case 'changes':
         return follower?.hearChanges(ip, directory.failureDomains.get(ip) === this.settings.failureDomain, message)
--- a/packages/sidecar/src/platform/store.ts
+++ b/packages/sidecar/src/platform/store.ts
@@ -24,7 +24,7 @@
 const maxPages = 1_000
 
 /** Kinds of calls, which differ in price. */
-type Call = 'list' | 'watch' | 'read' | 'cheap-read'
+type Call = 'list' | 'cheap-list' | 'watch' | 'read'
 
 /** A page of items, or of changes. */
 type Page =
@@ -51,13 +51,15 @@
   }
 
   /** Pages are not a snapshot: what changes meanwhile comes again behind the revision of the first. */
-  async list (): Promise<SourceAnswer> {
+  async list (how: 'cheap' | 'newest'): Promise<SourceAnswer> {
     const changes: Change[] = []
     let revision: number | undefined
     let after = ''
     for (let pages = 0; pages < maxPages; pages++) {
-      this.onCall('list')
-      const page = await this.call(`/api/kv-range?prefix=${after === '' ? '' : `&after=${encodeURIComponent(after)}`}`, readMs, 'items')
+      this.onCall(how === 'cheap' ? 'cheap-list' : 'list')
+      const stale = how === 'cheap' ? '&allow_stale=1' : ''
+      const behind = after === '' ? '' : `&after=${encodeURIComponent(after)}`
+      const page = await this.call(`/api/kv-range?prefix=${behind}${stale}`, readMs, 'items')
       if (page.kind !== 'page') return page
       revision ??= page.revision
       changes.push(...decodeEntries(page.entries))
@@ -75,10 +77,9 @@
     return { kind: 'changes', changes: decodeEntries(page.entries), revision: page.revision }
   }
 
-  async readConfiguration (how: 'cheap' | 'newest'): Promise<Configuration | undefined> {
-    this.onCall(how === 'cheap' ? 'cheap-read' : 'read')
-    const stale = how === 'cheap' ? '&allow_stale=1' : ''
-    const reply = await this.get(`/api/kv-key?key=${encodeURIComponent(configurationKey)}${stale}`, keyMs)
+  async readConfiguration (): Promise<Configuration | undefined> {
+    this.onCall('read')
+    const reply = await this.get(`/api/kv-key?key=${encodeURIComponent(configurationKey)}`, keyMs)
     if (reply.kind !== 'answer' || reply.status !== 200) return undefined
     const item = fieldsOf(parseJson(reply.body))
     const change = item === undefined ? undefined : decodeEntry(configurationKey, item)
--- a/packages/sidecar/test/following.test.ts
+++ b/packages/sidecar/test/following.test.ts
@@ -36,7 +36,7 @@
   if (!alone) clock.every(400, () => { duty.hear('10.0.0.1', 'reading', 'a') })
   if (!alone) duty.hear('10.0.0.1', 'reading', 'a')
   const follower = Follower.create({
-    source: { list: async () => await next('list'), watch: async revision => await next(`watch ${revision}`), readConfiguration: async () => undefined },
+    source: { list: async how => await next(how === 'cheap' ? 'list' : 'newest list'), watch: async revision => await next(`watch ${revision}`), readConfiguration: async () => undefined },
     clock,
     random,
     logger,
@@ -76,7 +76,7 @@
     { kind: 'forgotten' },
     { kind: 'changes', changes: [], revision: 20 }
   ])
-  assert.equal(calls, ['list', 'list', 'apply 0 whole', 'watch 7', 'watch 7', 'list', 'apply 0 whole', 'watch 20'])
+  assert.equal(calls, ['list', 'list', 'apply 0 whole', 'watch 7', 'watch 7', 'newest list', 'apply 0 whole', 'watch 20'])
 })
 
 const listedAt7: SourceAnswer = { kind: 'changes', changes: [], revision: 7 }
@@ -134,44 +134,59 @@
   assert.is(untold.add([{ kind: 'gone', id: 'one' }], 11, 12)?.from, 11)
 })
 
-/** Versions that a node takes when it hears of version 5, with what the store and the other node give. */
-async function catchUp ({ cheap, newest, other }: { cheap?: number, newest?: number, other?: number }): Promise<string[]> {
+/** What a node does when it hears of version 5, with what the other node and the store give. */
+async function catchUp ({ told, newest, other }: { told?: number | 'long', newest?: number, other?: number }): Promise<string[]> {
   const clock = ManualClock.create()
   const calls: string[] = []
   let version = 3
-  const wrap = (found: number | undefined): Configuration | undefined => found === undefined ? undefined : createConfiguration(found)
   const take = (found: Configuration): void => { version = Math.max(version, found.version) }
   const part = CatchUp.create({
     clock,
     logger: Logger.createSilent(),
     version: () => version,
     delayMs: () => 50,
+    askConfiguration: async ip => {
+      calls.push(`configuration of ${ip}`)
+      return typeof told === 'number' ? createConfiguration(told) : told
+    },
     source: {
-      readConfiguration: async how => {
-        calls.push(how)
-        return wrap(how === 'cheap' ? cheap : newest)
+      readConfiguration: async () => {
+        calls.push('store')
+        return newest === undefined ? undefined : createConfiguration(newest)
       }
     },
     takeConfiguration: take,
     ask: async ip => {
-      calls.push(`ask ${ip}`)
+      calls.push(`state of ${ip}`)
       return other === undefined ? undefined : { configuration: createConfiguration(other), targets: [], revision: 1 }
     },
     take: state => { take(state.configuration) }
   })
-  part.hear('10.0.0.1', 5)
+  part.hear('far', false, 5)
+  part.hear('near', true, 5)
+  part.hear('other', false, 5)
   await clock.advance(2_000)
   return [...calls, `version ${version}`]
 }
 
-test('a new configuration is read from the store, cheaply where that is new enough', async () => {
-  assert.equal(await catchUp({ cheap: 5 }), ['cheap', 'version 5'])
-  assert.equal(await catchUp({ cheap: 3, newest: 6 }), ['cheap', 'newest', 'version 6'])
+test('a new configuration comes from the node nearby that has it', async () => {
+  assert.equal(await catchUp({ told: 5 }), ['configuration of near', 'version 5'])
+})
+
+test('a long configuration is read from the store', async () => {
+  assert.equal(await catchUp({ told: 'long', newest: 6 }), ['configuration of near', 'store', 'version 6'])
 })
 
-test('a new configuration comes from another node where the store does not give it', async () => {
-  assert.equal(await catchUp({ other: 5 }), ['cheap', 'ask 10.0.0.1', 'version 5'])
-  assert.equal(await catchUp({ cheap: 3, newest: 4, other: 5 }), ['cheap', 'newest', 'ask 10.0.0.1', 'version 5'])
+test('a long configuration comes from the other node where the store does not give it', async () => {
+  assert.equal(await catchUp({ told: 'long', other: 5 }), ['configuration of near', 'store', 'state of near', 'version 5'])
+  assert.equal(await catchUp({ newest: 4, other: 5 }), ['configuration of near', 'store', 'state of near', 'version 5'])
+})
+
+test('only a list that follows a lost history has to be the newest', async () => {
+  const { clock, calls, follower } = createScene([listedAt7, { kind: 'forgotten' }, listedAt7])
+  await clock.advance(1_000)
+  follower.close()
+  assert.equal(calls.filter(call => call.endsWith('list')), ['list', 'newest list'])
 })
 
 test.run()
