Take every connection that waits before listening ends; make the table of soak runs

The runtime takes a few waiting connections a turn, and closing an HTTP server also closes connections that have not brought a request yet. Change: stopListening. Test: small-parts.

--- a/packages/bench/src/matrix/table.ts
+++ b/packages/bench/src/matrix/table.ts
@@ -3,9 +3,6 @@
 import type { CellResult } from './matrix.js'
 import { steps } from './steps.js'
 
-const startMark = '<!-- matrix:start -->'
-const endMark = '<!-- matrix:end -->'
-
 /** Totals of one run of the matrix. */
 export interface Totals {
   readonly seed: number
@@ -39,8 +36,10 @@
   ].join('\n')
 }
 
-/** Puts `table` between the marks of a Markdown file. */
-export function writeTable (file: string, table: string): void {
+/** Puts `table` between the marks of a Markdown file that are named so. */
+export function writeTable (file: string, table: string, name = 'matrix'): void {
+  const startMark = `<!-- ${name}:start -->`
+  const endMark = `<!-- ${name}:end -->`
   const text = readFileSync(file, 'utf8')
   const start = text.indexOf(startMark)
   const end = text.indexOf(endMark)
--- a/packages/bench/src/soak/index.ts
+++ b/packages/bench/src/soak/index.ts
@@ -1,15 +1,17 @@
 /**
  * The fault soak: real nodes and stand-ins as separate processes on this machine, struck from outside.
- * `npm run soak -- --seed N [--runs N] [--vms N] [--length SECONDS] [--rate N] [--keep] [--write]`
+ * `npm run soak -- --seed N [--runs N] [--vms N] [--length SECONDS] [--rate N] [--keep] [--write] [--table FILE]`
  */
 import { rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { parseArgs } from 'node:util'
+import { writeTable } from '../matrix/table.js'
 import { appendResult } from '../results.js'
 import { checks } from './checks/checks.js'
 import { play } from './run.js'
 import type { Run } from './run.js'
+import { formatSoakTable } from './table.js'
 import type { Finding } from './types.js'
 
 const { values } = parseArgs({
@@ -23,10 +25,17 @@
     /** Keeps settings and output of runs without findings too. */
     keep: { type: 'boolean', default: false },
     /** Adds each run to the committed results. */
-    write: { type: 'boolean', default: false }
+    write: { type: 'boolean', default: false },
+    /** Runs nothing, and puts the committed results into this Markdown file. */
+    table: { type: 'string' }
   }
 })
 
+if (values.table !== undefined) {
+  writeTable(values.table, formatSoakTable(), 'soak')
+  process.exit(0)
+}
+
 /** Addresses of loopback that runs in turn use. */
 const nets = 60
 
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -9,7 +9,7 @@
 import { applyChanges, CatchUp, catchUpDelayMs, farDelayMs, Follower, readSpreadMs } from './core/following/index.js'
 import type { Change, SharedState } from './core/following/index.js'
 import { Forwarder, Ingress, peerIdleMs, Peers, servePeer } from './core/forwarding/index.js'
-import { hostOf, openServer, portOf, UnderWay } from './core/listening/index.js'
+import { hostOf, openServer, portOf, stopListening, UnderWay } from './core/listening/index.js'
 import { MetricsServer } from './core/metrics/index.js'
 import { OwnTarget, Prober } from './core/own-target/index.js'
 import { PauseWatch } from './core/pauses/index.js'
@@ -152,8 +152,8 @@
     target.close()
     // Callers that find no other node are served on for a while; calls of the own target until it has ended its work.
     await this.underWay.settle(startedAt + lastRequestMs)
-    // Connections that were taken before may still bring a request.
-    this.callers?.close()
+    if (this.callers !== undefined) await stopListening(this.callers)
+    // Connections that were taken may still bring a request.
     await this.underWay.settleQuiet(quietMs, startedAt + lastRequestMs)
     this.closed = true
     const endsAt = startedAt + this.settings.bounds.graceMs - endMarginMs
--- a/packages/sidecar/test/small-parts.test.ts
+++ b/packages/sidecar/test/small-parts.test.ts
@@ -1,10 +1,13 @@
 import fc from 'fast-check'
+import { createServer as createHttpServer } from 'node:http'
+import { connect, Socket } from 'node:net'
+import type { AddressInfo } from 'node:net'
 import { Clock, ManualClock } from 'auburnturn/core/clock'
 import { Logger } from 'auburnturn/core/logger'
 import { Metrics } from 'auburnturn/core/metrics'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { UnderWay } from '../src/core/listening/index.js'
+import { stopListening, UnderWay } from '../src/core/listening/index.js'
 import { LineWriter } from '../src/core/logging/index.js'
 import { PauseWatch } from '../src/core/pauses/index.js'
 import { decodeReport, encodeReport, encodeShortReport, sumId } from '../src/core/reports/index.js'
@@ -120,6 +123,28 @@
   assert.ok(settledAt < Infinity)
 })
 
+test('a server stops listening when no more connections wait to be taken, and leaves open ones alone', async () => {
+  const server = createHttpServer((_request, response) => { response.end('answered') })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+  const open = connect(port, '127.0.0.1')
+  await new Promise(resolve => { server.once('connection', resolve) })
+  let waiting = 3
+  const take = (): void => {
+    assert.is(server.listening, true)
+    server.emit('connection', new Socket())
+    if (--waiting > 0) setImmediate(take)
+  }
+  setImmediate(take)
+  await stopListening(server)
+  assert.is(waiting, 0)
+  assert.is(server.listening, false)
+  open.write('GET / HTTP/1.1\r\nhost: example\r\nconnection: close\r\n\r\n')
+  const answer = await new Promise<string>(resolve => { open.once('data', bytes => { resolve(bytes.toString()) }) })
+  assert.match(answer, '200 OK')
+  open.destroy()
+})
+
 /** Health checks of a second on a target that answers each, where so many are allowed. */
 async function countProbes (probesPerSecond: number): Promise<number> {
   let probes = 0
