Do not tell other nodes of entries that are missing

Ruled out: that the store's watch corrects it (the node goes on from a revision after the removal). Change: the list that is told leaves such entries out. Test: targets, failed first.

--- a/packages/sidecar/src/core/targets/directory.ts
+++ b/packages/sidecar/src/core/targets/directory.ts
@@ -150,9 +150,9 @@
     return [...new Map(places.map(place => [`${place.ip} ${place.service}`, place])).values()]
   }
 
-  /** The listed targets, for nodes that can't read the list themselves. */
+  /** The listed targets, for nodes that can't read the list themselves; without those whose entry is missing now. */
   get listed (): ListedTarget[] {
-    return [...this.listings.values()].map(({ target }) => target)
+    return [...this.listings.values()].filter(({ goneAt }) => goneAt === undefined).map(({ target }) => target)
   }
 
   /** The listed target at an address; the newest when several lifetimes are listed. */
--- a/packages/sidecar/test/targets.test.ts
+++ b/packages/sidecar/test/targets.test.ts
@@ -103,6 +103,19 @@
   assert.equal(idsOf(directory), [])
 })
 
+test('an entry that is missing is not told to other nodes as listed, though it may come back', async () => {
+  const clock = ManualClock.create()
+  const directory = Directory.create({ clock })
+  directory.markAnswered()
+  directory.put(createListed('lapsed'))
+  directory.put(createListed('kept', { address: '10.0.0.2:80', ip: '10.0.0.2' }))
+  await clock.advance(8_000)
+  directory.markAnswered()
+  directory.remove('lapsed')
+  assert.equal(idsOf(directory).sort(), ['kept', 'lapsed'])
+  assert.equal(directory.listed.map(({ id }) => id), ['kept'])
+})
+
 test('without an outage, a missing entry is gone at once', async () => {
   const clock = ManualClock.create()
   const directory = Directory.create({ clock })
