--- a/packages/bench/src/soak/child.ts
+++ b/packages/bench/src/soak/child.ts
@@ -16,6 +16,12 @@
   readonly onStrayEnd: (how: string) => void
 }
 
+/** Processes that run now: none of them outlives this one. */
+const running = new Set<ChildProcess>()
+process.once('exit', () => {
+  for (const child of running) child.kill('SIGKILL')
+})
+
 /** A process of a run, which only this run starts, signals and ends. */
 export class Child {
   private readonly process: ChildProcess
@@ -24,8 +30,10 @@
 
   private constructor (process: ChildProcess, { onMessage, onStrayEnd }: ChildOptions) {
     this.process = process
+    running.add(process)
     this.ended = new Promise(resolve => {
       process.once('exit', (code, signal) => {
+        running.delete(process)
         if (!this.expected) onStrayEnd(signal ?? `code ${code ?? 'none'}`)
         resolve()
       })
--- a/packages/bench/src/soak/index.ts
+++ b/packages/bench/src/soak/index.ts
@@ -1,6 +1,6 @@
 /**
  * The fault soak: real nodes and stand-ins as separate processes on this machine, struck from outside.
- * `npm run soak -- --seed N [--runs N] [--vms N] [--length SECONDS] [--rate N] [--keep] [--write] [--table FILE]`
+ * `npm run soak -- --seed N [--runs N] [--vms N] [--length SECONDS] [--rate N] [--regressions] [--keep] [--write] [--table FILE]`
  */
 import { rmSync } from 'node:fs'
 import { tmpdir } from 'node:os'
@@ -9,8 +9,9 @@
 import { writeTable } from '../matrix/table.js'
 import { appendResult } from '../results.js'
 import { checks } from './checks/checks.js'
+import { regressions } from './regressions.js'
 import { play } from './run.js'
-import type { Run } from './run.js'
+import type { Run, RunOptions } from './run.js'
 import { formatSoakTable } from './table.js'
 import type { Finding } from './types.js'
 
@@ -26,6 +27,8 @@
     keep: { type: 'boolean', default: false },
     /** Adds each run to the committed results. */
     write: { type: 'boolean', default: false },
+    /** Runs every seed that ever failed, in place of `--seed` and `--runs`. */
+    regressions: { type: 'boolean', default: false },
     /** Runs nothing, and puts the committed results into this Markdown file. */
     table: { type: 'string' }
   }
@@ -36,28 +39,34 @@
   process.exit(0)
 }
 
+for (const signal of ['SIGINT', 'SIGTERM'] as const) process.once(signal, () => { process.exit(1) })
+
 /** Addresses of loopback that runs in turn use. */
 const nets = 60
 
+/** What one run is drawn from. */
+type Draw = Pick<RunOptions, 'seed' | 'vms' | 'perSecond'>
+
+const fresh = Array.from({ length: Number(values.runs) }, (_, index): Draw => ({ seed: Number(values.seed) + index, vms: Number(values.vms), perSecond: Number(values.rate) }))
+const draws: readonly Draw[] = values.regressions ? regressions : fresh
 let failed = 0
-for (let index = 0; index < Number(values.runs); index++) {
-  const seed = Number(values.seed) + index
-  const folder = join(tmpdir(), `auburnturn-soak-${process.pid}-${seed}`)
-  const run = await play({ seed, vms: Number(values.vms), lengthMs: Number(values.length) * 1_000, perSecond: Number(values.rate), folder, net: (process.pid + index) % nets })
+for (const [index, draw] of draws.entries()) {
+  const folder = join(tmpdir(), `auburnturn-soak-${process.pid}-${index}-${draw.seed}`)
+  const run = await play({ ...draw, lengthMs: Number(values.length) * 1_000, folder, net: (process.pid + index) % nets })
   const findings = Object.values(checks).flatMap(check => check(run.observation))
-  report(seed, run, findings, folder)
+  report(draw, run, findings, folder)
   if (findings.length > 0) failed++
   else if (!values.keep) rmSync(folder, { recursive: true })
 }
-process.stdout.write(`${Number(values.runs) - failed} of ${values.runs} runs kept all promises\n`)
+process.stdout.write(`${draws.length - failed} of ${draws.length} runs kept all promises\n`)
 process.exit(failed === 0 ? 0 : 1)
 
-function report (seed: number, { plan, observation }: Run, findings: readonly Finding[], folder: string): void {
+function report ({ seed, vms }: Draw, { plan, observation }: Run, findings: readonly Finding[], folder: string): void {
   const { told } = observation
   const served = told.filter(({ result }) => result === 200).length
   const names = [...new Set(plan.map(({ name }) => name))].sort()
   process.stdout.write(`seed ${seed}: ${plan.length} faults (${names.join(', ')}), ${told.length} requests, ${served} served, ${findings.length} findings\n`)
   if (findings.length > 0) process.stdout.write(`  settings and output: ${folder}\n  plan: ${JSON.stringify(plan)}\n`)
   for (const { rule, detail } of findings.slice(0, 12)) process.stdout.write(`  ${rule}: ${detail}\n`)
-  if (values.write) appendResult('soak', { seed, vms: Number(values.vms), lengthSeconds: Number(values.length), faults: plan.length, names: names.join(' '), requests: told.length, served, findings: [...new Set(findings.map(({ rule }) => rule))].join(' ') })
+  if (values.write) appendResult('soak', { seed, vms, lengthSeconds: Number(values.length), faults: plan.length, names: names.join(' '), requests: told.length, served, findings: [...new Set(findings.map(({ rule }) => rule))].join(' ') })
 }
