Let somebody always ask a store that is away

Trace: the store reset all from 7.2 to 11.7 s; the three or four nodes of each failure domain all tried at 7.2 to 7.5 s, all left it to others at 10.3 to 10.8 s after 3 s without an answer, and all rested for 6 s, so that nobody asked until 16.66 s. Ruled out: slow catching up (0.4 s after the first reader had it), the slow nodes. Change: a node rests only while another one near it tries. Test: readers, a small deployment (failed first: nobody asked for 750 ms and on); the test of larger crowds had not looked for a gap.

--- a/packages/sidecar/src/core/readers/reading-duty.ts
+++ b/packages/sidecar/src/core/readers/reading-duty.ts
@@ -82,8 +82,11 @@
   private takeUpIfMissed (): void {
     const { clock, random, logger, onChange } = this.options
     const now = clock.now()
-    const enough = this.listNear('reading', now).length >= this.wanted || this.listNear('failing', now).length >= maxTriers
-    if (enough || now < this.restUntil) {
+    const failing = this.listNear('failing', now).length
+    const enough = this.listNear('reading', now).length >= this.wanted || failing >= maxTriers
+    // Rest leaves the turn to others; where nobody has it, the store's return would go unseen.
+    const resting = now < this.restUntil && failing > 0
+    if (enough || resting) {
       this.dueAt = undefined
       return
     }
--- a/packages/sidecar/test/readers.test.ts
+++ b/packages/sidecar/test/readers.test.ts
@@ -128,6 +128,21 @@
   assert.is(crowd.onDuty('a').length, 1)
 })
 
+test('in a small deployment someone asks a store that is away all the while, and reads soon after its return', async () => {
+  const crowd = new Crowd(['a', 'b', 'c'], 3, 6)
+  await crowd.advance(2_000)
+  for (const member of crowd.members) member.store = 'fails'
+  let unasked = 0
+  for (let turn = 0; turn < 200; turn++) {
+    await crowd.advance(50)
+    unasked = crowd.onDuty('a').length === 0 ? unasked + 50 : 0
+    assert.ok(unasked <= 700, `nobody asked for ${unasked} ms`)
+  }
+  for (const member of crowd.members) member.store = 'answers'
+  await crowd.advance(700)
+  assert.ok(crowd.onDuty('a').some(({ duty }) => duty.state === 'reading'))
+})
+
 test('someone reads nearly always, whatever nodes fall silent and return, with a tenth of the datagrams lost', async () => {
   for (let seed = 0; seed < 10; seed++) {
     const crowd = new Crowd(['a', 'b'], 6, seed, 0.1)
