Claim that the store answers only once it has; bound the wait before listening ends

(1) A node that took up the reading said 'reading' before any call was answered, and during an outage each turn of the readers told all nodes so: the grace for entries that lapse was counted from there and not from the store's return, and a store that fell silent kept others from trying for the 3.1 s of a watch. (2) stopListening waited for a turn of the loop without a new connection, which under a storm of callers need not come before the kill. Change: until the first answer a reader counts as failing, and its watches are held 1 ms; listening ends after 200 turns at the latest. Two tests of the announcer now give their reader an answer before they expect 'reading'; what they check is unchanged.

--- a/packages/sidecar/src/core/following/constants.ts
+++ b/packages/sidecar/src/core/following/constants.ts
@@ -1,6 +1,9 @@
 /** How long one watch is held, in milliseconds: a connection that fell silent shows after this time. */
 export const watchMs = 2_500
 
+/** How long a watch is held whose answer only shows whether the store gives any, in milliseconds. */
+export const firstWatchMs = 1
+
 /** Pause before the next watch, in milliseconds, so that changes in quick succession come as one. */
 export const gatherMs = 500
 
--- a/packages/sidecar/src/core/following/follower.ts
+++ b/packages/sidecar/src/core/following/follower.ts
@@ -2,7 +2,7 @@
 import type { Logger } from 'auburnturn/core/logger'
 import type { Random } from 'auburnturn/core/random'
 import type { ChangesNotice, ReadingDuty } from '../readers/index.js'
-import { dutyCheckMs, farGapMs, firstBackoffMs, gapMs, gatherMs, maxBackoffMs, watchMs } from './constants.js'
+import { dutyCheckMs, farGapMs, firstBackoffMs, firstWatchMs, gapMs, gatherMs, maxBackoffMs, watchMs } from './constants.js'
 import { UntoldChanges } from './untold-changes.js'
 import type { Change, SharedState, Source, SourceAnswer } from './types.js'
 
@@ -66,7 +66,7 @@
         await clock.sleep(dutyCheckMs)
         continue
       }
-      const answer = asked === undefined ? await source.list(this.listing) : await source.watch(asked, watchMs)
+      const answer = asked === undefined ? await source.list(this.listing) : await source.watch(asked, duty.state === 'reading' ? watchMs : firstWatchMs)
       if (this.closed) return
       const pauseMs = this.take(answer, asked)
       if (pauseMs > 0) await clock.sleep(pauseMs)
--- a/packages/sidecar/src/core/following/types.ts
+++ b/packages/sidecar/src/core/following/types.ts
@@ -30,6 +30,6 @@
 export interface SharedState {
   readonly configuration: Configuration
   readonly targets: readonly ListedTarget[]
-  /** Revision of the store up to which the targets are known; undefined when they come from another node. */
+  /** Revision of the store up to which the targets are known; undefined before the first list. */
   readonly revision: number | undefined
 }
--- a/packages/sidecar/src/core/listening/stop-listening.ts
+++ b/packages/sidecar/src/core/listening/stop-listening.ts
@@ -1,5 +1,8 @@
 import { Server as TcpServer } from 'node:net'
 
+/** Turns of the loop after which listening ends, though connections still come. */
+const maxTurns = 200
+
 /**
  * Stops listening as soon as all connections that wait to be taken were; those that are open go on. Closing a
  * listening socket resets what waits there, and the runtime takes only a few of them in each turn of its loop.
@@ -9,7 +12,7 @@
   const count = (): void => { taken++ }
   server.on('connection', count)
   let before = -1
-  while (before !== taken) {
+  for (let turn = 0; turn < maxTurns && before !== taken; turn++) {
     before = taken
     await new Promise(resolve => setImmediate(resolve))
   }
--- a/packages/sidecar/src/core/readers/reading-duty.ts
+++ b/packages/sidecar/src/core/readers/reading-duty.ts
@@ -93,7 +93,8 @@
     this.dueAt ??= now + random.fraction() * takeUpSpreadMs
     if (now < this.dueAt) return
     this.dutyTaken = true
-    this.failingSince = undefined
+    // Until the first answer nobody knows whether the store gives any.
+    this.failingSince = now
     logger.info('reading-started', { readers: this.readers.size })
     onChange()
   }
--- a/packages/sidecar/src/core/readers/types.ts
+++ b/packages/sidecar/src/core/readers/types.ts
@@ -1,6 +1,6 @@
 import type { Change } from '../following/types.js'
 
-/** How a reader fares: its calls are answered, they fail, or it has left the reading to others. */
+/** How a reader fares: its calls are answered; they fail, or none was answered yet; or it has left the reading to others. */
 export type ReaderState = 'reading' | 'failing' | 'stopped'
 
 /** What a reader tells all nodes now and then. */
--- a/packages/sidecar/test/readers.test.ts
+++ b/packages/sidecar/test/readers.test.ts
@@ -21,6 +21,8 @@
 /** Nodes that hear each other's notices; datagrams get lost with `loss`. */
 class Crowd {
   readonly members: Member[] = []
+  /** Notices of nodes that say that the store answers them. */
+  claims = 0
   private readonly clock = ManualClock.create()
   private readonly random: Random
   private readonly loss: number
@@ -65,6 +67,7 @@
 
   private tell ({ ip, failureDomain, duty, heard }: Member): void {
     if (!heard) return
+    if (duty.state === 'reading') this.claims++
     for (const other of this.members) {
       if (other.ip !== ip && other.heard && this.random.fraction() >= this.loss) other.duty.hear(ip, duty.state, failureDomain)
     }
@@ -143,6 +146,16 @@
   assert.ok(crowd.onDuty('a').some(({ duty }) => duty.state === 'reading'))
 })
 
+test('while a store is away no node that begins to ask it claims that it answers', async () => {
+  const crowd = new Crowd(['a', 'b', 'c'], 3, 7)
+  await crowd.advance(2_000)
+  for (const member of crowd.members) member.store = 'fails'
+  await crowd.advance(200)
+  crowd.claims = 0
+  await crowd.advance(15_000)
+  assert.is(crowd.claims, 0)
+})
+
 test('someone reads nearly always, whatever nodes fall silent and return, with a tenth of the datagrams lost', async () => {
   for (let seed = 0; seed < 10; seed++) {
     const crowd = new Crowd(['a', 'b'], 6, seed, 0.1)
@@ -189,6 +202,7 @@
   duty.update()
   await clock.advance(400)
   duty.update()
+  duty.record(true)
   const announcer = Announcer.create({ clock, duty, failureDomain: 'a', configurationVersion: () => 4, others: () => [], send: () => {}, onReading: () => { marks.push(clock.now()) } })
   await clock.advance(2_400)
   assert.is(marks.length, 5)
@@ -205,6 +219,7 @@
   duty.update()
   await clock.advance(400)
   duty.update()
+  duty.record(true)
   const announcer = Announcer.create({ clock, duty, failureDomain: 'a', configurationVersion: () => 4, others: () => ['10.0.0.2'], send: bytes => { sent.push(bytes) }, onReading: () => {} })
   announcer.share(1, 50, Array.from({ length: 200 }, (_, index) => ({ kind: 'gone' as const, id: `target-${index}` })))
   announcer.close()
--- a/packages/sidecar/test/small-parts.test.ts
+++ b/packages/sidecar/test/small-parts.test.ts
@@ -106,6 +106,20 @@
   await watch.close()
 })
 
+test('a server stops listening though new connections come without end', async () => {
+  const server = createHttpServer()
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  let turns = 0
+  const take = (): void => {
+    if (!server.listening || turns++ > 10_000) return
+    server.emit('connection', new Socket())
+    setImmediate(take)
+  }
+  setImmediate(take)
+  await stopListening(server)
+  assert.ok(turns < 1_000, `${turns} turns`)
+})
+
 test('a node ends only after a while in which no request came', async () => {
   const clock = ManualClock.create()
   const underWay = UnderWay.create({ clock })
