Tell a first try of a reader apart from a failing one

Change: a fourth state, 'trying': it holds others back as a reader does, and claims no answer. The state of the duty is one value now, told whenever it changes.

--- a/packages/sidecar/src/core/readers/codec.ts
+++ b/packages/sidecar/src/core/readers/codec.ts
@@ -3,7 +3,7 @@
 /** First byte of each datagram; the numbers before these are reports. */
 export const layouts = { reader: 4, changes: 5 } as const
 
-const states: readonly ReaderState[] = ['reading', 'failing', 'stopped']
+const states: readonly ReaderState[] = ['trying', 'reading', 'failing', 'stopped']
 const readerBytes = 14
 
 /** Longest datagram that is sent whole over every link, in bytes. */
--- a/packages/sidecar/src/core/readers/reading-duty.ts
+++ b/packages/sidecar/src/core/readers/reading-duty.ts
@@ -18,7 +18,7 @@
 export class ReadingDuty {
   private readonly options: ReadingDutyOptions
   private readonly readers = new Map<string, Heard>()
-  private dutyTaken = false
+  private ownState: ReaderState = 'stopped'
   private stopped = false
   private dueAt: number | undefined
   private restUntil = -Infinity
@@ -33,12 +33,11 @@
   }
 
   get onDuty (): boolean {
-    return this.dutyTaken
+    return this.ownState !== 'stopped'
   }
 
   get state (): ReaderState {
-    if (!this.dutyTaken) return 'stopped'
-    return this.failingSince === undefined ? 'reading' : 'failing'
+    return this.ownState
   }
 
   hear (ip: string, state: ReaderState, failureDomain: string): void {
@@ -48,31 +47,31 @@
 
   /** Notes whether the store has answered a call of this node. */
   record (answered: boolean): void {
-    const before = this.state
+    if (!this.onDuty) return
     if (answered) this.failingSince = undefined
     else this.failingSince ??= this.options.clock.now()
-    if (this.dutyTaken && before !== this.state) this.options.onChange()
+    this.become(answered ? 'reading' : 'failing')
   }
 
   /** Takes up the duty, or leaves it; whether this node is to read now. */
   update (): boolean {
     if (this.stopped) return false
-    if (this.dutyTaken) this.leaveIfRelieved()
+    if (this.onDuty) this.leaveIfRelieved()
     else this.takeUpIfMissed()
-    return this.dutyTaken
+    return this.onDuty
   }
 
   /** Leaves the reading to others for good. */
   stop (): void {
     this.stopped = true
-    if (this.dutyTaken) this.leave('node leaves')
+    if (this.onDuty) this.leave('node leaves')
   }
 
   private leaveIfRelieved (): void {
     const { clock, ip, neighbours } = this.options
     const now = clock.now()
-    const failing = this.failingSince !== undefined
-    const better = this.listNear('reading', now).filter(other => failing || other < ip)
+    const failing = this.ownState === 'failing'
+    const better = failing ? this.listNear(['reading'], now) : this.listNear(['reading', 'trying'], now).filter(other => other < ip)
     if (better.length >= this.wanted) return this.leave('another reader')
     if (this.failingSince === undefined || now - this.failingSince < tryMs || neighbours() === 0) return
     this.restUntil = now + restMs
@@ -80,10 +79,10 @@
   }
 
   private takeUpIfMissed (): void {
-    const { clock, random, logger, onChange } = this.options
+    const { clock, random, logger } = this.options
     const now = clock.now()
-    const failing = this.listNear('failing', now).length
-    const enough = this.listNear('reading', now).length >= this.wanted || failing >= maxTriers
+    const failing = this.listNear(['failing'], now).length
+    const enough = this.listNear(['reading', 'trying'], now).length >= this.wanted || failing >= maxTriers
     // Rest leaves the turn to others; where nobody has it, the store's return would go unseen.
     const resting = now < this.restUntil && failing > 0
     if (enough || resting) {
@@ -92,18 +91,21 @@
     }
     this.dueAt ??= now + random.fraction() * takeUpSpreadMs
     if (now < this.dueAt) return
-    this.dutyTaken = true
-    // Until the first answer nobody knows whether the store gives any.
-    this.failingSince = now
     logger.info('reading-started', { readers: this.readers.size })
-    onChange()
+    this.become('trying')
   }
 
   private leave (reason: string): void {
-    this.dutyTaken = false
     this.dueAt = undefined
     this.failingSince = undefined
     this.options.logger.info('reading-stopped', { reason })
+    this.become('stopped')
+  }
+
+  /** The others hear of each new state at once. */
+  private become (state: ReaderState): void {
+    if (state === this.ownState) return
+    this.ownState = state
     this.options.onChange()
   }
 
@@ -111,12 +113,12 @@
     return this.options.domains() > 1 ? 1 : readersOfOnlyDomain
   }
 
-  /** Addresses of the other readers of this failure domain that fare so. */
-  private listNear (wanted: ReaderState, now: number): string[] {
+  /** Addresses of the other readers of this failure domain that fare in one of these ways. */
+  private listNear (wanted: readonly ReaderState[], now: number): string[] {
     const found: string[] = []
     for (const [ip, { state, failureDomain, at }] of this.readers) {
       if (now - at > silentReaderMs) this.readers.delete(ip)
-      else if (state === wanted && failureDomain === this.options.failureDomain) found.push(ip)
+      else if (wanted.includes(state) && failureDomain === this.options.failureDomain) found.push(ip)
     }
     return found
   }
--- a/packages/sidecar/src/core/readers/types.ts
+++ b/packages/sidecar/src/core/readers/types.ts
@@ -1,7 +1,11 @@
 import type { Change } from '../following/types.js'
 
-/** How a reader fares: its calls are answered; they fail, or none was answered yet; or it has left the reading to others. */
-export type ReaderState = 'reading' | 'failing' | 'stopped'
+/** How a reader fares. */
+export type ReaderState =
+  | 'trying' // none of its calls has ended yet
+  | 'reading' // its calls are answered
+  | 'failing'
+  | 'stopped' // it has left the reading to others
 
 /** What a reader tells all nodes now and then. */
 export interface ReaderNotice {
--- a/packages/sidecar/test/readers.test.ts
+++ b/packages/sidecar/test/readers.test.ts
@@ -179,7 +179,7 @@
 
 const notice = fc.record({
   kind: fc.constant('reader' as const),
-  state: fc.constantFrom<ReaderState>('reading', 'failing', 'stopped'),
+  state: fc.constantFrom<ReaderState>('trying', 'reading', 'failing', 'stopped'),
   failureDomain: fc.stringMatching(/^[a-z0-9-]{0,40}$/),
   revision: fc.integer({ min: 0, max: 2 ** 47 }),
   configurationVersion: fc.integer({ min: 0, max: 2 ** 47 })
