Check a target's health when a request comes, and seldom otherwise

What counts is the load at the moment at which a request starts. A request that finds the load older than 50 ms now asks for it first (one check serves all that come meanwhile, and nobody waits over 25 ms for it); while one waits the checks come each 50 ms as before, while the target is slow each 150 ms, else each 500 ms. Ruled out: checks at a lower fixed rate (a request would start on older figures).

--- a/packages/sidecar/src/core/admission/slots.ts
+++ b/packages/sidecar/src/core/admission/slots.ts
@@ -51,6 +51,11 @@
     return this.limitCount
   }
 
+  /** Whether work takes much longer than is usual at the moment. */
+  get slow (): boolean {
+    return this.pace.slowness >= this.pace.usual * slowFactor
+  }
+
   /** Takes the present capacity of the target: how many requests may run, and how fast they do. */
   resize (limit: number, pace: Pace): void {
     this.limitCount = Math.max(1, limit)
@@ -101,11 +106,7 @@
 
   /** Work that starts while the target is slow takes long to its end: it is better to wait, unless that takes longer. */
   private get isHolding (): boolean {
-    return this.isSlow && this.isWorthHolding(this.meanWorkMs)
-  }
-
-  private get isSlow (): boolean {
-    return this.pace.slowness >= this.pace.usual * slowFactor
+    return this.slow && this.isWorthHolding(this.meanWorkMs)
   }
 
   /** Whether work gains more from the usual pace than the wait for it takes. */
@@ -125,7 +126,7 @@
     if (!this.open) return 'closed'
     const left = applicant.endsAt - now
     if (left <= 0) return 'expired'
-    if (!applicant.patient && this.isSlow) return 'slow'
+    if (!applicant.patient && this.slow) return 'slow'
     // An estimate is no reason to leave a slot empty.
     if (this.hasRoom) return undefined
     const moment = this.moment(now)
--- a/packages/sidecar/src/core/own-target/constants.ts
+++ b/packages/sidecar/src/core/own-target/constants.ts
@@ -1,6 +1,18 @@
-/** Shortest time between two health checks, in milliseconds. */
+/** Time between two health checks while a request waits for the target, or while it is not in use, in milliseconds. */
 export const probeMs = 50
 
+/** The same while the target is slow: others come back to it when that ends. */
+export const slowProbeMs = 150
+
+/** The same while nothing waits and the target works at its usual pace: each request that starts asks anew. */
+export const calmProbeMs = 500
+
+/** A request that comes asks for the target's load when what is known of it is older, in milliseconds. */
+export const freshLoadMs = 50
+
+/** Longest time that a request waits for the answer to that, in milliseconds. */
+export const refreshMs = 25
+
 /** Share of the allowed health checks that is used. */
 export const usableProbes = 0.8
 
--- a/packages/sidecar/src/core/own-target/index.ts
+++ b/packages/sidecar/src/core/own-target/index.ts
@@ -1,5 +1,6 @@
 /** The target on this VM. */
 export { OwnTarget } from './own-target.js'
+export type { LoadWatch } from './own-target.js'
 export { PaceKeeper } from './pace.js'
 export { Prober } from './prober.js'
 export { mayHaveRun, notRun } from './types.js'
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -8,7 +8,7 @@
 import type { AnswerHead, Protocol } from '../forwarding/types.js'
 import { FailureShare, usableShare } from '../targets/index.js'
 import type { Directory, TargetReport, TargetState } from '../targets/index.js'
-import { connectMs, firstSlots, firstWorkShare, freshMs, maxConnections, maxIdleMs, rejectedRetryMs, unhealthyFailures } from './constants.js'
+import { connectMs, firstSlots, firstWorkShare, freshLoadMs, freshMs, maxConnections, maxIdleMs, rejectedRetryMs, unhealthyFailures } from './constants.js'
 import { PaceKeeper } from './pace.js'
 import { mayHaveRun, notRun } from './types.js'
 import type { Job, Outcome } from './types.js'
@@ -54,6 +54,11 @@
     return this.options.clock.now() - this.loadAt
   }
 
+  /** Whether nothing answers at its address. */
+  get unreachable (): boolean {
+    return !this.reachable
+  }
+
   /** What the other nodes are told. */
   describe (): TargetReport {
     const { service, failureDomain, clock } = this.options
@@ -65,10 +70,12 @@
 
   /** Runs a request, or says that it did not run. */
   async run (job: Job, target: string, signal: CancelSignal): Promise<Outcome> {
-    const obstacle = this.findObstacle(target)
+    if (this.loadAgeMs > freshLoadMs) await this.options.loadWatch.refresh()
+    const obstacle = signal.aborted ? notRun('left') : this.findObstacle(target)
     if (obstacle !== undefined) return obstacle
     const applicant = this.describeApplicant(job)
     const application = this.slots.apply(applicant)
+    if (this.slots.waiting > 0) this.options.loadWatch.hurry()
     signal.addEventListener('abort', application.leave, { once: true })
     const admittance = await application.admittance
     signal.removeEventListener('abort', application.leave)
@@ -225,6 +232,14 @@
   }
 }
 
+/** Keeps the target's load up to date. */
+export interface LoadWatch {
+  /** Asks for it now; resolves when it is known, or after a moment without an answer. */
+  refresh (): Promise<void>
+  /** A request waits for the target: its load is to be known often. */
+  hurry (): void
+}
+
 interface OwnTargetOptions {
   /** `IP:PORT`. */
   readonly address: string
@@ -235,6 +250,7 @@
   readonly metrics: Metrics
   readonly protocol: Protocol
   readonly directory: Directory
+  readonly loadWatch: LoadWatch
   /** Called when something changed that the other nodes may want to know. */
   readonly onChange: () => void
 }
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -12,6 +12,7 @@
 import { hostOf, openServer, portOf, stopListening, UnderWay } from './core/listening/index.js'
 import { MetricsServer } from './core/metrics/index.js'
 import { OwnTarget, Prober } from './core/own-target/index.js'
+import type { LoadWatch } from './core/own-target/index.js'
 import { PauseWatch } from './core/pauses/index.js'
 import { Announcer, ReadingDuty } from './core/readers/index.js'
 import { Audience, Datagrams, Reporter, Subscriber, sumId } from './core/reports/index.js'
@@ -45,6 +46,7 @@
   private subscriber: Subscriber | undefined
   private announcer: Announcer | undefined
   private follower: Follower | undefined
+  private prober: Prober | undefined
   private callers: Server | undefined
   private listed = false
   private leaving = false
@@ -67,7 +69,7 @@
     this.audience = Audience.create({ clock })
     this.directory = Directory.create({ clock, isSelected: other => this.selection.has(other) })
     const { configuration, directory } = this
-    this.target = OwnTarget.create({ address: upstream, service, failureDomain, clock, logger, metrics, protocol, directory, onChange: () => { this.reporter?.tell() } })
+    this.target = OwnTarget.create({ address: upstream, service, failureDomain, clock, logger, metrics, protocol, directory, loadWatch: this.createLoadWatch(), onChange: () => { this.reporter?.tell() } })
     this.peers = Peers.create({ port: portOf(listen.nodes), clock, protocol })
     const forwarder = Forwarder.create({
       clock,
@@ -316,10 +318,19 @@
 
   private probe (onFailure: (error: unknown) => void): Part {
     const { clock, target, configuration, settings: { upstream, service } } = this
-    const prober = Prober.create({ address: upstream, clock, protocol, target, healthPath: () => configuration.findService(service)?.healthPath, probesPerSecond: () => this.settings.bounds.probesPerSecond, onFailure })
+    this.prober = Prober.create({ address: upstream, clock, protocol, target, healthPath: () => configuration.findService(service)?.healthPath, probesPerSecond: () => this.settings.bounds.probesPerSecond, onFailure })
+    const { prober } = this
     return { close: async () => { prober.close() } }
   }
 
+  /** The prober is started after the target, and again by the supervisor. */
+  private createLoadWatch (): LoadWatch {
+    return {
+      refresh: async () => { await this.prober?.refresh() },
+      hurry: () => { this.prober?.hurry() }
+    }
+  }
+
   /** The state of this node, without bodies or header values of requests. */
   dump (): unknown {
     const { settings, configuration, target, directory, supervisor } = this
