Send reports when they would change a choice, short ones as heartbeats

Cause: a calm node sent each of up to 21 listeners a full report twice a second beside every change, and was asked for them by each once a second. A report of another lifetime is followed by a full one, in case it was lost. Ruled out: longer heartbeats (a frozen node would be chosen for longer).

--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -76,6 +76,7 @@
     const applicant = this.describeApplicant(job)
     const application = this.slots.apply(applicant)
     if (this.slots.waiting > 0) this.options.loadWatch.hurry()
+    this.options.onChange()
     signal.addEventListener('abort', application.leave, { once: true })
     const admittance = await application.admittance
     signal.removeEventListener('abort', application.leave)
--- a/packages/sidecar/src/core/reports/reporter.ts
+++ b/packages/sidecar/src/core/reports/reporter.ts
@@ -2,7 +2,7 @@
 import type { TargetReport } from '../targets/index.js'
 import { encodeReport, encodeShortReport } from './codec.js'
 import type { Report } from './codec.js'
-import { farLoadStep, heartbeatMs, lookMs, nearLoadStep, slownessStep } from './constants.js'
+import { farLoadStep, fullReportMs, heartbeatMs, loadSpacingMs, lookMs, nearLoadStep, slownessStep } from './constants.js'
 
 /** Addresses of other nodes, by whether they are in the same failure domain. */
 export interface Receivers {
@@ -14,7 +14,8 @@
 interface Told {
   readonly loadStep: number
   report: Report | undefined
-  /** When the last full report went out. */
+  /** When the last report went out, and the last full one. */
+  toldAt: number
   fullAt: number
 }
 
@@ -22,8 +23,8 @@
 export class Reporter {
   private readonly options: ReporterOptions
   private readonly cancel: Cancel
-  private readonly near: Told = { loadStep: nearLoadStep, report: undefined, fullAt: -Infinity }
-  private readonly far: Told = { loadStep: farLoadStep, report: undefined, fullAt: -Infinity }
+  private readonly near: Told = { loadStep: nearLoadStep, report: undefined, toldAt: -Infinity, fullAt: -Infinity }
+  private readonly far: Told = { loadStep: farLoadStep, report: undefined, toldAt: -Infinity, fullAt: -Infinity }
   /** What all nodes were told last. */
   private known: TargetReport | undefined
 
@@ -43,8 +44,10 @@
     if (this.known === undefined || isOther(report.target, this.known)) {
       this.known = report.target
       this.sendAll(report, others())
-      this.near.fullAt = this.far.fullAt = this.options.clock.now()
-      this.near.report = this.far.report = report
+      // One that missed it can't read shorter ones: the next is full again.
+      this.note(this.near, 'short', report)
+      this.note(this.far, 'short', report)
+      this.near.fullAt = this.far.fullAt = -Infinity
       return
     }
     const near = this.chooseKind(this.near, report)
@@ -66,22 +69,28 @@
 
   /** What a group needs to hear now. */
   private chooseKind (told: Told, report: Report): 'full' | 'short' | 'none' {
-    if (told.report === undefined || this.options.clock.now() - told.fullAt >= heartbeatMs) return 'full'
-    if (report.configurationVersion !== told.report.configurationVersion) return 'full'
-    return isChanged(report.target, told.report.target, told.loadStep) ? 'short' : 'none'
+    const now = this.options.clock.now()
+    const kind = now - told.fullAt >= fullReportMs ? 'full' : 'short'
+    if (told.report === undefined || report.configurationVersion !== told.report.configurationVersion) return 'full'
+    if (now - told.toldAt >= heartbeatMs || isOtherPace(report.target, told.report.target)) return kind
+    const changed = now - told.toldAt >= loadSpacingMs && isOtherLoad(report.target, told.report.target, told.loadStep)
+    return changed ? kind : 'none'
   }
 
   private tellGroup (told: Told, kind: 'full' | 'short' | 'none', ips: readonly string[], report: Report): void {
     if (kind === 'none') return
-    told.report = report
-    if (kind === 'full') {
-      told.fullAt = this.options.clock.now()
-      return this.sendAll(report, ips)
-    }
+    this.note(told, kind, report)
+    if (kind === 'full') return this.sendAll(report, ips)
     const bytes = encodeShortReport(report.target)
     for (const ip of ips) this.options.send(bytes, ip)
   }
 
+  private note (told: Told, kind: 'full' | 'short', report: Report): void {
+    told.report = report
+    told.toldAt = this.options.clock.now()
+    if (kind === 'full') told.fullAt = told.toldAt
+  }
+
   private sendAll (report: Report, ips: Iterable<string>): void {
     const bytes = encodeReport(report)
     for (const ip of ips) this.options.send(bytes, ip)
@@ -93,10 +102,13 @@
   return one.id !== other.id || one.state !== other.state || one.fresh !== other.fresh
 }
 
-function isChanged (one: TargetReport, other: TargetReport, loadStep: number): boolean {
+function isOtherPace (one: TargetReport, other: TargetReport): boolean {
   const slowness = one.slowness / other.slowness
-  if (slowness > slownessStep || slowness < 1 / slownessStep) return true
-  return Math.abs(one.running + one.waiting - other.running - other.waiting) >= loadStep
+  return slowness > slownessStep || slowness < 1 / slownessStep
+}
+
+function isOtherLoad (one: TargetReport, other: TargetReport, step: number): boolean {
+  return Math.abs(one.running + one.waiting - other.running - other.waiting) >= step
 }
 
 interface ReporterOptions {
--- a/packages/sidecar/src/core/reports/subscriber.ts
+++ b/packages/sidecar/src/core/reports/subscriber.ts
@@ -1,41 +1,46 @@
 import type { Cancel, Clock } from 'auburnturn/core/clock'
 import { encodeSubscription } from './codec.js'
-import { subscribeMs } from './constants.js'
+import { askSilentMs, renewMs, subscribeMs } from './constants.js'
 
 /** Tells other nodes now and then that this one wants their reports. */
 export class Subscriber {
   private readonly options: SubscriberOptions
   private readonly cancel: Cancel
-  private asked: ReadonlySet<string> = new Set()
+  /** When each node that is wanted was asked last. */
+  private askedAt = new Map<string, number>()
 
   private constructor (options: SubscriberOptions) {
     this.options = options
-    this.cancel = options.clock.every(subscribeMs, () => { this.renew() })
+    this.cancel = options.clock.every(subscribeMs, () => {
+      options.refresh()
+      this.ask()
+    })
   }
 
   static create (options: SubscriberOptions): Subscriber {
     return new Subscriber(options)
   }
 
-  /** Asks at once those nodes that were not asked before. */
-  askNew (): void {
-    const wanted = this.options.wanted()
-    for (const ip of wanted) if (!this.asked.has(ip)) this.ask(ip)
-    this.asked = wanted
+  /** Asks those that were not asked for some time, and those that are silent. */
+  ask (): void {
+    const now = this.options.clock.now()
+    const askedAt = new Map<string, number>()
+    for (const ip of this.options.wanted()) {
+      const before = this.askedAt.get(ip) ?? -Infinity
+      const due = this.isDue(ip, now - before)
+      if (due) this.options.send(encodeSubscription(), ip)
+      askedAt.set(ip, due ? now : before)
+    }
+    this.askedAt = askedAt
   }
 
   close (): void {
     this.cancel()
   }
 
-  private renew (): void {
-    this.options.refresh()
-    this.asked = this.options.wanted()
-    for (const ip of this.asked) this.ask(ip)
-  }
-
-  private ask (ip: string): void {
-    this.options.send(encodeSubscription(), ip)
+  private isDue (ip: string, agoMs: number): boolean {
+    if (agoMs >= renewMs) return true
+    return agoMs >= askSilentMs && this.options.silentMs(ip) >= askSilentMs
   }
 }
 
@@ -45,5 +50,7 @@
   readonly refresh: () => void
   /** Addresses of the nodes whose reports are wanted. */
   readonly wanted: () => ReadonlySet<string>
+  /** Milliseconds since the node at an address was heard. */
+  readonly silentMs: (ip: string) => number
   readonly send: (bytes: Buffer, ip: string) => void
 }
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -218,7 +218,7 @@
       others: () => this.listOthers(),
       send
     })
-    const subscriber = Subscriber.create({ clock, refresh: () => { this.selection.refresh(directory.places) }, wanted: () => this.selection.addresses, send })
+    const subscriber = Subscriber.create({ clock, refresh: () => { this.selection.refresh(directory.places) }, wanted: () => this.selection.addresses, silentMs: other => directory.silentMs(other), send })
     const announcer = Announcer.create({
       clock,
       duty,
@@ -288,7 +288,7 @@
   /** Chooses anew whose reports are wanted, and asks for those that are new. */
   private select (): void {
     this.selection.refresh(this.directory.places)
-    this.subscriber?.askNew()
+    this.subscriber?.ask()
   }
 
   /** Sorts addresses by whether they are in the same failure domain. */
