Read the store with three nodes for all, and watch longer; index places

Now three nodes read for all (two in deployments of one or two failure domains), in different failure domains where there are several; the lowest addresses of domains without a reader take up first, surplus readers leave. Watches last 3.5 s; changes are gathered for about 0.9 s, not in step. Where only other failure domains have a new configuration, the first neighbour that gets it tells the rest. Whom a node knows, listens to and chooses from is found by indexes kept as entries change; before, each datagram and choice walked all entries, and each report of an unknown target ranked all again. Ruled out: two readers (two are killed at once by some faults); a keep-alive on the watch (Node can't set its pace). Tests: readers.test.ts; the one that asked for a reader in each failure domain is replaced by ones that ask for three readers in three domains, for replacement within 1.6 s when two or all fall silent, and for a reader in a domain that is cut off: what the promise needs. following.test.ts names the new wait. selection.test.ts compares the index with a plain list (fast-check).

--- a/packages/sidecar/src/core/following/catch-up.ts
+++ b/packages/sidecar/src/core/following/catch-up.ts
@@ -1,3 +1,4 @@
+import { Cancellation } from 'auburnturn/core/clock'
 import type { Clock } from 'auburnturn/core/clock'
 import type { Logger } from 'auburnturn/core/logger'
 import type { Configuration } from '../configuration/index.js'
@@ -7,6 +8,8 @@
 export class CatchUp {
   private readonly options: CatchUpOptions
   private busy = false
+  /** Ends the wait for a node of this failure domain. */
+  private waiting = Cancellation.create()
   /** The node to ask: the last one of this failure domain that told of a newer version, if any did. */
   private teller: Teller | undefined
 
@@ -22,6 +25,7 @@
   hear (ip: string, near: boolean, version: number): void {
     if (version <= this.options.version()) return
     if (this.teller === undefined || near || !this.teller.near) this.teller = { ip, near, version }
+    if (near) this.waiting.abort()
     if (this.busy) return
     this.busy = true
     this.catchUp(this.teller)
@@ -33,10 +37,10 @@
   }
 
   private async catchUp (first: Teller): Promise<void> {
-    const { clock, logger, version, ask, take, delayMs } = this.options
+    const { logger, version, ask, take } = this.options
     // A node that knows nothing yet waits for nothing.
     if (version() > 0) {
-      await clock.sleep(delayMs(first.near))
+      await this.wait(first.near)
       if (first.version > version()) await this.read(this.teller ?? first)
     }
     const { ip, version: heard } = this.teller ?? first
@@ -46,6 +50,17 @@
     if (state !== undefined) take(state)
   }
 
+  /** Lets the configuration come by itself; a wait for nodes of other failure domains ends when one of this one has it. */
+  private async wait (near: boolean): Promise<void> {
+    const { clock, delayMs } = this.options
+    if (!near) {
+      this.waiting = Cancellation.create()
+      await clock.sleep(delayMs(false), this.waiting)
+      if (!this.waiting.aborted) return
+    }
+    await clock.sleep(delayMs(true))
+  }
+
   /** Asks the node for the configuration, and the store where it is too long for that. */
   private async read ({ ip, version: heard }: Teller): Promise<void> {
     const { logger, version, source, askConfiguration, takeConfiguration } = this.options
--- a/packages/sidecar/src/core/following/constants.ts
+++ b/packages/sidecar/src/core/following/constants.ts
@@ -1,11 +1,14 @@
-/** How long one watch is held, in milliseconds: a connection that fell silent shows after this time. */
-export const watchMs = 2_500
+/**
+ * How long one watch is held, in milliseconds: a connection that fell silent shows after this time, and what changed
+ * after all of them had fallen silent has to be in force within the bounds of the platform.
+ */
+export const watchMs = 3_500
 
 /** How long a watch is held whose answer only shows whether the store gives any, in milliseconds. */
 export const firstWatchMs = 1
 
-/** Pause before the next watch, in milliseconds, so that changes in quick succession come as one. */
-export const gatherMs = 500
+/** Pause before the next watch, in milliseconds, so that changes in quick succession come as one call. */
+export const gatherMs = 900
 
 /** Pause after the first failure, in milliseconds; it grows with each. */
 export const firstBackoffMs = 100
@@ -28,5 +31,8 @@
 /** Nodes ask for a new configuration within this time, in milliseconds, so that they don't all come at once. */
 export const readSpreadMs = 60
 
-/** How much longer a node waits that heard of it from another failure domain only, in milliseconds. */
-export const farDelayMs = 300
+/**
+ * The same where only nodes of other failure domains have it, in milliseconds: the first one that asks tells it to
+ * its neighbours, which then ask it.
+ */
+export const farReadSpreadMs = 600
--- a/packages/sidecar/src/core/following/follower.ts
+++ b/packages/sidecar/src/core/following/follower.ts
@@ -98,6 +98,7 @@
   }
 
   private takeChanges (changes: readonly Change[], asked: number, revision: number): number {
+    const { random } = this.options
     // Other readers may have been quicker.
     if (this.revision !== undefined && revision > this.revision) {
       this.revision = revision
@@ -105,7 +106,8 @@
     }
     const news = this.untold.add(changes, asked, revision)
     if (news !== undefined) this.options.share(news.from, revision, news.changes)
-    return changes.length > 0 ? gatherMs : 0
+    // Readers that watch in step would all be blind at the same time.
+    return changes.length > 0 ? gatherMs * (0.75 + random.fraction() / 2) : 0
   }
 
   private noteGap (ip: string, near: boolean, revision: number): void {
--- a/packages/sidecar/src/core/readers/constants.ts
+++ b/packages/sidecar/src/core/readers/constants.ts
@@ -4,11 +4,17 @@
 /** A reader that was not heard for this long, in milliseconds, no longer counts: two notices were lost, or it is gone. */
 export const silentReaderMs = 1_200
 
-/** Nodes that miss a reader wait up to this long, in milliseconds, so that one of them comes first. */
+/** Of two nodes that miss a reader, the one with the next higher address waits this much longer, in milliseconds. */
+export const takeUpStepMs = 20
+
+/** A node whose failure domain has a reader leaves this much time to other failure domains, in milliseconds. */
+export const servedDomainMs = 200
+
+/** Nodes that miss a reader wait up to this long, in milliseconds. */
 export const takeUpSpreadMs = 300
 
-/** Most nodes of one failure domain that try a store that does not answer. */
-export const maxTriers = 3
+/** Most nodes that try a store that does not answer. */
+export const maxTriers = 4
 
 /** After this long without an answer, in milliseconds, a reader lets another node try. */
 export const tryMs = 3_000
@@ -16,5 +22,8 @@
 /** How long it leaves that to the others, in milliseconds. */
 export const restMs = 6_000
 
-/** Readers of a failure domain when it is the only one; else one each, since each tells all domains. */
-export const readersOfOnlyDomain = 2
+/** Readers of a deployment with one or two failure domains. */
+export const leastReaders = 2
+
+/** Readers of a larger deployment: two may be lost at once. Each costs calls to the store, each tells all nodes. */
+export const mostReaders = 3
--- a/packages/sidecar/src/core/readers/reading-duty.ts
+++ b/packages/sidecar/src/core/readers/reading-duty.ts
@@ -1,7 +1,7 @@
 import type { Clock } from 'auburnturn/core/clock'
 import type { Logger } from 'auburnturn/core/logger'
 import type { Random } from 'auburnturn/core/random'
-import { maxTriers, readersOfOnlyDomain, restMs, silentReaderMs, takeUpSpreadMs, tryMs } from './constants.js'
+import { leastReaders, maxTriers, mostReaders, restMs, servedDomainMs, silentReaderMs, takeUpSpreadMs, takeUpStepMs, tryMs } from './constants.js'
 import type { ReaderState } from './types.js'
 
 /** Another reader, as it was last heard. */
@@ -12,15 +12,17 @@
 }
 
 /**
- * Decides whether this node reads the store for its failure domain. Nobody elects anybody: a node that hears no
- * reader near it becomes one after a random time, and of two that do, the one with the higher address stops.
+ * Decides whether this node reads the store for all. Nobody elects anybody: a node that hears too few readers
+ * becomes one after a while, the sooner the lower its address in its failure domain; of too many, those stop that share a failure domain
+ * with another one, then those with the highest addresses. Nodes that hear no others thus read for themselves.
  */
 export class ReadingDuty {
   private readonly options: ReadingDutyOptions
   private readonly readers = new Map<string, Heard>()
   private ownState: ReaderState = 'stopped'
   private stopped = false
-  private dueAt: number | undefined
+  /** Since when readers are missing, and the share of its turn that this node waits. */
+  private missed: { readonly at: number, readonly share: number } | undefined
   private restUntil = -Infinity
   private failingSince: number | undefined
 
@@ -53,6 +55,11 @@
     this.become(answered ? 'reading' : 'failing')
   }
 
+  /** Whether another node of this failure domain reads. */
+  get hasNeighbour (): boolean {
+    return this.list(['reading'], this.options.clock.now()).some(({ failureDomain }) => failureDomain === this.options.failureDomain)
+  }
+
   /** Takes up the duty, or leaves it; whether this node is to read now. */
   update (): boolean {
     if (this.stopped) return false
@@ -68,12 +75,11 @@
   }
 
   private leaveIfRelieved (): void {
-    const { clock, ip, neighbours } = this.options
+    const { clock, neighbours } = this.options
     const now = clock.now()
-    const failing = this.ownState === 'failing'
-    const better = failing ? this.listNear(['reading'], now) : this.listNear(['reading', 'trying'], now).filter(other => other < ip)
-    if (better.length >= this.wanted) return this.leave('another reader')
-    if (this.failingSince === undefined || now - this.failingSince < tryMs || neighbours() === 0) return
+    const spare = this.ownState === 'failing' ? this.list(['reading'], now).length >= this.wanted : this.countPreferred(now) >= this.wanted
+    if (spare) return this.leave('enough readers')
+    if (this.failingSince === undefined || now - this.failingSince < tryMs || neighbours().length === 0) return
     this.restUntil = now + restMs
     this.leave('no answer')
   }
@@ -81,22 +87,43 @@
   private takeUpIfMissed (): void {
     const { clock, random, logger } = this.options
     const now = clock.now()
-    const failing = this.listNear(['failing'], now).length
-    const enough = this.listNear(['reading', 'trying'], now).length >= this.wanted || failing >= maxTriers
+    const failing = this.list(['failing'], now).length
+    const enough = this.list(['reading', 'trying'], now).length >= this.wanted || failing >= maxTriers
     // Rest leaves the turn to others; where nobody has it, the store's return would go unseen.
     const resting = now < this.restUntil && failing > 0
     if (enough || resting) {
-      this.dueAt = undefined
+      this.missed = undefined
       return
     }
-    this.dueAt ??= now + random.fraction() * takeUpSpreadMs
-    if (now < this.dueAt) return
+    this.missed ??= { at: now, share: (1 + random.fraction()) / 2 }
+    if (now - this.missed.at < this.turnMs(now) * this.missed.share) return
     logger.info('reading-started', { readers: this.readers.size })
     this.become('trying')
   }
 
+  /** How long this node leaves it to others to begin, in milliseconds: to neighbours with lower addresses, and to failure domains without a reader. */
+  private turnMs (now: number): number {
+    const { ip, failureDomain, neighbours } = this.options
+    const before = neighbours().filter(other => other < ip).length
+    const served = this.list(['reading', 'trying'], now).some(reader => reader.failureDomain === failureDomain)
+    return Math.min(takeUpSpreadMs, (before + 1) * takeUpStepMs + (served ? servedDomainMs : 0))
+  }
+
+  /** Readers that go on before this one does when there are too many. */
+  private countPreferred (now: number): number {
+    const { ip, failureDomain } = this.options
+    const own: Reader = { ip, failureDomain }
+    const readers = [...this.list(['reading', 'trying'], now), own]
+    const placeInDomain = (one: Reader): number => readers.filter(other => other.failureDomain === one.failureDomain && other.ip < one.ip).length
+    const ownPlace = placeInDomain(own)
+    return readers.filter(one => {
+      const place = placeInDomain(one)
+      return place < ownPlace || (place === ownPlace && one.ip < ip)
+    }).length
+  }
+
   private leave (reason: string): void {
-    this.dueAt = undefined
+    this.missed = undefined
     this.failingSince = undefined
     this.options.logger.info('reading-stopped', { reason })
     this.become('stopped')
@@ -110,20 +137,26 @@
   }
 
   private get wanted (): number {
-    return this.options.domains() > 1 ? 1 : readersOfOnlyDomain
+    return Math.min(mostReaders, Math.max(leastReaders, this.options.domains()))
   }
 
-  /** Addresses of the other readers of this failure domain that fare in one of these ways. */
-  private listNear (wanted: readonly ReaderState[], now: number): string[] {
-    const found: string[] = []
+  /** The other readers that fare in one of these ways. */
+  private list (wanted: readonly ReaderState[], now: number): Reader[] {
+    const found: Reader[] = []
     for (const [ip, { state, failureDomain, at }] of this.readers) {
       if (now - at > silentReaderMs) this.readers.delete(ip)
-      else if (wanted.includes(state) && failureDomain === this.options.failureDomain) found.push(ip)
+      else if (wanted.includes(state)) found.push({ ip, failureDomain })
     }
     return found
   }
 }
 
+/** Where a reader is. */
+interface Reader {
+  readonly ip: string
+  readonly failureDomain: string
+}
+
 interface ReadingDutyOptions {
   readonly clock: Clock
   readonly random: Random
@@ -133,8 +166,8 @@
   readonly failureDomain: string
   /** Failure domains that have nodes. */
   readonly domains: () => number
-  /** Other nodes known in this failure domain. */
-  readonly neighbours: () => number
+  /** Addresses of the other nodes of this failure domain. */
+  readonly neighbours: () => readonly string[]
   /** Called when the others are to hear of it at once. */
   readonly onChange: () => void
 }
--- a/packages/sidecar/src/core/targets/directory.ts
+++ b/packages/sidecar/src/core/targets/directory.ts
@@ -1,6 +1,7 @@
 import type { Clock } from 'auburnturn/core/clock'
 import { forgetAfterMs, maxLeft, outageMs, returnGraceMs, silentAfterMs, slowFactor, unlistedMs, usableShare } from './constants.js'
-import type { Candidate, ListedTarget, Place, TargetReport } from './types.js'
+import { PlaceIndex } from './place-index.js'
+import type { Candidate, ListedTarget, Places, TargetReport } from './types.js'
 
 /** A listed target with what was learned since. */
 interface Listing {
@@ -27,7 +28,8 @@
 /** All targets known to this node: the platform's list, corrected by the nodes beside them. */
 export class Directory {
   private readonly clock: Clock
-  private readonly isSelected: (ip: string) => boolean
+  private readonly selectedOf: SelectedOf | undefined
+  private readonly places = PlaceIndex.create()
   private readonly listings = new Map<string, Listing>()
   private readonly heard = new Map<string, Heard>()
   private readonly sent = new Map<string, Sent>()
@@ -36,9 +38,9 @@
   private answeredAt = -Infinity
   private returnedAt = -Infinity
 
-  private constructor ({ clock, isSelected }: DirectoryOptions) {
+  private constructor ({ clock, selectedOf }: DirectoryOptions) {
     this.clock = clock
-    this.isSelected = isSelected ?? (() => true)
+    this.selectedOf = selectedOf
   }
 
   static create (options: DirectoryOptions): Directory {
@@ -62,6 +64,10 @@
   put (target: ListedTarget): void {
     const known = this.listings.get(target.id)
     const coldUntil = this.clock.now() + target.coldMs
+    if (known === undefined || !isSamePlace(known.target, target)) {
+      if (known !== undefined) this.places.removeListed(known.target)
+      this.places.addListed(target)
+    }
     this.listings.set(target.id, { target, coldUntil, goneAt: undefined })
     if (known === undefined) this.left.delete(target.id)
   }
@@ -80,6 +86,7 @@
   hear (ip: string, report: TargetReport): void {
     const before = this.heard.get(ip)
     const same = before !== undefined && before.report.id === report.id
+    if (!same) this.places.hear(ip, report)
     this.heard.set(ip, { report, at: this.clock.now(), since: same ? before.since : this.clock.now() })
     const sent = this.sent.get(report.id)
     if (sent !== undefined) sent.unreported = 0
@@ -87,7 +94,7 @@
 
   /** Whether a target of the service was known at an address. */
   knows (ip: string, service: string): boolean {
-    return this.heard.get(ip)?.report.service === service || [...this.listings.values()].some(({ target }) => target.ip === ip && target.service === service)
+    return this.places.has(ip, service)
   }
 
   /** Takes newer figures of the target that the node at `ip` spoke of last; `isSame` tells by its id. */
@@ -117,37 +124,26 @@
 
   /** Targets of a service that may be chosen now: beside the selected nodes, or beside any. */
   candidates (service: string, beside: 'selected' | 'any' = 'selected'): Candidate[] {
-    const isWanted = beside === 'any' ? () => true : this.isSelected
     const found: Candidate[] = []
     const now = this.clock.now()
-    for (const id of [...this.listings.keys()]) {
-      const listing = this.findListing(id)
-      if (listing === undefined || listing.target.service !== service || listing.target.state !== 'ready') continue
-      if (!isWanted(listing.target.ip)) continue
-      const heard = this.recall(listing.target.ip, now)
-      // The node beside it knows another one in its place, or none yet: this entry is about to lapse.
-      if (heard !== undefined && heard.report.id !== id) continue
-      found.push(this.describe(listing, heard, now))
-    }
-    for (const [ip, heard] of this.heard) {
-      if (isWanted(ip) && this.isUsableUnlisted(heard, service, now)) found.push(this.describeUnlisted(ip, heard, now))
+    const selected = beside === 'selected' ? this.selectedOf?.(service) : undefined
+    for (const ip of selected ?? this.places.of(service)) {
+      const heard = this.recall(ip, now)
+      for (const id of this.places.listedAt(ip)) {
+        const listing = this.findListing(id)
+        if (listing === undefined || listing.target.service !== service || listing.target.state !== 'ready') continue
+        // The node beside it knows another one in its place, or none yet: this entry is about to lapse.
+        if (heard === undefined || heard.report.id === id) found.push(this.describe(listing, heard, now))
+      }
+      const word = this.heard.get(ip)
+      if (word !== undefined && this.isUsableUnlisted(word, service, now)) found.push(this.describeUnlisted(ip, word, now))
     }
     return found
   }
 
-  /** Addresses of all VMs that the list or their own nodes name, with their failure domains. */
-  get failureDomains (): Map<string, string> {
-    const domains = new Map<string, string>()
-    for (const [ip, { report }] of this.heard) domains.set(ip, report.failureDomain)
-    for (const { target } of this.listings.values()) domains.set(target.ip, target.failureDomain)
-    return domains
-  }
-
   /** Where targets are, by the list and by the nodes beside them. */
-  get places (): Place[] {
-    const places = [...this.listings.values()].map(({ target: { ip, service, failureDomain } }) => ({ ip, service, failureDomain }))
-    for (const [ip, { report: { service, failureDomain } }] of this.heard) places.push({ ip, service, failureDomain })
-    return [...new Map(places.map(place => [`${place.ip} ${place.service}`, place])).values()]
+  get index (): Places {
+    return this.places
   }
 
   /** The listed targets, for nodes that can't read the list themselves; without those whose entry is missing now. */
@@ -157,7 +153,8 @@
 
   /** The listed target at an address; the newest when several lifetimes are listed. */
   findAt (address: string): ListedTarget | undefined {
-    return [...this.listings.values()].filter(({ target }) => target.address === address).at(-1)?.target
+    const ids = this.places.listedAt(address.slice(0, address.lastIndexOf(':')))
+    return ids.map(id => this.listings.get(id)?.target).filter(target => target?.address === address).at(-1)
   }
 
   /** Milliseconds since the node at `ip` was heard. */
@@ -201,6 +198,8 @@
   }
 
   private forget (id: string): void {
+    const listing = this.listings.get(id)
+    if (listing !== undefined) this.places.removeListed(listing.target)
     this.listings.delete(id)
     this.left.add(id)
     this.prune()
@@ -210,7 +209,11 @@
   private prune (): void {
     const [oldest] = this.left
     if (oldest !== undefined && this.left.size > maxLeft) this.left.delete(oldest)
-    for (const ip of [...this.heard.keys()]) if (this.silentMs(ip) > forgetAfterMs) this.heard.delete(ip)
+    for (const ip of [...this.heard.keys()]) {
+      if (this.silentMs(ip) <= forgetAfterMs) continue
+      this.heard.delete(ip)
+      this.places.forget(ip)
+    }
   }
 
   private isUsableUnlisted ({ report, since }: Heard, service: string, now: number): boolean {
@@ -239,8 +242,15 @@
   }
 }
 
+function isSamePlace (one: ListedTarget, other: ListedTarget): boolean {
+  return one.ip === other.ip && one.service === other.service && one.failureDomain === other.failureDomain
+}
+
 interface DirectoryOptions {
   readonly clock: Clock
-  /** Whether this node listens to the one at an address; to all unless given. */
-  readonly isSelected?: (ip: string) => boolean
+  /** To all unless given. */
+  readonly selectedOf?: SelectedOf
 }
+
+/** Addresses beside which this node listens to targets of a service. */
+type SelectedOf = (service: string) => Iterable<string>
--- a/packages/sidecar/src/core/targets/selection.ts
+++ b/packages/sidecar/src/core/targets/selection.ts
@@ -1,7 +1,7 @@
 import { crc32 } from 'node:zlib'
 import type { Clock } from 'auburnturn/core/clock'
 import { farPlaces, leastPlaces, maxWidth, nearPlaces, widenEveryMs, widenedMs } from './constants.js'
-import type { Place } from './types.js'
+import type { Place, Places } from './types.js'
 
 /** How much more than usual is listened to for one service. */
 interface Width {
@@ -9,6 +9,12 @@
   readonly at: number
 }
 
+/** The nodes that were chosen for one service. */
+interface Chosen {
+  readonly factor: number
+  readonly ips: readonly string[]
+}
+
 /**
  * Chooses the nodes that this one sends work to, and so listens to: of each service some in the own failure domain
  * and a few elsewhere, more of them for a while when those do not suffice. What a node hears thus follows from what
@@ -17,7 +23,8 @@
 export class Selection {
   private readonly options: SelectionOptions
   private readonly widths = new Map<string, Width>()
-  private chosen: ReadonlySet<string> = new Set()
+  private readonly chosen = new Map<string, Chosen>()
+  private version = -1
 
   private constructor (options: SelectionOptions) {
     this.options = options
@@ -29,21 +36,25 @@
 
   /** Addresses of the nodes that were chosen. */
   get addresses (): ReadonlySet<string> {
-    return this.chosen
+    return new Set([...this.chosen.values()].flatMap(({ ips }) => ips))
   }
 
-  has (ip: string): boolean {
-    return this.chosen.has(ip)
+  /** Addresses of the nodes that were chosen for a service. */
+  of (service: string): readonly string[] {
+    return this.chosen.get(service)?.ips ?? []
   }
 
-  /** Chooses anew among all nodes that are known. */
-  refresh (places: readonly Place[]): void {
-    const chosen = new Set<string>()
-    for (const [service, members] of groupByService(places)) {
+  /** Chooses anew among all nodes that are known, where they or the number that is wanted have changed. */
+  refresh (places: Places): void {
+    const same = places.version === this.version
+    this.version = places.version
+    const services = new Set(places.services)
+    for (const service of this.chosen.keys()) if (!services.has(service)) this.chosen.delete(service)
+    for (const service of services) {
       const factor = this.readFactor(service)
-      for (const ip of this.chooseOf(members, factor)) chosen.add(ip)
+      if (same && this.chosen.get(service)?.factor === factor) continue
+      this.chosen.set(service, { factor, ips: this.chooseOf(places.placesOf(service), factor) })
     }
-    this.chosen = chosen
   }
 
   /** The chosen targets of a service do not suffice: listens to twice as many; false when that was done just now. */
@@ -75,16 +86,6 @@
   }
 }
 
-function groupByService (places: readonly Place[]): Map<string, Place[]> {
-  const groups = new Map<string, Place[]>()
-  for (const place of places) {
-    const group = groups.get(place.service)
-    if (group === undefined) groups.set(place.service, [place])
-    else group.push(place)
-  }
-  return groups
-}
-
 interface SelectionOptions {
   readonly clock: Clock
   /** Address and failure domain of this VM. */
--- a/packages/sidecar/src/core/targets/types.ts
+++ b/packages/sidecar/src/core/targets/types.ts
@@ -59,3 +59,17 @@
   readonly service: string
   readonly failureDomain: string
 }
+
+/** Where all known targets are. */
+export interface Places {
+  /** Changes when a target of a service appears at an address, or disappears. */
+  readonly version: number
+  /** Addresses of all VMs that the list or their own nodes name. */
+  readonly addresses: Iterable<string>
+  /** Failure domains that have targets. */
+  readonly domainCount: number
+  readonly services: Iterable<string>
+  /** Undefined for an address that is not known. */
+  domainOf (ip: string): string | undefined
+  placesOf (service: string): Place[]
+}
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -6,7 +6,7 @@
 import { Supervisor } from 'auburnturn/core/supervisor'
 import type { Part } from 'auburnturn/core/supervisor'
 import { CurrentConfiguration } from './core/configuration/index.js'
-import { applyChanges, CatchUp, catchUpDelayMs, farDelayMs, Follower, readSpreadMs } from './core/following/index.js'
+import { applyChanges, CatchUp, catchUpDelayMs, farReadSpreadMs, Follower, readSpreadMs } from './core/following/index.js'
 import type { Change, SharedState } from './core/following/index.js'
 import { Forwarder, Ingress, peerIdleMs, Peers, servePeer } from './core/forwarding/index.js'
 import { hostOf, openServer, portOf, stopListening, UnderWay } from './core/listening/index.js'
@@ -67,7 +67,7 @@
     this.configuration = CurrentConfiguration.create({ random })
     this.selection = Selection.create({ clock, ip, failureDomain })
     this.audience = Audience.create({ clock })
-    this.directory = Directory.create({ clock, isSelected: other => this.selection.has(other) })
+    this.directory = Directory.create({ clock, selectedOf: wanted => this.selection.of(wanted) })
     const { configuration, directory } = this
     this.target = OwnTarget.create({ address: upstream, service, failureDomain, clock, logger, metrics, protocol, directory, loadWatch: this.createLoadWatch(), onChange: () => { this.reporter?.tell() } })
     this.peers = Peers.create({ port: portOf(listen.nodes), clock, protocol })
@@ -83,17 +83,17 @@
       failureDomain,
       onShortage: wanted => { if (this.selection.widen(wanted)) this.select() },
       retryRatio: () => this.settings.bounds.retryRatio,
-      retryAllowance: () => this.settings.bounds.retryAllowance / Math.max(1, directory.failureDomains.size)
+      retryAllowance: () => this.settings.bounds.retryAllowance / Math.max(1, directory.index.domainCount)
     })
     this.ingress = Ingress.create({ clock, logger, metrics, protocol, configuration, forwarder, service, isLeaving: () => this.leaving, isClosed: () => this.closed })
     this.store = Store.create({ address: settings.store, clock, onCall: kind => { metrics.count('platform_reads_total', { kind }) } })
-    this.duty = ReadingDuty.create({ clock, random, logger, ip, failureDomain, domains: () => this.countDomains(), neighbours: () => this.split(this.listOthers()).near.length, onChange: () => { this.announce() } })
+    this.duty = ReadingDuty.create({ clock, random, logger, ip, failureDomain, domains: () => this.directory.index.domainCount, neighbours: () => this.listOthers().filter(other => this.isNear(other)), onChange: () => { this.announce() } })
     this.catchUp = CatchUp.create({
       clock,
       logger,
       version: () => configuration.version,
       // A reader's own watch brings it; the others were told by a reader that has it.
-      delayMs: near => this.duty.onDuty ? catchUpDelayMs : random.fraction() * readSpreadMs + (near ? 0 : farDelayMs),
+      delayMs: near => this.duty.onDuty ? catchUpDelayMs : random.fraction() * (near ? readSpreadMs : farReadSpreadMs),
       askConfiguration: async other => await this.peers.readConfiguration(other),
       source: this.store,
       takeConfiguration: found => { this.apply([{ kind: 'configuration', configuration: found }], false) },
@@ -218,7 +218,7 @@
       others: () => this.listOthers(),
       send
     })
-    const subscriber = Subscriber.create({ clock, refresh: () => { this.selection.refresh(directory.places) }, wanted: () => this.selection.addresses, silentMs: other => directory.silentMs(other), send })
+    const subscriber = Subscriber.create({ clock, refresh: () => { this.selection.refresh(directory.index) }, wanted: () => this.selection.addresses, silentMs: other => directory.silentMs(other), send })
     const announcer = Announcer.create({
       clock,
       duty,
@@ -257,11 +257,11 @@
         this.duty.hear(ip, state, failureDomain)
         if (state === 'reading') directory.markAnswered()
         const near = failureDomain === this.settings.failureDomain
-        follower?.hearRevision(ip, near, revision)
+        follower?.hearRevision(ip, near || !this.duty.hasNeighbour, revision)
         return catchUp.hear(ip, near, configurationVersion)
       }
       case 'changes':
-        return follower?.hearChanges(ip, directory.failureDomains.get(ip) === this.settings.failureDomain, message)
+        return follower?.hearChanges(ip, this.isNear(ip) || !this.duty.hasNeighbour, message)
     }
   }
 
@@ -271,11 +271,7 @@
   }
 
   private listOthers (): string[] {
-    return [...this.directory.failureDomains.keys()].filter(ip => ip !== this.settings.ip)
-  }
-
-  private countDomains (): number {
-    return new Set(this.directory.failureDomains.values()).size
+    return [...this.directory.index.addresses].filter(ip => ip !== this.settings.ip)
   }
 
   /** A lifetime of a target that was not known before may be worth listening to. */
@@ -287,15 +283,17 @@
 
   /** Chooses anew whose reports are wanted, and asks for those that are new. */
   private select (): void {
-    this.selection.refresh(this.directory.places)
+    this.selection.refresh(this.directory.index)
     this.subscriber?.ask()
   }
 
   /** Sorts addresses by whether they are in the same failure domain. */
   private split (ips: readonly string[]): Receivers {
-    const domains = this.directory.failureDomains
-    const isNear = (ip: string): boolean => domains.get(ip) === this.settings.failureDomain
-    return { near: ips.filter(isNear), far: ips.filter(ip => !isNear(ip)) }
+    return { near: ips.filter(ip => this.isNear(ip)), far: ips.filter(ip => !this.isNear(ip)) }
+  }
+
+  private isNear (ip: string): boolean {
+    return this.directory.index.domainOf(ip) === this.settings.failureDomain
   }
 
   private follow (fail: (error: unknown) => void): Part {
