Let nodes that nobody knows yet list cheaply in place of watching

A node whose target is not listed yet now leaves the reading to others for up to 4 s, and meanwhile lists each 0.7 s, stale answers allowed (a tenth of a call). Ruled out: seeds through a role for control (needed only for these seconds). Tests: following.test.ts (two; both need the new option, the count of calls failed before by construction).

--- a/packages/sidecar/src/core/following/follower.ts
+++ b/packages/sidecar/src/core/following/follower.ts
@@ -2,7 +2,7 @@
 import type { Logger } from 'auburnturn/core/logger'
 import type { Random } from 'auburnturn/core/random'
 import type { ChangesNotice, ReadingDuty } from '../readers/index.js'
-import { dutyCheckMs, farGapMs, firstBackoffMs, firstWatchMs, gapMs, gatherMs, maxBackoffMs, watchMs } from './constants.js'
+import { dutyCheckMs, farGapMs, firstBackoffMs, firstWatchMs, gapMs, gatherMs, maxBackoffMs, relistMs, watchMs } from './constants.js'
 import { UntoldChanges } from './untold-changes.js'
 import type { Change, SharedState, Source, SourceAnswer } from './types.js'
 
@@ -16,6 +16,7 @@
   /** What a cheap list is behind with, the watch and the other readers bring; not so once the history was lost. */
   private listing: 'cheap' | 'newest' = 'cheap'
   private revision: number | undefined
+  private listedAt = -Infinity
   private failures = 0
   private filling = false
   private closed = false
@@ -61,18 +62,26 @@
   private async run (): Promise<void> {
     const { source, clock, duty } = this.options
     while (!this.closed) {
-      const asked = this.revision
-      if (asked !== undefined && !duty.update()) {
+      const known = this.revision
+      const onDuty = duty.update()
+      if (known !== undefined && !onDuty && !this.isRelistDue()) {
         await clock.sleep(dutyCheckMs)
         continue
       }
-      const answer = asked === undefined ? await source.list(this.listing) : await source.watch(asked, duty.state === 'reading' ? watchMs : firstWatchMs)
+      const asked = onDuty ? known : undefined
+      const answer = asked === undefined ? await source.list(known === undefined ? this.listing : 'cheap') : await source.watch(asked, duty.state === 'reading' ? watchMs : firstWatchMs)
       if (this.closed) return
       const pauseMs = this.take(answer, asked)
       if (pauseMs > 0) await clock.sleep(pauseMs)
     }
   }
 
+  /** Whether nobody tells this node of changes, so that it has to look for itself now and then. */
+  private isRelistDue (): boolean {
+    const { clock, duty } = this.options
+    return duty.missesReaders && clock.now() - this.listedAt >= relistMs
+  }
+
   /** Applies an answer; the pause to make after it, in milliseconds. */
   private take (answer: SourceAnswer, asked: number | undefined): number {
     switch (answer.kind) {
@@ -91,6 +100,9 @@
   }
 
   private takeList (changes: readonly Change[], revision: number): number {
+    this.listedAt = this.options.clock.now()
+    // A cheap list may be older than what is known.
+    if (this.revision !== undefined && revision <= this.revision) return 0
     this.revision = revision
     this.options.apply(changes, true)
     this.options.onListed(revision)
--- a/packages/sidecar/src/core/readers/constants.ts
+++ b/packages/sidecar/src/core/readers/constants.ts
@@ -10,6 +10,9 @@
 /** A node whose failure domain has a reader leaves this much time to other failure domains, in milliseconds. */
 export const servedDomainMs = 200
 
+/** A node that the others can't know of yet leaves the reading to them for this long from its start on, in milliseconds. */
+export const knownWithinMs = 4_000
+
 /** Nodes that miss a reader wait up to this long, in milliseconds. */
 export const takeUpSpreadMs = 300
 
--- a/packages/sidecar/src/core/readers/reading-duty.ts
+++ b/packages/sidecar/src/core/readers/reading-duty.ts
@@ -1,7 +1,7 @@
 import type { Clock } from 'auburnturn/core/clock'
 import type { Logger } from 'auburnturn/core/logger'
 import type { Random } from 'auburnturn/core/random'
-import { leastReaders, maxTriers, mostReaders, restMs, servedDomainMs, silentReaderMs, takeUpSpreadMs, takeUpStepMs, tryMs } from './constants.js'
+import { knownWithinMs, leastReaders, maxTriers, mostReaders, restMs, servedDomainMs, silentReaderMs, takeUpSpreadMs, takeUpStepMs, tryMs } from './constants.js'
 import type { ReaderState } from './types.js'
 
 /** Another reader, as it was last heard. */
@@ -25,9 +25,11 @@
   private missed: { readonly at: number, readonly share: number } | undefined
   private restUntil = -Infinity
   private failingSince: number | undefined
+  private readonly createdAt: number
 
   private constructor (options: ReadingDutyOptions) {
     this.options = options
+    this.createdAt = options.clock.now()
   }
 
   static create (options: ReadingDutyOptions): ReadingDuty {
@@ -55,6 +57,11 @@
     this.become(answered ? 'reading' : 'failing')
   }
 
+  /** Whether too few others read, and this node does not either. */
+  get missesReaders (): boolean {
+    return this.missed !== undefined
+  }
+
   /** Whether another node of this failure domain reads. */
   get hasNeighbour (): boolean {
     return this.list(['reading'], this.options.clock.now()).some(({ failureDomain }) => failureDomain === this.options.failureDomain)
@@ -97,6 +104,8 @@
     }
     this.missed ??= { at: now, share: (1 + random.fraction()) / 2 }
     if (now - this.missed.at < this.turnMs(now) * this.missed.share) return
+    // What this node would tell, nobody would ask it for.
+    if (!this.options.isKnown() && now - this.createdAt < knownWithinMs) return
     logger.info('reading-started', { readers: this.readers.size })
     this.become('trying')
   }
@@ -164,6 +173,8 @@
   /** Address and failure domain of this VM. */
   readonly ip: string
   readonly failureDomain: string
+  /** Whether the others can know of this node: its target is listed. */
+  readonly isKnown: () => boolean
   /** Failure domains that have nodes. */
   readonly domains: () => number
   /** Addresses of the other nodes of this failure domain. */
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -87,7 +87,7 @@
     })
     this.ingress = Ingress.create({ clock, logger, metrics, protocol, configuration, forwarder, service, isLeaving: () => this.leaving, isClosed: () => this.closed })
     this.store = Store.create({ address: settings.store, clock, onCall: kind => { metrics.count('platform_reads_total', { kind }) } })
-    this.duty = ReadingDuty.create({ clock, random, logger, ip, failureDomain, domains: () => this.directory.index.domainCount, neighbours: () => this.listOthers().filter(other => this.isNear(other)), onChange: () => { this.announce() } })
+    this.duty = ReadingDuty.create({ clock, random, logger, ip, failureDomain, domains: () => this.directory.index.domainCount, isKnown: () => this.directory.findAt(upstream) !== undefined, neighbours: () => this.listOthers().filter(other => this.isNear(other)), onChange: () => { this.announce() } })
     this.catchUp = CatchUp.create({
       clock,
       logger,
--- a/packages/sidecar/test/following.test.ts
+++ b/packages/sidecar/test/following.test.ts
@@ -23,7 +23,7 @@
 }
 
 /** A follower whose source answers from a list, and then no more; it reads for others when it is alone. */
-function createScene (answers: SourceAnswer[], { alone = true, state = undefined as SharedState | undefined } = {}): { clock: ManualClock, calls: string[], waits: number[], follower: Follower, duty: ReadingDuty } {
+function createScene (answers: SourceAnswer[], { alone = true, known = true, state = undefined as SharedState | undefined } = {}): { clock: ManualClock, calls: string[], waits: number[], follower: Follower, duty: ReadingDuty } {
   const clock = ManualClock.create()
   const calls: string[] = []
   const waits: number[] = []
@@ -33,7 +33,7 @@
     calls.push(call)
     return answers.shift() ?? await new Promise<SourceAnswer>(() => {})
   }
-  const duty = ReadingDuty.create({ clock, random, logger, ip: '10.0.0.9', failureDomain: 'a', domains: () => 3, neighbours: () => ['10.0.0.1'], onChange: () => { calls.push(`duty ${duty.state}`) } })
+  const duty = ReadingDuty.create({ clock, random, logger, ip: '10.0.0.9', failureDomain: 'a', domains: () => 3, isKnown: () => known, neighbours: () => ['10.0.0.1'], onChange: () => { calls.push(`duty ${duty.state}`) } })
   const hearReaders = (): void => { for (const domain of ['a', 'b', 'c']) duty.hear(`10.0.0.1${domain}`, 'reading', domain) }
   if (!alone) clock.every(400, hearReaders)
   if (!alone) hearReaders()
@@ -97,6 +97,24 @@
 
 const listedAt7: SourceAnswer = { kind: 'changes', changes: [], revision: 7 }
 
+test('start of all: nodes that nobody knows yet list cheaply in place of watching, until they are known or it takes too long', async () => {
+  const answers = Array.from({ length: 8 }, (_, index): SourceAnswer => ({ kind: 'changes', changes: [], revision: 7 + index }))
+  const { clock, calls, follower } = createScene(answers, { known: false })
+  await clock.advance(3_500)
+  assert.equal(calls.filter(call => !call.startsWith('apply')), Array.from({ length: 5 }, () => 'list'))
+  await clock.advance(1_000)
+  follower.close()
+  assert.ok(calls.some(call => call.startsWith('watch')))
+})
+
+test('a cheap list that is older than what is known changes nothing', async () => {
+  const { clock, calls, follower } = createScene([listedAt7, { kind: 'changes', changes: [createTarget('gone since')], revision: 5 }], { known: false })
+  await clock.advance(1_200)
+  follower.close()
+  assert.equal(calls, ['list', 'apply 0 whole', 'list'])
+  assert.is(follower.knownRevision, 7)
+})
+
 test('a node that hears a reader does not read, and takes what that tells', async () => {
   const { clock, calls, follower } = createScene([listedAt7], { alone: false })
   await clock.advance(2_000)
--- a/packages/sidecar/test/readers.test.ts
+++ b/packages/sidecar/test/readers.test.ts
@@ -58,6 +58,7 @@
       ip,
       failureDomain,
       domains: () => domains,
+      isKnown: () => true,
       neighbours: () => this.members.filter(other => other.ip !== ip && other.failureDomain === failureDomain).map(other => other.ip),
       onChange: () => { this.tell(member) }
     })
@@ -224,7 +225,7 @@
 test('a store that has nothing new to say counts as answering all the while', async () => {
   const clock = ManualClock.create()
   const marks: number[] = []
-  const duty = ReadingDuty.create({ clock, random: Random.create(1), logger: Logger.createSilent(), ip: '10.0.0.1', failureDomain: 'a', domains: () => 1, neighbours: () => ['10.0.0.2'], onChange: () => {} })
+  const duty = ReadingDuty.create({ clock, random: Random.create(1), logger: Logger.createSilent(), ip: '10.0.0.1', failureDomain: 'a', domains: () => 1, isKnown: () => true, neighbours: () => ['10.0.0.2'], onChange: () => {} })
   duty.update()
   await clock.advance(400)
   duty.update()
@@ -241,7 +242,7 @@
 test('what does not fit in a datagram is told by its revision', async () => {
   const clock = ManualClock.create()
   const sent: Buffer[] = []
-  const duty = ReadingDuty.create({ clock, random: Random.create(1), logger: Logger.createSilent(), ip: '10.0.0.1', failureDomain: 'a', domains: () => 1, neighbours: () => ['10.0.0.2'], onChange: () => {} })
+  const duty = ReadingDuty.create({ clock, random: Random.create(1), logger: Logger.createSilent(), ip: '10.0.0.1', failureDomain: 'a', domains: () => 1, isKnown: () => true, neighbours: () => ['10.0.0.2'], onChange: () => {} })
   duty.update()
   await clock.advance(400)
   duty.update()
