Bound the memory of all bodies on their way; break off interim answers without end

Cause: each answer was held up to 16 MiB, and a request's body up to the operator's bound (64 MB in the deployments at hand), with no bound on all of them together: eleven endless answers pass the memory of a small VM. Now all bodies on their way share 0.15 of the memory that the settings name; the longest is broken off first, so that others go on. A request whose body is broken off is told 'not run' and when to come back. More than eight interim answers are no answer. Ruled out: a bound for each body alone (several add up); breaking off the one that comes last (that hits sound ones).

--- a/packages/bench/src/soak/constants.ts
+++ b/packages/bench/src/soak/constants.ts
@@ -37,3 +37,6 @@
 
 /** Services of the deployment; every third VM has the same. */
 export const services = ['shop', 'stock', 'ledger'] as const
+
+/** Memory that a node is told it may take, in megabytes. */
+export const memoryMb = 250
--- a/packages/bench/src/soak/vm.ts
+++ b/packages/bench/src/soak/vm.ts
@@ -3,7 +3,7 @@
 import { createRequire } from 'node:module'
 import { dirname, join } from 'node:path'
 import { Child } from './child.js'
-import { drainMs, graceMs, ports, retryAllowance, retryRatio } from './constants.js'
+import { drainMs, graceMs, memoryMb, ports, retryAllowance, retryRatio } from './constants.js'
 import { Link } from './link.js'
 import type { Place } from './places.js'
 import { now } from './processes/messages.js'
@@ -170,6 +170,7 @@
       listen: { callers: `${ip}:${ports.callers}`, nodes: `${ip}:${ports.nodes}`, readiness: `${ip}:${ports.readiness}` },
       internalPorts: [ports.internal, ports.internal + 5],
       store: `${storeIp}:${ports.store}`,
+      memoryMb,
       bounds: { graceSeconds: graceMs / 1_000, retryRatio, retryAllowance, probesPerSecond: 20 }
     }
   }
--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -28,3 +28,8 @@
 
 /** Idle connections of callers are kept this long before a configuration says so, in milliseconds. */
 export const idleUntilConfiguredMs = 60_000
+
+/** Share of a process's memory that bodies on their way may take together. */
+export const bodyMemoryShare = 0.15
+
+export const bytesOfMegabyte = 1024 * 1024
--- a/packages/sidecar/src/core/exchange/connections.ts
+++ b/packages/sidecar/src/core/exchange/connections.ts
@@ -4,6 +4,7 @@
 import { connect } from 'node:net'
 import type { NetConnectOpts, Socket } from 'node:net'
 import type { Clock } from 'auburnturn/core/clock'
+import type { BodyMemory } from './body-memory.js'
 import { idleMs, idleMarginMs } from './constants.js'
 
 /** Kept-alive connections to one address, the one used last first, each with one request at a time. */
@@ -11,10 +12,13 @@
   /** `IP:PORT`. */
   readonly address: string
   readonly agent: Agent
+  /** Bounds the bodies of answers on their way, here and elsewhere. */
+  readonly memory: BodyMemory
 
   private readonly clock: Clock
 
-  private constructor ({ address, limit, clock }: ConnectionsOptions) {
+  private constructor ({ address, limit, clock, memory }: ConnectionsOptions) {
+    this.memory = memory
     this.address = address
     this.clock = clock
     this.agent = new KeptAgent({ keepAlive: true, maxSockets: limit, maxFreeSockets: limit, scheduling: 'lifo', noDelay: true, timeout: idleMs }, () => clock.now())
@@ -50,6 +54,8 @@
   /** Most connections at a time. */
   readonly limit: number
   readonly clock: Clock
+  /** Shared by all connections of a process. */
+  readonly memory: BodyMemory
 }
 
 /** When each idle socket carried its last request, in clock milliseconds. */
--- a/packages/sidecar/src/core/exchange/constants.ts
+++ b/packages/sidecar/src/core/exchange/constants.ts
@@ -9,3 +9,6 @@
 
 /** Time before the one that the server names, in milliseconds, so that no request crosses its close. */
 export const idleMarginMs = 1_000
+
+/** Interim answers (1xx) before the answer itself; a server that sends more is in trouble. */
+export const maxInterimAnswers = 8
--- a/packages/sidecar/src/core/exchange/exchange.ts
+++ b/packages/sidecar/src/core/exchange/exchange.ts
@@ -3,8 +3,9 @@
 import type { Socket } from 'node:net'
 import { isFramed } from 'auburnturn/core/http'
 import type { Timeout } from 'auburnturn/core/clock'
+import type { Holding } from './body-memory.js'
 import { wasReset } from './connections.js'
-import { maxAnswerBytes, maxHeadBytes } from './constants.js'
+import { maxAnswerBytes, maxHeadBytes, maxInterimAnswers } from './constants.js'
 import type { Exchange, Reply } from './types.js'
 
 /** Sends one request and collects its whole answer. Never rejects. */
@@ -25,6 +26,8 @@
   private stage: Stage = 'waiting'
   private timer: Timeout | undefined
   private socket: Socket | undefined
+  private holding: Holding | undefined
+  private interimAnswers = 0
 
   private constructor (options: Exchange, resolve: (reply: Reply) => void) {
     this.options = options
@@ -40,6 +43,7 @@
     sending.bound(options.timeoutMs)
     sending.request
       .on('socket', socket => { sending.take(socket) })
+      .on('information', () => { sending.countInterim() })
       .on('response', answer => { sending.read(answer) })
       .on('error', error => { sending.fail(error) })
       .end(options.body)
@@ -61,16 +65,27 @@
     this.bound(this.leftMs())
   }
 
+  private countInterim (): void {
+    if (++this.interimAnswers > maxInterimAnswers) this.stop('invalid')
+  }
+
   private read (answer: IncomingMessage): void {
     const status = answer.statusCode ?? 0
     const { rawHeaders: headers } = answer
     if (this.options.accept?.(status, headers) === false) return this.stop('invalid')
     const chunks: Buffer[] = []
-    let bytes = 0
+    const { memory } = this.options.connections
+    const evict = (): void => {
+      chunks.length = 0
+      this.stop('invalid')
+    }
+    this.holding = { bytes: 0, evict }
+    const { holding } = this
     answer.on('data', (chunk: Buffer) => {
-      bytes += chunk.length
+      if (this.stage === 'ended') return
       chunks.push(chunk)
-      if (bytes > maxAnswerBytes) this.stop('invalid')
+      memory.add(holding, chunk.length)
+      if (holding.bytes > maxAnswerBytes) evict()
     })
     answer.once('end', () => { this.complete(status, headers, chunks) })
     answer.once('error', () => { this.finish({ kind: 'lost', cause: 'cut' }) })
@@ -110,6 +125,7 @@
     if (this.stage === 'ended') return
     this.stage = 'ended'
     this.timer?.cancel()
+    if (this.holding !== undefined) this.options.connections.memory.release(this.holding)
     this.options.signal?.removeEventListener('abort', this.leave)
     this.resolve(reply)
   }
--- a/packages/sidecar/src/core/forwarding/ingress.ts
+++ b/packages/sidecar/src/core/forwarding/ingress.ts
@@ -4,6 +4,7 @@
 import type { Logger } from 'auburnturn/core/logger'
 import type { Metrics } from 'auburnturn/core/metrics'
 import type { CurrentConfiguration, Route } from '../configuration/index.js'
+import type { BodyMemory } from '../exchange/index.js'
 import { notRun } from '../own-target/index.js'
 import type { Job, Outcome } from '../own-target/index.js'
 import { retryAfterShare, unknownRetryMs } from './constants.js'
@@ -42,9 +43,13 @@
     if (route === undefined) return this.reject(response, head, 404, 'no-route')
     const cancellation = Cancellation.create()
     response.once('close', () => { cancellation.abort() })
-    const read = await readBody(request, configuration.limits?.maxBodyBytes ?? Infinity)
+    const read = await readBody(request, { maxBytes: configuration.limits?.maxBodyBytes ?? Infinity, memory: this.options.memory })
     if (read.kind === 'too-large') return this.reject(response, head, 413, 'body-too-large')
     if (read.kind === 'cut') return
+    if (read.kind === 'no-memory') {
+      response.shouldKeepAlive = false
+      return this.finish(response, head, undefined, arrivedAt, notRun('no-memory', unknownRetryMs))
+    }
     const job = this.createJob(request, head, route, arrivedAt, read.body)
     this.underWay.add(cancellation)
     const outcome = await this.options.forwarder.run(job, route, cancellation)
@@ -122,6 +127,8 @@
   readonly protocol: Protocol
   readonly configuration: CurrentConfiguration
   readonly forwarder: Forwarder
+  /** Bounds the bodies of requests, with those of answers. */
+  readonly memory: BodyMemory
   /** Service of the upstream on this VM. */
   readonly service: string
   /** Whether callers are asked to close their connections. */
--- a/packages/sidecar/src/core/forwarding/peer-server.ts
+++ b/packages/sidecar/src/core/forwarding/peer-server.ts
@@ -1,10 +1,12 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { Cancellation } from 'auburnturn/core/clock'
 import type { Clock } from 'auburnturn/core/clock'
+import type { BodyMemory } from '../exchange/index.js'
+import { notRun } from '../own-target/index.js'
 import type { Job, OwnTarget } from '../own-target/index.js'
 import type { Configuration } from '../configuration/index.js'
 import type { SharedState } from '../following/index.js'
-import { configurationPath, maxToldBytes, statePath } from './constants.js'
+import { configurationPath, maxToldBytes, statePath, unknownRetryMs } from './constants.js'
 import { parseHop } from './hop-header.js'
 import { formatOutcome } from './outcome-headers.js'
 import { readBody } from './request-body.js'
@@ -12,7 +14,7 @@
 import type { Protocol } from './types.js'
 
 /** Serves one request that another node passed on to the target beside this one. */
-export async function servePeer (request: IncomingMessage, response: ServerResponse, { clock, protocol, target, service, maxBodyBytes, readState }: PeerServing): Promise<void> {
+export async function servePeer (request: IncomingMessage, response: ServerResponse, { clock, protocol, target, service, maxBodyBytes, memory, readState }: PeerServing): Promise<void> {
   const arrivedAt = clock.now()
   const { rawHeaders: headers, method = 'GET', url: path = '/' } = request
   const hop = parseHop(headers)
@@ -22,7 +24,8 @@
   if (hop === undefined) return respond(response, 400, ['connection', 'close'], Buffer.alloc(0))
   const cancellation = Cancellation.create()
   response.once('close', () => { cancellation.abort() })
-  const read = await readBody(request, maxBodyBytes())
+  const read = await readBody(request, { maxBytes: maxBodyBytes(), memory })
+  if (read.kind === 'no-memory') return respond(response, 503, ['connection', 'close', ...formatOutcome(notRun('no-memory', unknownRetryMs))], Buffer.alloc(0))
   if (read.kind !== 'whole') return respond(response, 400, ['connection', 'close'], Buffer.alloc(0))
   const job: Job = {
     id: head.id,
@@ -65,6 +68,7 @@
   readonly target: OwnTarget
   /** Service of the target. */
   readonly service: string
+  readonly memory: BodyMemory
   readonly maxBodyBytes: () => number
   /** What this node can tell others; undefined before it knows a configuration. */
   readonly readState: () => SharedState | undefined
--- a/packages/sidecar/src/core/forwarding/peers.ts
+++ b/packages/sidecar/src/core/forwarding/peers.ts
@@ -1,6 +1,6 @@
 import type { CancelSignal, Clock } from 'auburnturn/core/clock'
 import { Connections, exchange } from '../exchange/index.js'
-import type { Reply } from '../exchange/index.js'
+import type { BodyMemory, Reply } from '../exchange/index.js'
 import { mayHaveRun, notRun } from '../own-target/index.js'
 import type { Job, Outcome } from '../own-target/index.js'
 import type { Candidate } from '../targets/index.js'
@@ -75,7 +75,7 @@
   private connectionsTo (ip: string): Connections {
     const known = this.connections.get(ip)
     if (known !== undefined) return known
-    const fresh = Connections.create({ address: `${ip}:${this.options.port}`, limit: maxPeerConnections, clock: this.options.clock })
+    const fresh = Connections.create({ address: `${ip}:${this.options.port}`, limit: maxPeerConnections, clock: this.options.clock, memory: this.options.memory })
     this.connections.set(ip, fresh)
     return fresh
   }
@@ -93,5 +93,7 @@
   /** The port for other nodes, the same on all VMs. */
   readonly port: number
   readonly clock: Clock
+  /** Bounds their answers, with all others. */
+  readonly memory: BodyMemory
   readonly protocol: Protocol
 }
--- a/packages/sidecar/src/core/forwarding/request-body.ts
+++ b/packages/sidecar/src/core/forwarding/request-body.ts
@@ -1,28 +1,45 @@
 import type { IncomingMessage } from 'node:http'
+import type { BodyMemory } from '../exchange/index.js'
 
 /** A request body, read to its end. */
 export type ReadBody =
   | { readonly kind: 'whole', readonly body: Buffer }
   | { readonly kind: 'too-large' }
+  /** The bodies on their way take too much memory together, and this one most. */
+  | { readonly kind: 'no-memory' }
   /** The sender left before its end. */
   | { readonly kind: 'cut' }
 
 const none: ReadBody = { kind: 'whole', body: Buffer.alloc(0) }
 
 /** Reads a body of at most `maxBytes`. */
-export async function readBody (request: IncomingMessage, maxBytes: number): Promise<ReadBody> {
+export async function readBody (request: IncomingMessage, { maxBytes, memory }: BodyBounds): Promise<ReadBody> {
   const { headers } = request
   if (headers['transfer-encoding'] === undefined && (headers['content-length'] ?? '0') === '0') return none
   if (Number(headers['content-length']) > maxBytes) return { kind: 'too-large' }
-  return await new Promise(resolve => {
-    const chunks: Buffer[] = []
-    let bytes = 0
+  const chunks: Buffer[] = []
+  const read = await new Promise<ReadBody>(resolve => {
+    let over = false
+    const holding = { bytes: 0, evict: () => { end({ kind: 'no-memory' }) } }
+    const end = (result: ReadBody): void => {
+      over = true
+      memory.release(holding)
+      resolve(result)
+    }
     request.on('data', (chunk: Buffer) => {
-      bytes += chunk.length
-      if (bytes > maxBytes) resolve({ kind: 'too-large' })
-      else chunks.push(chunk)
+      if (over) return
+      chunks.push(chunk)
+      memory.add(holding, chunk.length)
+      if (holding.bytes > maxBytes) end({ kind: 'too-large' })
     })
-    request.once('end', () => { resolve({ kind: 'whole', body: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks) }) })
-    request.once('close', () => { resolve({ kind: 'cut' }) })
+    request.once('end', () => { end({ kind: 'whole', body: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks) }) })
+    request.once('close', () => { end({ kind: 'cut' }) })
   })
+  if (read.kind !== 'whole') chunks.length = 0
+  return read
+}
+
+interface BodyBounds {
+  readonly maxBytes: number
+  readonly memory: BodyMemory
 }
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -4,7 +4,7 @@
 import { Slots } from '../admission/index.js'
 import type { Admittance, Applicant } from '../admission/index.js'
 import { Connections, exchange } from '../exchange/index.js'
-import type { Reply } from '../exchange/index.js'
+import type { BodyMemory, Reply } from '../exchange/index.js'
 import type { AnswerHead, Protocol } from '../forwarding/types.js'
 import { FailureShare, usableShare } from '../targets/index.js'
 import type { Directory, TargetReport, TargetState } from '../targets/index.js'
@@ -37,7 +37,7 @@
   private constructor (options: OwnTargetOptions) {
     this.options = options
     this.slots = Slots.create({ clock: options.clock })
-    this.connections = Connections.create({ address: options.address, limit: maxConnections, clock: options.clock })
+    this.connections = Connections.create({ address: options.address, limit: maxConnections, clock: options.clock, memory: options.memory })
   }
 
   static create (options: OwnTargetOptions): OwnTarget {
@@ -247,6 +247,8 @@
   readonly service: string
   readonly failureDomain: string
   readonly clock: Clock
+  /** Bounds its answers, with all others. */
+  readonly memory: BodyMemory
   readonly logger: Logger
   readonly metrics: Metrics
   readonly protocol: Protocol
--- a/packages/sidecar/src/core/own-target/prober.ts
+++ b/packages/sidecar/src/core/own-target/prober.ts
@@ -1,6 +1,7 @@
 import { Cancellation } from 'auburnturn/core/clock'
 import type { Clock } from 'auburnturn/core/clock'
 import { Connections, exchange } from '../exchange/index.js'
+import type { BodyMemory } from '../exchange/index.js'
 import type { Protocol } from '../forwarding/types.js'
 import { calmProbeMs, connectMs, probeMs, probesUntilDown, probeTimeoutMs, refreshMs, slowProbeMs, usableProbes } from './constants.js'
 import type { OwnTarget } from './own-target.js'
@@ -18,7 +19,7 @@
 
   private constructor (options: ProberOptions) {
     this.options = options
-    this.connections = Connections.create({ address: options.address, limit: 1, clock: options.clock })
+    this.connections = Connections.create({ address: options.address, limit: 1, clock: options.clock, memory: options.memory })
   }
 
   /** Probes until it is closed. */
@@ -105,6 +106,7 @@
 interface ProberOptions {
   readonly address: string
   readonly clock: Clock
+  readonly memory: BodyMemory
   readonly protocol: Protocol
   readonly target: OwnTarget
   /** Undefined before a configuration is known. */
--- a/packages/sidecar/src/core/own-target/types.ts
+++ b/packages/sidecar/src/core/own-target/types.ts
@@ -36,6 +36,7 @@
   | 'moved' // another lifetime of a target has the place
   | 'unreachable'
   | 'rejected' // by the target itself
+  | 'no-memory' // bodies on their way take too much
   | 'no-target'
   | 'no-configuration'
   | 'no-budget' // a repeat would be over the budget
@@ -50,7 +51,7 @@
   | { readonly kind: 'may-have-run', readonly cause: MayHaveRunCause }
 
 /** A request that did not run. */
-export function notRun (cause: NotRunCause, retryAfterMs = 0): Outcome {
+export function notRun (cause: NotRunCause, retryAfterMs = 0): Extract<Outcome, { kind: 'not-run' }> {
   return { kind: 'not-run', cause, retryAfterMs }
 }
 
--- a/packages/sidecar/src/core/settings.ts
+++ b/packages/sidecar/src/core/settings.ts
@@ -19,6 +19,8 @@
   readonly internalPorts: readonly [number, number]
   /** Address of the store that the configuration and the targets are read from. */
   readonly store: string
+  /** Memory that a process on this VM may take, in megabytes. */
+  readonly memoryMb: number
   readonly bounds: Bounds
 }
 
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -8,6 +8,7 @@
 import { CurrentConfiguration } from './core/configuration/index.js'
 import { applyChanges, CatchUp, catchUpDelayMs, farReadSpreadMs, Follower, readSpreadMs } from './core/following/index.js'
 import type { Change, SharedState } from './core/following/index.js'
+import { BodyMemory } from './core/exchange/index.js'
 import { Forwarder, Ingress, peerIdleMs, Peers, servePeer } from './core/forwarding/index.js'
 import { hostOf, openServer, portOf, stopListening, UnderWay } from './core/listening/index.js'
 import { MetricsServer } from './core/metrics/index.js'
@@ -20,7 +21,7 @@
 import type { Settings } from './core/settings.js'
 import { Directory, Selection } from './core/targets/index.js'
 import type { TargetReport } from './core/targets/index.js'
-import { answerMarginMs, callersGoneMs, checksUntilGone, drainCheckMs, endMarginMs, idleUntilConfiguredMs, lastRequestMs, metricsPath, metricsPort, quietMs } from './constants.js'
+import { answerMarginMs, bodyMemoryShare, bytesOfMegabyte, callersGoneMs, checksUntilGone, drainCheckMs, endMarginMs, idleUntilConfiguredMs, lastRequestMs, metricsPath, metricsPort, quietMs } from './constants.js'
 import { protocol, ReadinessServer, Store } from './platform/index.js'
 
 /** One node: everything beside one upstream. */
@@ -34,6 +35,7 @@
   private readonly directory: Directory
   private readonly selection: Selection
   private readonly audience: Audience
+  private readonly memory: BodyMemory
   private readonly target: OwnTarget
   private readonly peers: Peers
   private readonly ingress: Ingress
@@ -69,8 +71,10 @@
     this.audience = Audience.create({ clock })
     this.directory = Directory.create({ clock, selectedOf: wanted => this.selection.of(wanted) })
     const { configuration, directory } = this
-    this.target = OwnTarget.create({ address: upstream, service, failureDomain, clock, logger, metrics, protocol, directory, loadWatch: this.createLoadWatch(), onChange: () => { this.reporter?.tell() } })
-    this.peers = Peers.create({ port: portOf(listen.nodes), clock, protocol })
+    const memory = BodyMemory.create({ maxBytes: settings.memoryMb * bytesOfMegabyte * bodyMemoryShare })
+    this.memory = memory
+    this.target = OwnTarget.create({ address: upstream, service, failureDomain, clock, memory, logger, metrics, protocol, directory, loadWatch: this.createLoadWatch(), onChange: () => { this.reporter?.tell() } })
+    this.peers = Peers.create({ port: portOf(listen.nodes), clock, memory, protocol })
     const forwarder = Forwarder.create({
       clock,
       random,
@@ -85,8 +89,8 @@
       retryRatio: () => this.settings.bounds.retryRatio,
       retryAllowance: () => this.settings.bounds.retryAllowance / Math.max(1, directory.index.domainCount)
     })
-    this.ingress = Ingress.create({ clock, logger, metrics, protocol, configuration, forwarder, service, isLeaving: () => this.leaving, isClosed: () => this.closed })
-    this.store = Store.create({ address: settings.store, clock, onCall: kind => { metrics.count('platform_reads_total', { kind }) } })
+    this.ingress = Ingress.create({ clock, logger, metrics, protocol, configuration, forwarder, memory, service, isLeaving: () => this.leaving, isClosed: () => this.closed })
+    this.store = Store.create({ address: settings.store, clock, memory, onCall: kind => { metrics.count('platform_reads_total', { kind }) } })
     this.duty = ReadingDuty.create({ clock, random, logger, ip, failureDomain, domains: () => this.directory.index.domainCount, isKnown: () => this.directory.findAt(upstream) !== undefined, neighbours: () => this.listOthers().filter(other => this.isNear(other)), onChange: () => { this.announce() } })
     this.catchUp = CatchUp.create({
       clock,
@@ -201,7 +205,7 @@
 
   private async openNodes (address: string): Promise<Part> {
     const { clock, logger, underWay, target, configuration, settings: { service } } = this
-    const serving = { clock, protocol, target, service, maxBodyBytes: () => configuration.limits?.maxBodyBytes ?? Infinity, readState: () => this.readState() }
+    const serving = { clock, protocol, target, service, maxBodyBytes: () => configuration.limits?.maxBodyBytes ?? Infinity, memory: this.memory, readState: () => this.readState() }
     const server = await openServer({ address, underWay, logger, handle: async (request, response) => { await servePeer(request, response, serving) } })
     server.keepAliveTimeout = peerIdleMs
     return closing(server)
@@ -316,7 +320,7 @@
 
   private probe (onFailure: (error: unknown) => void): Part {
     const { clock, target, configuration, settings: { upstream, service } } = this
-    this.prober = Prober.create({ address: upstream, clock, protocol, target, healthPath: () => configuration.findService(service)?.healthPath, probesPerSecond: () => this.settings.bounds.probesPerSecond, onFailure })
+    this.prober = Prober.create({ address: upstream, clock, memory: this.memory, protocol, target, healthPath: () => configuration.findService(service)?.healthPath, probesPerSecond: () => this.settings.bounds.probesPerSecond, onFailure })
     const { prober } = this
     return { close: async () => { prober.close() } }
   }
--- a/packages/sidecar/src/platform/settings.ts
+++ b/packages/sidecar/src/platform/settings.ts
@@ -39,6 +39,7 @@
     },
     internalPorts: [read.number('internalPorts', '0'), read.number('internalPorts', '1')],
     store: read.address('store'),
+    memoryMb: read.number('memoryMb'),
     bounds: {
       graceMs: read.number('bounds', 'graceSeconds') * 1_000,
       retryRatio: read.number('bounds', 'retryRatio'),
--- a/packages/sidecar/src/platform/store.ts
+++ b/packages/sidecar/src/platform/store.ts
@@ -1,7 +1,7 @@
 import type { Clock } from 'auburnturn/core/clock'
 import type { Configuration } from '../core/configuration/index.js'
 import { Connections, exchange } from '../core/exchange/index.js'
-import type { Reply } from '../core/exchange/index.js'
+import type { BodyMemory, Reply } from '../core/exchange/index.js'
 import type { Change, Source, SourceAnswer } from '../core/following/index.js'
 import { configurationKey, decodeConfiguration } from './configuration.js'
 import { countOf, fieldsOf, parseJson, textOf } from './decode.js'
@@ -39,11 +39,11 @@
   private readonly connections: Connections
   private readonly onCall: (kind: Call) => void
 
-  private constructor ({ address, clock, onCall }: StoreOptions) {
+  private constructor ({ address, clock, memory, onCall }: StoreOptions) {
     this.host = address
     this.clock = clock
     this.onCall = onCall
-    this.connections = Connections.create({ address, limit: 2, clock })
+    this.connections = Connections.create({ address, limit: 2, clock, memory })
   }
 
   static create (options: StoreOptions): Store {
@@ -133,6 +133,8 @@
 interface StoreOptions {
   readonly address: string
   readonly clock: Clock
+  /** Bounds its answers, with all others. */
+  readonly memory: BodyMemory
   /** Called before each call, which is priced. */
   readonly onCall: (kind: Call) => void
 }
--- a/packages/sidecar/test/prober.test.ts
+++ b/packages/sidecar/test/prober.test.ts
@@ -3,6 +3,7 @@
 import { Metrics } from 'auburnturn/core/metrics'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { BodyMemory } from '../src/core/exchange/index.js'
 import { OwnTarget, Prober } from '../src/core/own-target/index.js'
 import type { Job, Outcome } from '../src/core/own-target/index.js'
 import { Directory } from '../src/core/targets/index.js'
@@ -23,6 +24,7 @@
   /** How long work takes, in hundredths of the usual time. */
   slowness = 100
   mute = false
+  private readonly memory = BodyMemory.create({ maxBytes: 1024 * 1024 })
   private server: RawServer | undefined
   private prober: Prober | undefined
   private ownTarget: OwnTarget | undefined
@@ -93,6 +95,7 @@
       service: 's',
       failureDomain: 'a',
       clock,
+      memory: this.memory,
       logger: Logger.createSilent(),
       metrics: Metrics.create({ clock }),
       protocol,
@@ -103,6 +106,7 @@
     this.prober = Prober.create({
       address: server.address,
       clock,
+      memory: this.memory,
       protocol,
       target: this.ownTarget,
       healthPath: () => '/health',
--- a/packages/sidecar/test/settings-watch.test.ts
+++ b/packages/sidecar/test/settings-watch.test.ts
@@ -17,6 +17,7 @@
     listen: { callers: '10.0.0.1:2', nodes: '10.0.0.1:3', readiness: '10.0.0.1:4' },
     internalPorts: [5, 6],
     store: '10.0.0.2:7',
+    memoryMb: 250,
     bounds: { graceMs: 6_000, retryRatio, retryAllowance: 60, probesPerSecond: 60 }
   }
 }
