Close connections that never brought a request when a listener closes

A node that cancels a call while its connection opens leaves a connection without any request; Node does not count it as idle, so that the listener waited for the sender's pool to drop it after 4 s. Under load more calls end so. Change: when the listener closes, connections that have brought no byte are closed. Ruled out: messages between nodes that both leave (suspected before): the control parts closed within 0.4 s. Test: listener.test.ts, seen failing first: it did not end within 100 s.

--- a/packages/auburnturn/src/core/http/listener.ts
+++ b/packages/auburnturn/src/core/http/listener.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { Call, Outcome, RawHeaders } from '../call/types.js'
 import { Cancellation } from '../clock/index.js'
@@ -25,6 +25,8 @@
   private readonly server: Server
   private readonly options: ListenerOptions
   private readonly active = InFlight.create()
+  /** Connections that have brought no request yet: Node does not count them as idle. */
+  private readonly silent = new Set<Socket>()
   private inFlight = 0
   private dropped = 0
   private closing = false
@@ -49,6 +51,7 @@
     this.server.on('checkExpectation', (request, response) => { this.refuseExpectation(request, response) })
     this.server.on('connect', (_request, socket) => { this.refuseConnect(socket) })
     this.server.on('clientError', (error: NodeJS.ErrnoException, socket) => { this.handleBrokenInput(error, socket) })
+    this.server.on('connection', socket => { this.watchSilent(socket) })
     this.server.on('drop', () => { this.dropped++ })
   }
 
@@ -68,6 +71,7 @@
     this.closing = true
     const closed = new Promise<void>(resolve => { this.server.close(() => { resolve() }) })
     this.server.closeIdleConnections()
+    for (const socket of this.silent) if (socket.bytesRead === 0) socket.destroy()
     await closed
   }
 
@@ -87,8 +91,14 @@
     })
   }
 
+  private watchSilent (socket: Socket): void {
+    this.silent.add(socket)
+    socket.once('close', () => { this.silent.delete(socket) })
+  }
+
   private accept (request: IncomingMessage, response: ServerResponse, expectsContinue: boolean): void {
     this.inFlight++
+    this.silent.delete(request.socket)
     response.on('error', () => {})
     response.on('close', () => { this.closeIdle() })
     this.handle(request, response, expectsContinue)
--- a/packages/auburnturn/test/http/listener.test.ts
+++ b/packages/auburnturn/test/http/listener.test.ts
@@ -267,4 +267,12 @@
   await listening.close()
 })
 
+listeners('a connection that has brought no request does not keep the listener open', async () => {
+  const listening = await Listening.create(echo)
+  const silent = RawCaller.create(listening.port)
+  await sendRaw(listening.port, 'GET / HTTP/1.1\r\nhost: orders\r\nconnection: close\r\n\r\n')
+  await listening.close()
+  await waitFor(() => silent.closed)
+})
+
 listeners.run()
