Give messages between nodes up in the next turn, never within an HTTP/2 callback

Node's HTTP/2 client, while it reads a GOAWAY, ends streams and runs promise jobs; a relay that closes in one of these jobs aborts its messages, which resets a stream, and the send loop within the read copies its pending data for ever. One process took 8.8 GB. A daemon that leaves while a peer leaves could do the same. Change: every message's signal passes through abortLater, which aborts in the next turn of the event loop. Ruled out: the relay alone (other parts abort messages as well, so the change is where all of them are sent).

--- a/packages/auburnturn/src/core/control/clients.ts
+++ b/packages/auburnturn/src/core/control/clients.ts
@@ -4,6 +4,7 @@
 import { compressionGzip, createConnectTransport } from '@connectrpc/connect-node'
 import { Fault } from '../errors/index.js'
 import type { Part } from '../supervisor/types.js'
+import { abortLater } from './abort-later.js'
 import { answerMs, maxMessageBytes } from './constants.js'
 import { Session } from './session.js'
 import type { ControlTraffic } from './types.js'
@@ -78,7 +79,7 @@
       defaultTimeoutMs: answerMs,
       interceptors: [next => async request => {
         this.messages++
-        return await next(request)
+        return await next({ ...request, signal: abortLater(request.signal) })
       }]
     })
     return { session, transport }
