Share the fixed part of the retry budget among all nodes

Each node took the fixed allowance divided by the number of failure domains, so that 73 nodes could spend 24 times of it. It is divided by the number of VMs that the node knows now. Ruled out: the share by requests (0.6 of each node's own first attempts: within the bound when summed). Test: small-parts.test.ts, 3, 73 and 195 nodes whose targets all refuse; seen failing on the old share (2,872 repeats of 2,000 requests at 73 nodes).

--- a/packages/sidecar/src/core/forwarding/forwarder.ts
+++ b/packages/sidecar/src/core/forwarding/forwarder.ts
@@ -6,6 +6,7 @@
 import { notRun, WorkEstimate } from '../own-target/index.js'
 import type { Job, Outcome, OwnTarget } from '../own-target/index.js'
 import { RetryWindow } from '../retries/index.js'
+import type { RetryBudget } from '../retries/index.js'
 import { chooseTarget, priceOf, slowFactor, widenAbovePrice } from '../targets/index.js'
 import type { Candidate, Directory } from '../targets/index.js'
 import { hedgeFirstShare, maxImpatientOffers, maxOffers, unknownRetryMs } from './constants.js'
@@ -121,8 +122,8 @@
   private mayOffer (job: Job, route: Route, { arrivals }: Progress): boolean {
     if (arrivals === 0) return true
     if (arrivals >= route.maxAttempts) return false
-    const { clock, retryRatio, retryAllowance } = this.options
-    return this.budgetOf(job.service).take(clock.now(), retryRatio(), retryAllowance())
+    const { clock, retryBudget } = this.options
+    return this.budgetOf(job.service).take(clock.now(), retryBudget())
   }
 
   private isFinal (outcome: Outcome, job: Job, signal: CancelSignal): boolean {
@@ -187,8 +188,6 @@
   readonly failureDomain: string
   /** Called when the known targets of a service do not suffice. */
   readonly onShortage: (service: string) => void
-  /** Repeats allowed for each request of a service. */
-  readonly retryRatio: () => number
-  /** Repeats allowed to this node beside those, in each window. */
-  readonly retryAllowance: () => number
+  /** What all nodes together may repeat for each service. */
+  readonly retryBudget: () => RetryBudget
 }
--- a/packages/sidecar/src/core/retries/retry-window.ts
+++ b/packages/sidecar/src/core/retries/retry-window.ts
@@ -7,6 +7,16 @@
   repeats: number
 }
 
+/** What all nodes together may repeat in a window. */
+export interface RetryBudget {
+  /** Repeats for each request. */
+  readonly ratio: number
+  /** Repeats beside those, over all nodes. */
+  readonly allowance: number
+  /** Nodes that share it. */
+  readonly nodes: number
+}
+
 /**
  * The part of a retry budget that one node may spend on one service, without talking to the others:
  * a share of its own first attempts, and an equal part of the fixed allowance, over a sliding window.
@@ -25,17 +35,12 @@
     this.bucketAt(now).firsts++
   }
 
-  /**
-   * Takes one repeat from the budget, if it has one left.
-   *
-   * @param ratio repeats allowed for each request, over all nodes
-   * @param allowance repeats allowed beside those, for this node
-   */
-  take (now: number, ratio: number, allowance: number): boolean {
+  /** Takes one repeat from the budget, if this node's part of it has one left. */
+  take (now: number, { ratio, allowance, nodes }: RetryBudget): boolean {
     const current = this.bucketAt(now)
     const firsts = this.buckets.reduce((sum, bucket) => sum + bucket.firsts, 0)
     const repeats = this.buckets.reduce((sum, bucket) => sum + bucket.repeats, 0)
-    if (repeats + 1 > (firsts * ratio + allowance) * spendableShare) return false
+    if (repeats + 1 > (firsts * ratio + allowance / Math.max(1, nodes)) * spendableShare) return false
     current.repeats++
     return true
   }
--- a/packages/sidecar/src/core/targets/place-index.ts
+++ b/packages/sidecar/src/core/targets/place-index.ts
@@ -28,6 +28,10 @@
     return this.changes
   }
 
+  get size (): number {
+    return this.spots.size
+  }
+
   get addresses (): Iterable<string> {
     return this.spots.keys()
   }
--- a/packages/sidecar/src/core/targets/types.ts
+++ b/packages/sidecar/src/core/targets/types.ts
@@ -64,6 +64,8 @@
 export interface Places {
   /** Changes when a target of a service appears at an address, or disappears. */
   readonly version: number
+  /** VMs that are known. */
+  readonly size: number
   /** Addresses of all VMs that the list or their own nodes name. */
   readonly addresses: Iterable<string>
   /** Failure domains that have targets. */
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -18,6 +18,7 @@
 import { Announcer, ReadingDuty } from './core/readers/index.js'
 import { Audience, Datagrams, Reporter, Subscriber, sumId } from './core/reports/index.js'
 import type { Message, Receivers } from './core/reports/index.js'
+import type { RetryBudget } from './core/retries/index.js'
 import type { Settings } from './core/settings.js'
 import { Directory, Selection } from './core/targets/index.js'
 import type { TargetReport } from './core/targets/index.js'
@@ -86,8 +87,7 @@
       ip,
       failureDomain,
       onShortage: wanted => { if (this.selection.widen(wanted)) this.select() },
-      retryRatio: () => this.settings.bounds.retryRatio,
-      retryAllowance: () => this.settings.bounds.retryAllowance / Math.max(1, directory.index.domainCount)
+      retryBudget: () => this.describeRetryBudget()
     })
     this.ingress = Ingress.create({ clock, logger, metrics, protocol, configuration, forwarder, memory, service, isLeaving: () => this.leaving, isClosed: () => this.closed })
     this.store = Store.create({ address: settings.store, clock, memory, onCall: kind => { metrics.count('platform_reads_total', { kind }) } })
@@ -274,6 +274,11 @@
     this.announcer?.announce(this.duty.state)
   }
 
+  private describeRetryBudget (): RetryBudget {
+    const { retryRatio: ratio, retryAllowance: allowance } = this.settings.bounds
+    return { ratio, allowance, nodes: this.directory.index.size }
+  }
+
   private listOthers (): string[] {
     return [...this.directory.index.addresses].filter(ip => ip !== this.settings.ip)
   }
--- a/packages/sidecar/test/small-parts.test.ts
+++ b/packages/sidecar/test/small-parts.test.ts
@@ -3,6 +3,7 @@
 import { connect, Socket } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { ManualClock } from 'auburnturn/core/clock'
+import { Random } from 'auburnturn/core/random'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { stopListening, UnderWay } from '../src/core/listening/index.js'
@@ -54,7 +55,7 @@
       now += afterMs
       budget.countFirst(now)
       firsts.push(now)
-      for (let count = 0; count < wanted; count++) if (budget.take(now, 0.2, 5)) repeats.push(now)
+      for (let count = 0; count < wanted; count++) if (budget.take(now, { ratio: 0.2, allowance: 5, nodes: 1 })) repeats.push(now)
       const recent = (times: readonly number[]): number => times.filter(time => time > now - 10_000).length
       // The requests may be counted half a window earlier.
       assert.ok(recent(repeats) <= firsts.filter(time => time > now - 10_500).length * 0.2 + 5)
@@ -62,6 +63,25 @@
   }), { seed: 5 })
 })
 
+test('all targets of a service refuse: the nodes together stay within the budget, however many they are', () => {
+  for (const nodes of [3, 73, 195]) {
+    const windows = Array.from({ length: nodes }, () => RetryWindow.create())
+    const random = Random.create(nodes)
+    const allowance = 186
+    let firsts = 0
+    let repeats = 0
+    // Requests come unevenly, and each would be repeated three times.
+    for (let now = 0; now < 10_000; now += 5) {
+      const window = windows[Math.floor(random.fraction() ** 2 * nodes)] as RetryWindow
+      window.countFirst(now)
+      firsts++
+      for (let repeat = 0; repeat < 3; repeat++) if (window.take(now, { ratio: 0.2, allowance, nodes })) repeats++
+    }
+    assert.ok(repeats <= firsts * 0.2 + allowance, `${repeats} of ${firsts}, ${nodes} nodes`)
+    assert.ok(repeats >= firsts * 0.05, `${repeats} of ${firsts}, ${nodes} nodes`)
+  }
+})
+
 test('log lines over the rate are left out, and counted', async () => {
   const clock = ManualClock.create()
   let text = ''
