Do not tell a ticketed call 'not run' because its body did not arrive

Only the ticket's target may say 'not run'. Change: where a body breaks off or is too long, a ticketed call is told 'may have run' (ticket-lost). Ruled out: the ledger (it was not asked). Test: listener.test.ts, seen failing before the change. Measured: the run itself was not brought about again; the test shows the refusal.

--- a/packages/auburnturn/src/core/http/listener.ts
+++ b/packages/auburnturn/src/core/http/listener.ts
@@ -132,13 +132,13 @@
     const { clock, serve } = this.options
     const { maxBytes, replayBytes } = call.profile.body
     if (body.announcedBytes !== undefined && body.announcedBytes > maxBytes) {
-      this.refuseHead(request, response, { kind: 'refused', cause: 'body-too-large', detail: `The longest body is ${maxBytes} bytes.` })
+      this.refuseBody(call, request, response, { kind: 'refused', cause: 'body-too-large', detail: `The longest body is ${maxBytes} bytes.` })
       return
     }
     const short = body.announcedBytes !== undefined && body.announcedBytes <= replayBytes
     if (short && !body.empty && !expectsContinue) await body.collect(call.deadline - clock.now())
     if (body.fault !== undefined) {
-      this.refuseHead(request, response, { kind: 'refused', cause: body.fault, detail: 'The request body did not arrive whole.' })
+      this.refuseBody(call, request, response, { kind: 'refused', cause: body.fault, detail: 'The request body did not arrive whole.' })
       return
     }
     const answer = ResponseAnswer.create(response, { clock, idleMs: call.profile.timeouts.callerIdleMs, headers: () => this.answerHeaders() })
@@ -171,6 +171,12 @@
     this.writeProblem(request, response, problem)
   }
 
+  /** An earlier sending with the same ticket may have run: only the ticket's target can say that it has not. */
+  private refuseBody (call: Call, request: IncomingMessage, response: ServerResponse, refusal: HeadRefusal): void {
+    if (call.ticket === undefined) this.refuseHead(request, response, refusal)
+    else this.writeProblem(request, response, createProblem(mayHaveRun('ticket-lost'), { detail: refusal.detail }))
+  }
+
   private refuseExpectation (request: IncomingMessage, response: ServerResponse): void {
     this.inFlight++
     this.refuseHead(request, response, { kind: 'refused', cause: 'bad-request', status: 417, detail: 'The only expectation that is met is 100-continue.' })
--- a/packages/auburnturn/test/http/listener.test.ts
+++ b/packages/auburnturn/test/http/listener.test.ts
@@ -267,6 +267,19 @@
   await listening.close()
 })
 
+listeners('a body that does not arrive is no proof that a ticketed call has not run: an earlier sending may have', async () => {
+  const head = 'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 8\r\n\r\n'
+  for (const [ticket, verdict] of [['ticket', 'may-have-run'], [undefined, 'not-run']] as const) {
+    const listening = await Listening.create(echo, {}, ticket)
+    const caller = RawCaller.create(listening.port).write(`${head}half`)
+    await waitFor(() => listening.calls.length === 1)
+    await listening.clock.advance(60_000)
+    assert.match(await caller.read(text => text.includes('\r\n\r\n')), `auburnturn-verdict: ${verdict}`)
+    caller.close()
+    await listening.close()
+  }
+})
+
 listeners('a connection that has brought no request does not keep the listener open', async () => {
   const listening = await Listening.create(echo)
   const silent = RawCaller.create(listening.port)
