--- a/packages/sidecar/src/core/readers/reading-duty.ts
+++ b/packages/sidecar/src/core/readers/reading-duty.ts
@@ -13,8 +13,9 @@
 
 /**
  * Decides whether this node reads the store for all. Nobody elects anybody: a node that hears too few readers
- * becomes one after a while, the sooner the lower its address in its failure domain; of too many, those stop that share a failure domain
- * with another one, then those with the highest addresses. Nodes that hear no others thus read for themselves.
+ * becomes one after a while, the sooner the lower its address in its failure domain. Of too many, those stop that
+ * share a failure domain with another one, then those with the highest addresses. Nodes that hear no others thus
+ * read for themselves.
  */
 export class ReadingDuty {
   private readonly options: ReadingDutyOptions
@@ -110,7 +111,10 @@
     this.become('trying')
   }
 
-  /** How long this node leaves it to others to begin, in milliseconds: to neighbours with lower addresses, and to failure domains without a reader. */
+  /**
+   * How long this node leaves it to others to begin, in milliseconds: to neighbours with lower addresses, and to
+   * failure domains without a reader.
+   */
   private turnMs (now: number): number {
     const { ip, failureDomain, neighbours } = this.options
     const before = neighbours().filter(other => other < ip).length
