--- a/packages/sidecar/src/core/following/constants.ts
+++ b/packages/sidecar/src/core/following/constants.ts
@@ -10,7 +10,7 @@
 /** Pause before the next watch, in milliseconds, so that changes in quick succession come as one call. */
 export const gatherMs = 900
 
-/** How often a node that hears no readers and is none lists anew, in milliseconds: a cheap list costs a tenth of a watch. */
+/** How often a node that hears no readers, and that nobody knows of yet, lists anew, in milliseconds: a cheap list costs a tenth of a watch. */
 export const relistMs = 700
 
 /** Pause after the first failure, in milliseconds; it grows with each. */
--- a/packages/sidecar/src/core/following/follower.ts
+++ b/packages/sidecar/src/core/following/follower.ts
@@ -79,7 +79,7 @@
   /** Whether nobody tells this node of changes, so that it has to look for itself now and then. */
   private isRelistDue (): boolean {
     const { clock, duty } = this.options
-    return duty.missesReaders && clock.now() - this.listedAt >= relistMs
+    return duty.waitsToBeKnown && clock.now() - this.listedAt >= relistMs
   }
 
   /** Applies an answer; the pause to make after it, in milliseconds. */
--- a/packages/sidecar/src/core/readers/reading-duty.ts
+++ b/packages/sidecar/src/core/readers/reading-duty.ts
@@ -58,9 +58,10 @@
     this.become(answered ? 'reading' : 'failing')
   }
 
-  /** Whether too few others read, and this node does not either. */
-  get missesReaders (): boolean {
-    return this.missed !== undefined
+  /** Whether too few others read, and this node leaves it to them since nobody can know of it yet. */
+  get waitsToBeKnown (): boolean {
+    const { clock, isKnown } = this.options
+    return this.missed !== undefined && !isKnown() && clock.now() - this.createdAt < knownWithinMs
   }
 
   /** Whether another node of this failure domain reads. */
@@ -106,7 +107,7 @@
     this.missed ??= { at: now, share: (1 + random.fraction()) / 2 }
     if (now - this.missed.at < this.turnMs(now) * this.missed.share) return
     // What this node would tell, nobody would ask it for.
-    if (!this.options.isKnown() && now - this.createdAt < knownWithinMs) return
+    if (this.waitsToBeKnown) return
     logger.info('reading-started', { readers: this.readers.size })
     this.become('trying')
   }
--- a/packages/sidecar/test/following.test.ts
+++ b/packages/sidecar/test/following.test.ts
@@ -107,6 +107,14 @@
   assert.ok(calls.some(call => call.startsWith('watch')))
 })
 
+test('readers fall silent: a node that is known watches in their place, and does not list again', async () => {
+  const { clock, calls, follower, duty } = createScene([listedAt7], { alone: true })
+  for (const domain of ['a', 'b', 'c']) duty.hear(`10.0.0.1${domain}`, 'reading', domain)
+  await clock.advance(2_000)
+  follower.close()
+  assert.equal(calls, ['list', 'apply 0 whole', 'duty trying', 'watch 7'])
+})
+
 test('a cheap list that is older than what is known changes nothing', async () => {
   const { clock, calls, follower } = createScene([listedAt7, { kind: 'changes', changes: [createTarget('gone since')], revision: 5 }], { known: false })
   await clock.advance(1_200)
