Pack what nodes tell each other of the store

A datagram held six changes of the list as text; a release changes more in a second, so that the notice was left out and each of 194 nodes fetched the whole list, some 40 KB of JSON, from a reader, at each batch. Change: changes, state and configuration go packed (deflate): some 30 changes fit in a datagram; the bound of 32 KiB on a configuration that nodes tell counts packed bytes, so that fewer are read from the store. Unpacked length is bounded. Ruled out: several datagrams a notice (three readers send each to all nodes: more bytes). Tests: readers.test.ts: 28 changes in one datagram (before: none over six), a datagram that unpacks without end; what does not fit now takes names that don't pack; path.test.ts: 300 routes that pack are told by nodes (new), and 300 that don't are read once by each, as before.

--- a/packages/sidecar/src/core/forwarding/constants.ts
+++ b/packages/sidecar/src/core/forwarding/constants.ts
@@ -34,7 +34,7 @@
 /** Where a node tells others its configuration only. */
 export const configurationPath = '/auburnturn/configuration'
 
-/** Longest configuration that a node tells, in bytes: the links of all others together carry more than its own. */
+/** Longest configuration that a node tells, packed, in bytes: the links of all others together carry more than its own. */
 export const maxToldBytes = 32 * 1024
 
 /** Longest time to read both from another node, in milliseconds. */
@@ -42,3 +42,6 @@
 
 /** Longest time to read the configuration only, in milliseconds: the store has it as well, and time is short. */
 export const configurationMs = 300
+
+/** Longest text that what another node told is unpacked to, in bytes. */
+export const maxUnpackedBytes = 16 * 1024 * 1024
--- a/packages/sidecar/src/core/forwarding/peer-server.ts
+++ b/packages/sidecar/src/core/forwarding/peer-server.ts
@@ -9,6 +9,7 @@
 import { configurationPath, maxToldBytes, statePath, unknownRetryMs } from './constants.js'
 import { parseHop } from './hop-header.js'
 import { formatOutcome } from './outcome-headers.js'
+import { pack } from './packing.js'
 import { readBody } from './request-body.js'
 import { respond, statusOf } from './respond.js'
 import type { Protocol } from './types.js'
@@ -48,17 +49,20 @@
   else respond(response, statusOf(outcome), formatOutcome(outcome), Buffer.alloc(0))
 }
 
+/** What another node is told goes packed. */
+const packedHeaders = ['content-type', 'application/octet-stream']
+
 function respondState (response: ServerResponse, state: SharedState | undefined): void {
   if (state === undefined) respond(response, 503, [], Buffer.alloc(0))
-  else respond(response, 200, ['content-type', 'application/json'], Buffer.from(JSON.stringify(state)))
+  else respond(response, 200, packedHeaders, pack(state))
 }
 
 /** A configuration that is too long is answered without a body: the store gives it to many at once. */
 function respondConfiguration (response: ServerResponse, configuration: Configuration | undefined): void {
   if (configuration === undefined) return respond(response, 503, [], Buffer.alloc(0))
-  const body = Buffer.from(JSON.stringify(configuration))
+  const body = pack(configuration)
   if (body.length > maxToldBytes) respond(response, 204, [], Buffer.alloc(0))
-  else respond(response, 200, ['content-type', 'application/json'], body)
+  else respond(response, 200, packedHeaders, body)
 }
 
 /** What a request from another node is served with. */
--- a/packages/sidecar/src/core/forwarding/peers.ts
+++ b/packages/sidecar/src/core/forwarding/peers.ts
@@ -9,6 +9,7 @@
 import { configurationMs, configurationPath, maxPeerConnections, peerConnectMs, stateMs, statePath } from './constants.js'
 import { formatHop, hopHeader } from './hop-header.js'
 import { parseOutcome } from './outcome-headers.js'
+import { unpack } from './packing.js'
 import type { Protocol } from './types.js'
 
 /** Connections to the other nodes, and requests sent over them. */
@@ -52,7 +53,7 @@
   /** Asks the node at an address for its configuration and targets. */
   async readState (ip: string): Promise<SharedState | undefined> {
     const reply = await this.get(ip, statePath, stateMs)
-    return reply.kind === 'answer' && reply.status === 200 ? JSON.parse(reply.body.toString()) as SharedState : undefined
+    return reply.kind === 'answer' && reply.status === 200 ? unpack(reply.body) as SharedState : undefined
   }
 
   /** Asks the node at an address for its configuration; it does not tell a long one. */
@@ -60,7 +61,7 @@
     const reply = await this.get(ip, configurationPath, configurationMs)
     if (reply.kind !== 'answer') return undefined
     if (reply.status === 204) return 'long'
-    return reply.status === 200 ? JSON.parse(reply.body.toString()) as Configuration : undefined
+    return reply.status === 200 ? unpack(reply.body) as Configuration : undefined
   }
 
   close (): void {
--- a/packages/sidecar/src/core/readers/codec.ts
+++ b/packages/sidecar/src/core/readers/codec.ts
@@ -1,3 +1,4 @@
+import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import type { ChangesNotice, ReaderNotice, ReaderState } from './types.js'
 
 /** First byte of each datagram; the numbers before these are reports. */
@@ -9,6 +10,9 @@
 /** Longest datagram that is sent whole over every link, in bytes. */
 const maxBytes = 1_400
 
+/** Longest text that a datagram is unpacked to, in bytes. */
+const maxInflatedBytes = 256 * 1024
+
 /** Packs a notice: state, revision, version, then the failure domain. */
 export function encodeReader ({ state, failureDomain, revision, configurationVersion }: ReaderNotice): Buffer {
   const head = Buffer.alloc(readerBytes)
@@ -27,9 +31,9 @@
   return { kind: 'reader', state, failureDomain: bytes.toString('latin1', readerBytes), revision: bytes.readUIntLE(2, 6), configurationVersion: bytes.readUIntLE(8, 6) }
 }
 
-/** Packs changes as JSON; undefined when they are too many for one datagram: then the others ask for the whole list. */
+/** Packs changes as compressed JSON; undefined when they are too many for one datagram: then the others ask for the whole list. */
 export function encodeChanges ({ from, to, changes }: ChangesNotice): Buffer | undefined {
-  const bytes = Buffer.concat([Buffer.from([layouts.changes]), Buffer.from(JSON.stringify({ from, to, changes }))])
+  const bytes = Buffer.concat([Buffer.from([layouts.changes]), deflateRawSync(JSON.stringify({ from, to, changes }))])
   return bytes.length <= maxBytes ? bytes : undefined
 }
 
@@ -37,7 +41,8 @@
 export function decodeChanges (bytes: Buffer): ChangesNotice | undefined {
   if (bytes[0] !== layouts.changes) return undefined
   try {
-    const { from, to, changes } = JSON.parse(bytes.toString('utf8', 1)) as ChangesNotice
+    const text = inflateRawSync(bytes.subarray(1), { maxOutputLength: maxInflatedBytes }).toString()
+    const { from, to, changes } = JSON.parse(text) as ChangesNotice
     return Number.isFinite(from) && Number.isFinite(to) && Array.isArray(changes) ? { kind: 'changes', from, to, changes } : undefined
   } catch {
     // The receiver logs datagrams that can't be read.
--- a/packages/sidecar/test/path.test.ts
+++ b/packages/sidecar/test/path.test.ts
@@ -1,3 +1,4 @@
+import { Random } from 'auburnturn/core/random'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { World } from './fixtures/world.js'
@@ -207,20 +208,25 @@
     await learn(2, 'i-next')
     assert.is(world.store.callsOf.get('/api/kv-range'), 6 * 4)
     assert.is(world.store.callsOf.get('/api/kv-key'), undefined)
-    const extra = Array.from({ length: 300 }, (_, index) => ({
+    const random = Random.create(1)
+    const nameRoute = (length: number): string => Array.from({ length }, () => random.below(36).toString(36)).join('')
+    const createRoutes = (nameLength: number): unknown[] => Array.from({ length: 300 }, (_, index) => ({
       resource_type: 'routes',
       metadata: { name: `extra-${index}` },
-      spec: { host: 'shop.example', prefix: `/extra-${index}/`, route_type: 'idempotent', timeout_ms: 3_000, slo_latency_ms: 600, priority: 1, service: 'shop', max_attempts: 2 }
+      spec: { host: 'shop.example', prefix: `/extra-${index}${nameRoute(nameLength)}/`, route_type: 'idempotent', timeout_ms: 3_000, slo_latency_ms: 600, priority: 1, service: 'shop', max_attempts: 2 }
     }))
-    world.configure({ extra })
+    world.configure({ extra: createRoutes(8) })
     await world.until(() => world.nodes.every(node => node.version === 3))
+    assert.is(world.store.callsOf.get('/api/kv-key'), undefined, 'many routes pack well, and the nodes tell each other')
+    world.configure({ extra: createRoutes(300) })
+    await world.until(() => world.nodes.every(node => node.version === 4))
     const reads = world.store.callsOf.get('/api/kv-key') ?? 0
     assert.ok(reads >= 4 && reads <= 6, `a long one is read from the store once by each node that does not watch it: ${reads}`)
     const readers = world.nodes.filter(node => JSON.stringify(node.dump()).includes('"reads":"reading"'))
     assert.is(readers.length, 2)
     await readers[0]?.close()
     world.nodes.splice(world.nodes.indexOf(readers[0] as typeof readers[number]), 1)
-    await learn(4, 'i-third')
+    await learn(5, 'i-third')
   })
 })
 
--- a/packages/sidecar/test/readers.test.ts
+++ b/packages/sidecar/test/readers.test.ts
@@ -1,4 +1,5 @@
 import fc from 'fast-check'
+import { deflateRawSync } from 'node:zlib'
 import { ManualClock } from 'auburnturn/core/clock'
 import { Logger } from 'auburnturn/core/logger'
 import { Random } from 'auburnturn/core/random'
@@ -222,6 +223,22 @@
   }), { seed: 7 })
 })
 
+test('large fleet: what a release changes in a second fits in one datagram', () => {
+  const random = Random.create(3)
+  const name = (): string => Math.floor(random.fraction() * 2 ** 40).toString(16).padStart(10, '0')
+  const changes = Array.from({ length: 14 }, (_, index) => [
+    { kind: 'target' as const, target: { id: `i-${name()}`, service: 'svc1a', address: `10.${index % 5}.0.${30 + index}:8101`, ip: `10.${index % 5}.0.${30 + index}`, failureDomain: `zone-${index % 5}`, slots: 11, state: 'ready' as const, coldMs: 3_000 } },
+    { kind: 'gone' as const, id: `i-${name()}` }
+  ]).flat()
+  const notice = { kind: 'changes' as const, from: 100, to: 128, changes }
+  assert.equal(decodeChanges(encodeChanges(notice) ?? Buffer.alloc(0)), notice)
+})
+
+test('a datagram that unpacks to more than any notice is none', () => {
+  const bomb = Buffer.concat([Buffer.from([5]), deflateRawSync(Buffer.alloc(1024 * 1024, ' '))])
+  assert.is(decodeChanges(bomb), undefined)
+})
+
 test('a store that has nothing new to say counts as answering all the while', async () => {
   const clock = ManualClock.create()
   const marks: number[] = []
@@ -248,7 +265,9 @@
   duty.update()
   duty.record(true)
   const announcer = Announcer.create({ clock, duty, failureDomain: 'a', configurationVersion: () => 4, others: () => ['10.0.0.2'], send: bytes => { sent.push(bytes) }, onReading: () => {} })
-  announcer.share(1, 50, Array.from({ length: 200 }, (_, index) => ({ kind: 'gone' as const, id: `target-${index}` })))
+  const random = Random.create(5)
+  // Names that don't pack well.
+  announcer.share(1, 50, Array.from({ length: 200 }, () => ({ kind: 'gone' as const, id: `target-${random.fraction()}` })))
   announcer.close()
   assert.equal(sent.map(bytes => decodeReader(bytes)), [{ kind: 'reader', state: 'reading', failureDomain: 'a', revision: 50, configurationVersion: 4 }])
 })
