Send requests between nodes as frames in place of HTTP

A profile of a node shows Node's HTTP client, parser and streams before our own code, and each request passes four HTTP ends. Change: core/peer-calls carries a call and its answer as one frame each on kept TCP connections, one call at a time; end-to-end headers are filtered once, by the node that takes the request or the answer. State and configuration stay on HTTP.

--- a/packages/sidecar/src/core/exchange/types.ts
+++ b/packages/sidecar/src/core/exchange/types.ts
@@ -38,3 +38,6 @@
   /** Whether an answer head belongs to the request; if not, the connection is closed. */
   readonly matchesRequest?: ((status: number, headers: Headers) => boolean) | undefined
 }
+
+/** Sends one request and receives its whole answer. Never rejects. */
+export type Exchange = (options: ExchangeOptions) => Promise<ExchangeResult>
--- a/packages/sidecar/src/core/forwarding/constants.ts
+++ b/packages/sidecar/src/core/forwarding/constants.ts
@@ -1,9 +1,12 @@
 /** Maximum time to open a new connection to another node, in milliseconds. */
 export const peerConnectTimeoutMs = 300
 
-/** Maximum number of connections to one other node. */
+/** Maximum number of connections for requests to one other node. */
 export const maxPeerConnections = 256
 
+/** Maximum number of connections to one other node for reading its state. */
+export const maxStateConnections = 4
+
 /** Maximum number of targets on which one request is attempted, including those whose nodes refuse it. */
 export const maxTargetAttempts = 4
 
--- a/packages/sidecar/src/core/forwarding/forwarder.ts
+++ b/packages/sidecar/src/core/forwarding/forwarder.ts
@@ -11,7 +11,7 @@
 import type { Candidate, Directory } from '../targets/index.js'
 import { initialWorkShare, maxNonWaitingAttempts, maxTargetAttempts, defaultRetryAfterMs } from './constants.js'
 import { awaitHedgeTarget, createLinkedCancellation, awaitFirstSuccess, computeFirstCheckAt, shouldHedge } from './hedge.js'
-import type { Peers } from './peers.js'
+import type { RequestSender } from './types.js'
 
 /** State of one request across its attempts. */
 interface Progress {
@@ -193,7 +193,7 @@
   readonly metrics: Metrics
   readonly directory: Directory
   readonly ownTarget: OwnTarget
-  readonly peers: Peers
+  readonly peers: RequestSender
   /** IP address of this VM. */
   readonly ip: string
   /** Failure domain of this VM. */
--- a/packages/sidecar/src/core/forwarding/ingress.ts
+++ b/packages/sidecar/src/core/forwarding/ingress.ts
@@ -9,7 +9,7 @@
 import type { Job, Outcome } from '../own-target/index.js'
 import { maxRetryAfterShare, defaultRetryAfterMs } from './constants.js'
 import type { Forwarder } from './forwarder.js'
-import { formatRetryAfter } from './outcome-headers.js'
+import { formatRetryAfter } from './retry-after.js'
 import { readBody } from './request-body.js'
 import { respond, chooseStatus } from './respond.js'
 import type { Protocol, RequestHead } from './types.js'
@@ -63,13 +63,13 @@
   }
 
   private createJob (request: IncomingMessage, head: RequestHead, route: Route, arrivedAt: number, body: Buffer): Job {
-    const { configuration, service } = this.options
+    const { configuration, protocol, service } = this.options
     const callerTimeoutMs = head.timeoutMs ?? route.timeoutMs
     return {
       id: head.id,
       method: request.method ?? 'GET',
       path: request.url ?? '/',
-      headers: request.rawHeaders,
+      headers: protocol.filterRequest(request.rawHeaders),
       body,
       route: route.name,
       service: configuration.pickService(route),
@@ -99,13 +99,13 @@
   }
 
   private finish (response: ServerResponse, head: RequestHead, job: Job | undefined, arrivedAt: number, outcome: Outcome): void {
-    const { clock, logger, metrics, protocol, isLeaving, configuration } = this.options
+    const { clock, logger, metrics, isLeaving, configuration } = this.options
     const now = clock.now()
     if (isLeaving()) response.shouldKeepAlive = false
     metrics.recordDuration('call_seconds', now - arrivedAt)
     if (outcome.kind === 'answer') {
       metrics.count('calls_total', { verdict: 'done', cause: outcome.status < 500 ? 'none' : 'failed-at-target' })
-      return respond(response, outcome.status, protocol.writeAnswer(outcome.headers), outcome.body)
+      return respond(response, outcome.status, outcome.headers, outcome.body)
     }
     metrics.count('calls_total', { verdict: outcome.kind, cause: outcome.cause })
     const status = chooseStatus(outcome)
--- a/packages/sidecar/src/core/forwarding/peers.ts
+++ b/packages/sidecar/src/core/forwarding/peers.ts
@@ -3,19 +3,20 @@
 import type { BodyMemory, ExchangeResult } from '../exchange/index.js'
 import { mayHaveRun, notRun } from '../own-target/index.js'
 import type { Job, Outcome } from '../own-target/index.js'
+import { callPeer, PeerConnectionPool } from '../peer-calls/index.js'
+import type { PeerCallResult } from '../peer-calls/index.js'
 import type { Candidate } from '../targets/index.js'
 import type { Configuration } from '../configuration/index.js'
 import type { SharedState } from '../following/index.js'
-import { configurationTimeoutMs, configurationPath, maxPeerConnections, peerConnectTimeoutMs, stateTimeoutMs, statePath } from './constants.js'
-import { formatHop, hopHeader } from './hop-header.js'
-import { parseOutcome } from './outcome-headers.js'
+import { configurationTimeoutMs, configurationPath, maxPeerConnections, maxStateConnections, peerConnectTimeoutMs, stateTimeoutMs, statePath } from './constants.js'
+import { formatRequest, parseOutcome } from './hop-message.js'
 import { decompressJson } from './compression.js'
-import type { Protocol } from './types.js'
 
 /** Sends requests to other nodes, with one connection pool for each. */
 export class Peers {
   private readonly options: PeersOptions
-  private readonly pools = new Map<string, ConnectionPool>()
+  private readonly callPools = new Map<string, PeerConnectionPool>()
+  private readonly statePools = new Map<string, ConnectionPool>()
 
   private constructor (options: PeersOptions) {
     this.options = options
@@ -27,24 +28,12 @@
 
   /** Sends a request to the node on the VM of a target. */
   async send (job: Job, target: Candidate, signal: CancelSignal): Promise<Outcome> {
-    const { clock, protocol } = this.options
-    const timeoutMs = job.deadlineAt - clock.now()
+    const { clock, memory } = this.options
+    const now = clock.now()
+    const timeoutMs = job.deadlineAt - now
     if (timeoutMs <= 0) return notRun('expired')
-    const headers = protocol.writeRequest(job.headers, { id: job.id, timeoutMs, caller: job.caller, target: target.id })
-    headers.push(hopHeader, formatHop({ ...job, objectiveRemainingMs: job.objectiveAt - clock.now() }))
-    const connections = this.getPool(target.ip)
-    const result = await exchange({
-      connections,
-      clock,
-      method: job.method,
-      path: job.path,
-      headers,
-      body: job.body,
-      connectMs: peerConnectTimeoutMs,
-      timeoutMs,
-      signal,
-      matchesRequest: (status, answerHeaders) => parseOutcome(answerHeaders) !== undefined || protocol.readAnswer(status, answerHeaders).id === job.id
-    })
+    const connections = this.getCallPool(target.ip)
+    const result = await callPeer(connections, { frame: formatRequest(job, target.id, now), clock, memory, connectMs: peerConnectTimeoutMs, timeoutMs, signal })
     // The idle connections may have become unresponsive together with this one.
     if (result.kind === 'lost' && result.cause === 'timeout') connections.closeIdle()
     return toOutcome(result)
@@ -65,36 +54,47 @@
   }
 
   close (): void {
-    for (const pool of this.pools.values()) pool.close()
+    for (const pool of this.callPools.values()) pool.close()
+    for (const pool of this.statePools.values()) pool.close()
   }
 
   private async get (ip: string, path: string, timeoutMs: number): Promise<ExchangeResult> {
     const { clock } = this.options
-    return await exchange({ connections: this.getPool(ip), clock, method: 'GET', path, headers: ['host', ip], body: Buffer.alloc(0), connectMs: peerConnectTimeoutMs, timeoutMs })
+    return await exchange({ connections: this.getStatePool(ip), clock, method: 'GET', path, headers: ['host', ip], body: Buffer.alloc(0), connectMs: peerConnectTimeoutMs, timeoutMs })
   }
 
-  private getPool (ip: string): ConnectionPool {
-    const existing = this.pools.get(ip)
+  private getCallPool (ip: string): PeerConnectionPool {
+    const existing = this.callPools.get(ip)
     if (existing !== undefined) return existing
-    const created = ConnectionPool.create({ address: `${ip}:${this.options.port}`, limit: maxPeerConnections, clock: this.options.clock, memory: this.options.memory })
-    this.pools.set(ip, created)
+    const created = PeerConnectionPool.create({ host: ip, port: this.options.callPort, limit: maxPeerConnections })
+    this.callPools.set(ip, created)
+    return created
+  }
+
+  private getStatePool (ip: string): ConnectionPool {
+    const { statePort, clock, memory } = this.options
+    const existing = this.statePools.get(ip)
+    if (existing !== undefined) return existing
+    const created = ConnectionPool.create({ address: `${ip}:${statePort}`, limit: maxStateConnections, clock, memory })
+    this.statePools.set(ip, created)
     return created
   }
 }
 
-function toOutcome (result: ExchangeResult): Outcome {
+function toOutcome (result: PeerCallResult): Outcome {
   switch (result.kind) {
     case 'unsent': return result.cause === 'left' ? notRun('left') : notRun('unreachable')
     case 'lost': return mayHaveRun(result.cause)
-    case 'answer': return parseOutcome(result.headers) ?? { kind: 'answer', status: result.status, headers: result.headers, body: result.body }
+    case 'answer': return parseOutcome(result.frame)
   }
 }
 
 interface PeersOptions {
-  /** Port on which every node serves the other nodes. */
-  readonly port: number
+  /** Port on which every node serves requests of other nodes. */
+  readonly callPort: number
+  /** Port on which every node serves its state to other nodes. */
+  readonly statePort: number
   readonly clock: Clock
   /** Limits the answer bodies that are being received, together with the other bodies of the process. */
   readonly memory: BodyMemory
-  readonly protocol: Protocol
 }
--- a/packages/sidecar/src/core/forwarding/types.ts
+++ b/packages/sidecar/src/core/forwarding/types.ts
@@ -1,4 +1,7 @@
+import type { CancelSignal } from 'auburnturn/core/clock'
 import type { Headers } from '../exchange/index.js'
+import type { Job, Outcome } from '../own-target/index.js'
+import type { Candidate } from '../targets/index.js'
 
 /** Fields of a request head that this system uses. */
 export interface RequestHead {
@@ -44,9 +47,16 @@
 /** Reads and writes the headers of requests and answers on the platform. */
 export interface Protocol {
   readRequest (headers: Headers): RequestHead
-  /** Creates the request headers for the next hop, without hop-by-hop headers. */
+  /** Returns the request headers to forward: without hop-by-hop headers and those that each node sets itself. */
+  filterRequest (headers: Headers): string[]
+  /** Adds the headers that a target expects to those that are forwarded. */
   writeRequest (headers: Headers, head: RequestHead): string[]
   readAnswer (status: number, headers: Headers): AnswerHead
-  /** Creates the answer headers for the previous hop, without hop-by-hop headers. */
-  writeAnswer (headers: Headers): string[]
+  /** Returns the answer headers for the caller: without hop-by-hop headers, the length and the load. */
+  filterAnswer (headers: Headers): string[]
+}
+
+/** Sends requests to the nodes on the VMs of targets. */
+export interface RequestSender {
+  send (job: Job, target: Candidate, signal: CancelSignal): Promise<Outcome>
 }
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -4,7 +4,7 @@
 import { Slots } from '../admission/index.js'
 import type { AdmissionDecision, SlotRequest } from '../admission/index.js'
 import { ConnectionPool, exchange } from '../exchange/index.js'
-import type { BodyMemory, ExchangeResult } from '../exchange/index.js'
+import type { BodyMemory, Exchange, ExchangeResult } from '../exchange/index.js'
 import type { AnswerHead, Protocol } from '../forwarding/types.js'
 import { FailureRate, usableSlotShare } from '../targets/index.js'
 import type { Directory, TargetReport, TargetState } from '../targets/index.js'
@@ -184,7 +184,7 @@
     const timeoutMs = job.deadlineAt - startedAt
     if (timeoutMs <= 0) return notRun('expired')
     if (!job.idempotent) this.connections.closeIdleLongerThan(maxNonIdempotentIdleMs)
-    const result = await exchange({
+    const result = await (this.options.exchange ?? exchange)({
       connections: this.connections,
       clock,
       method: job.method,
@@ -230,7 +230,7 @@
     if (head.notRun) return notRun('rejected', rejectedRetryAfterMs)
     if (head.encoded || (status < 300 && !head.sealed)) return mayHaveRun('invalid')
     if (notRunStatuses.has(status)) return mayHaveRun('unproven')
-    return { kind: 'answer', status, headers, body }
+    return { kind: 'answer', status, headers: this.options.protocol.filterAnswer(headers), body }
   }
 }
 
@@ -263,6 +263,8 @@
   readonly protocol: Protocol
   readonly directory: Directory
   readonly loadMonitor: LoadMonitor
+  /** Sends a request to the target; over HTTP by default. */
+  readonly exchange?: Exchange
   /** Called when a change may have to be reported to the other nodes. */
   readonly onChange: () => void
 }
--- a/packages/sidecar/src/core/own-target/prober.ts
+++ b/packages/sidecar/src/core/own-target/prober.ts
@@ -1,7 +1,7 @@
 import { Cancellation } from 'auburnturn/core/clock'
 import type { Clock } from 'auburnturn/core/clock'
 import { ConnectionPool, exchange } from '../exchange/index.js'
-import type { BodyMemory } from '../exchange/index.js'
+import type { BodyMemory, Exchange } from '../exchange/index.js'
 import type { Protocol } from '../forwarding/types.js'
 import { connectTimeoutMs, idleProbeIntervalMs, minProbeIntervalMs, probeTimeoutMs, refreshTimeoutMs, slowTargetProbeIntervalMs, unansweredProbesUntilDown, usableProbeShare } from './constants.js'
 import type { OwnTarget } from './own-target.js'
@@ -92,7 +92,7 @@
   private async probe (path: string): Promise<void> {
     const { clock, target, protocol, address } = this.options
     this.lastProbeAt = clock.now()
-    const result = await exchange({
+    const result = await (this.options.exchange ?? exchange)({
       connections: this.connections, clock, method: 'GET', path, headers: ['host', address], body: Buffer.alloc(0), connectMs: connectTimeoutMs, timeoutMs: probeTimeoutMs
     })
     if (result.kind === 'answer') {
@@ -114,6 +114,8 @@
   readonly memory: BodyMemory
   readonly protocol: Protocol
   readonly target: OwnTarget
+  /** Sends a health check; over HTTP by default. */
+  readonly exchange?: Exchange
   /** Path of the health check; undefined until a configuration is available. */
   readonly healthPath: () => string | undefined
   /** Maximum number of health checks per second that the deployment allows. */
--- a/packages/sidecar/src/core/own-target/types.ts
+++ b/packages/sidecar/src/core/own-target/types.ts
@@ -7,7 +7,7 @@
   readonly method: string
   /** Path and query. */
   readonly path: string
-  /** Unchanged headers of the sender. */
+  /** Headers of the caller that are forwarded. */
   readonly headers: Headers
   readonly body: Buffer
   readonly route: string
--- /dev/null
+++ b/packages/sidecar/src/core/peer-calls/peer-call-server.ts
@@ -0,0 +1,93 @@
+import { createServer } from 'node:net'
+import type { Server, Socket } from 'node:net'
+import { Cancellation } from 'auburnturn/core/clock'
+import type { CancelSignal } from 'auburnturn/core/clock'
+import type { Logger } from 'auburnturn/core/logger'
+import type { BodyMemory } from '../exchange/index.js'
+import type { InFlightRequests } from '../listening/index.js'
+import { serverIdleTimeoutMs } from './constants.js'
+import { encodeFrame } from './frame.js'
+import { FrameReader } from './frame-reader.js'
+import type { Frame } from './types.js'
+
+/**
+ * Serves one call of another node. Resolves with the answer, or with undefined for a call that can't be understood, whose
+ * connection is then closed. The signal is aborted when the calling node closes the connection.
+ */
+export type PeerCallHandler = (call: Frame, signal: CancelSignal) => Promise<Frame | undefined>
+
+/** Serves the calls of other nodes, one at a time on each connection. */
+export class PeerCallServer {
+  private readonly options: PeerCallServerOptions
+  private readonly server: Server
+  private readonly sockets = new Set<Socket>()
+
+  private constructor (options: PeerCallServerOptions) {
+    this.options = options
+    this.server = createServer({ noDelay: true }, socket => { this.accept(socket) })
+  }
+
+  /** Resolves when the server listens; rejects if it can't. */
+  static async create (options: PeerCallServerOptions): Promise<PeerCallServer> {
+    const created = new PeerCallServer(options)
+    await new Promise<void>((resolve, reject) => { created.server.once('error', reject).listen(options.port, options.ip, resolve) })
+    return created
+  }
+
+  async close (): Promise<void> {
+    this.server.close()
+    for (const socket of this.sockets) socket.destroy()
+  }
+
+  private accept (socket: Socket): void {
+    const { memory, maxBodyBytes } = this.options
+    let cancellation: Cancellation | undefined
+    const reader = FrameReader.create({ memory, maxBodyBytes, onEvict: () => { socket.destroy() } })
+    this.sockets.add(socket)
+    // Errors are followed by 'close'.
+    socket.on('error', () => {})
+    socket.setTimeout(serverIdleTimeoutMs, () => { if (cancellation === undefined) socket.destroy() })
+    socket.on('data', chunk => {
+      // The calling node sends the next call only after the answer to this one.
+      const call = cancellation === undefined ? reader.read(chunk) : 'invalid'
+      if (call === 'partial') return
+      if (call === 'invalid') {
+        socket.destroy()
+        return
+      }
+      cancellation = Cancellation.create()
+      this.track(this.serve(call, socket, cancellation).then(() => { cancellation = undefined }), socket)
+    })
+    socket.once('close', () => {
+      this.sockets.delete(socket)
+      reader.discard()
+      cancellation?.abort()
+    })
+  }
+
+  /** Counts a call as in flight; closes its connection if it rejects. */
+  private track (served: Promise<void>, socket: Socket): void {
+    const { inFlightRequests, logger } = this.options
+    inFlightRequests.track(served).catch((error: unknown) => {
+      logger.error('peer-call-failed', { error: error instanceof Error ? error.stack : String(error) })
+      socket.destroy()
+    })
+  }
+
+  private async serve (call: Frame, socket: Socket, signal: CancelSignal): Promise<void> {
+    const answer = await this.options.handle(call, signal)
+    if (answer === undefined) socket.destroy()
+    else if (!socket.destroyed) socket.write(encodeFrame(answer))
+  }
+}
+
+interface PeerCallServerOptions {
+  readonly ip: string
+  readonly port: number
+  readonly handle: PeerCallHandler
+  readonly memory: BodyMemory
+  /** Returns the maximum size of the body of a call, in bytes. */
+  readonly maxBodyBytes: () => number
+  readonly inFlightRequests: InFlightRequests
+  readonly logger: Logger
+}
--- /dev/null
+++ b/packages/sidecar/src/core/peer-calls/types.ts
@@ -0,0 +1,29 @@
+import type { CancelSignal, Clock } from 'auburnturn/core/clock'
+import type { BodyMemory, LossCause } from '../exchange/index.js'
+
+/** One message between two nodes: text fields, none of which contains a line feed, and the bytes of a body. */
+export interface Frame {
+  readonly fields: readonly string[]
+  readonly body: Buffer
+}
+
+/** Result of one call on one connection. */
+export type PeerCallResult =
+  | { readonly kind: 'answer', readonly frame: Frame }
+  /** No part of the call was written. */
+  | { readonly kind: 'unsent', readonly cause: 'connect-failed' | 'connect-timeout' | 'timeout' | 'left' }
+  /** The other node may have read the call. */
+  | { readonly kind: 'lost', readonly cause: LossCause }
+
+/** A call to another node, and how it is sent. */
+export interface PeerCallOptions {
+  readonly frame: Frame
+  readonly clock: Clock
+  readonly memory: BodyMemory
+  /** Maximum time to open a new connection, in milliseconds. */
+  readonly connectMs: number
+  /** Maximum time for the whole call, in milliseconds. */
+  readonly timeoutMs: number
+  /** Cancels the call; its connection is closed, by which the other node learns of it. */
+  readonly signal: CancelSignal
+}
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -9,12 +9,13 @@
 import { applyChanges, ConfigurationFetcher, watchDeliveryMs, crossDomainFetchJitterMs, Follower, fetchJitterMs } from './core/following/index.js'
 import type { Change, SharedState } from './core/following/index.js'
 import { BodyMemory } from './core/exchange/index.js'
-import { Forwarder, Ingress, peerIdleTimeoutMs, Peers, servePeer } from './core/forwarding/index.js'
+import { createRequestHandler, Forwarder, Ingress, peerIdleTimeoutMs, Peers, serveState } from './core/forwarding/index.js'
 import { parseHost, openServer, parsePort, stopListening, InFlightRequests } from './core/listening/index.js'
 import { MetricsServer } from './core/metrics/index.js'
 import { OwnTarget, Prober } from './core/own-target/index.js'
 import type { LoadMonitor } from './core/own-target/index.js'
 import { PauseDetector } from './core/pauses/index.js'
+import { PeerCallServer } from './core/peer-calls/index.js'
 import { Announcer, ReaderElection } from './core/readers/index.js'
 import { SubscriberList, DatagramTransport, Reporter, Subscriber, computeIdChecksum } from './core/reports/index.js'
 import type { Message, Subscribers } from './core/reports/index.js'
@@ -77,7 +78,7 @@
     const memory = BodyMemory.create({ maxBytes: settings.memoryMb * bytesPerMegabyte * bodyMemoryShare })
     this.memory = memory
     this.target = OwnTarget.create({ address: upstream, service, failureDomain, clock, memory, logger, metrics, protocol, directory, loadMonitor: this.createLoadMonitor(), onChange: () => { this.reporter?.reportChanges() } })
-    this.peers = Peers.create({ port: parsePort(listen.nodes), clock, memory, protocol })
+    this.peers = Peers.create({ callPort: settings.internalPorts[0], statePort: parsePort(listen.nodes), clock, memory })
     const forwarder = Forwarder.create({
       clock,
       random,
@@ -183,7 +184,8 @@
     const { supervisor, clock } = this
     const { listen } = this.settings
     await supervisor.add('callers', async () => await this.openCallerServer(listen.callers))
-    await supervisor.add('nodes', async () => await this.openPeerServer(listen.nodes))
+    await supervisor.add('peer-calls', async () => await this.openPeerCallServer(parseHost(listen.nodes)))
+    await supervisor.add('state', async () => await this.openStateServer(listen.nodes))
     await supervisor.add('reports', async () => await this.startReporting(parseHost(listen.nodes)))
     await supervisor.add('follower', async onFailure => this.startFollower(onFailure))
     await supervisor.add('prober', async onFailure => this.startProber(onFailure))
@@ -207,10 +209,24 @@
     return createServerPart(server)
   }
 
-  private async openPeerServer (address: string): Promise<Part> {
-    const { clock, logger, inFlightRequests, target, configuration, settings: { service } } = this
-    const serverOptions = { clock, protocol, target, service, maxBodyBytes: () => configuration.limits?.maxBodyBytes ?? Infinity, memory: this.memory, readState: () => this.readState() }
-    const server = await openServer({ address, inFlightRequests, logger, handle: async (request, response) => { await servePeer(request, response, serverOptions) } })
+  /** Opens the server for requests of other nodes. */
+  private async openPeerCallServer (ip: string): Promise<Part> {
+    const { clock, logger, inFlightRequests, memory, target, configuration, settings: { service, internalPorts } } = this
+    return await PeerCallServer.create({
+      ip,
+      port: internalPorts[0],
+      handle: createRequestHandler({ clock, target, service }),
+      memory,
+      maxBodyBytes: () => configuration.limits?.maxBodyBytes ?? Infinity,
+      inFlightRequests,
+      logger
+    })
+  }
+
+  /** Opens the server for the state of this node. */
+  private async openStateServer (address: string): Promise<Part> {
+    const { logger, inFlightRequests } = this
+    const server = await openServer({ address, inFlightRequests, logger, handle: async (request, response) => { await serveState(request, response, () => this.readState()) } })
     server.keepAliveTimeout = peerIdleTimeoutMs
     return createServerPart(server)
   }
--- a/packages/sidecar/src/platform/protocol.ts
+++ b/packages/sidecar/src/platform/protocol.ts
@@ -27,8 +27,11 @@
 /** Request headers that are not forwarded, since each node sets its own. */
 const replacedHeaders = new Set<string>([headerNames.timeoutMs, headerNames.expectedTarget, headerNames.callerService, 'content-length'])
 
+/** Answer headers that are not forwarded. */
+const unforwardedAnswerHeaders = new Set<string>(['content-length', headerNames.serverLoad])
+
 /** Reads and writes the headers of the platform. */
-export const protocol: Protocol = { readRequest, writeRequest, readAnswer, writeAnswer }
+export const protocol: Protocol = { readRequest, filterRequest, writeRequest, readAnswer, filterAnswer }
 
 function readRequest (headers: Headers): RequestHead {
   const timeoutMs = Number(findHeader(headers, headerNames.timeoutMs) ?? Number.NaN)
@@ -40,8 +43,12 @@
   }
 }
 
+function filterRequest (headers: Headers): string[] {
+  return dropHeaders(filterEndToEndHeaders(headers), replacedHeaders)
+}
+
 function writeRequest (headers: Headers, { timeoutMs, caller, target }: RequestHead): string[] {
-  const nextHeaders = filterEndToEndHeaders(headers).filter(createPairFilter(replacedHeaders))
+  const nextHeaders = [...headers]
   if (timeoutMs !== undefined) nextHeaders.push(headerNames.timeoutMs, String(Math.max(1, Math.floor(timeoutMs))))
   nextHeaders.push(headerNames.expectedTarget, target, headerNames.callerService, caller)
   return nextHeaders
@@ -59,14 +66,19 @@
   }
 }
 
-/** Filters the headers of an answer for the previous hop. The length is omitted since it is set from the received body. */
-function writeAnswer (headers: Headers): string[] {
-  return filterEndToEndHeaders(headers).filter(createPairFilter(new Set(['content-length', headerNames.serverLoad])))
+/** The length is omitted since it is set from the received body. */
+function filterAnswer (headers: Headers): string[] {
+  return dropHeaders(filterEndToEndHeaders(headers), unforwardedAnswerHeaders)
 }
 
-/** Creates a filter for alternating header names and values that removes the headers in `dropped` (lower case names). */
-function createPairFilter (dropped: ReadonlySet<string>): (text: string, index: number, pairs: readonly string[]) => boolean {
-  return (_text, index, pairs) => !dropped.has((pairs[index - index % 2] as string).toLowerCase())
+/** Removes the headers in `dropped` (lower case names) from alternating header names and values. */
+function dropHeaders (headers: Headers, dropped: ReadonlySet<string>): string[] {
+  const kept: string[] = []
+  for (let index = 0; index < headers.length; index += 2) {
+    const name = headers[index] as string
+    if (!dropped.has(name.toLowerCase())) kept.push(name, headers[index + 1] as string)
+  }
+  return kept
 }
 
 function parseLoad (text: string | undefined): TargetLoad | undefined {
--- a/packages/sidecar/test/platform.test.ts
+++ b/packages/sidecar/test/platform.test.ts
@@ -51,9 +51,9 @@
 })
 
 test('the headers for a target replace those that a caller may have forged', () => {
-  const headers = protocol.writeRequest(
-    ['Host', 'h', 'X-Caller-Service', 'forged', 'X-Expect-Instance', 'forged', 'X-Deadline-Ms', '9000', 'Connection', 'X-Odd', 'X-Odd', '1', 'X-Attempt-Id', 'a'],
-    { id: 'a', timeoutMs: 120.7, caller: 'shop', target: 'i-1' })
+  const forwarded = protocol.filterRequest(
+    ['Host', 'h', 'X-Caller-Service', 'forged', 'X-Expect-Instance', 'forged', 'X-Deadline-Ms', '9000', 'Connection', 'X-Odd', 'X-Odd', '1', 'X-Attempt-Id', 'a'])
+  const headers = protocol.writeRequest(forwarded, { id: 'a', timeoutMs: 120.7, caller: 'shop', target: 'i-1' })
   assert.equal(headers, ['Host', 'h', 'X-Attempt-Id', 'a', 'x-deadline-ms', '120', 'x-expect-instance', 'i-1', 'x-caller-service', 'shop'])
 })
 
