Announce a target that returns after another reader announced its removal

Cause: a reader leaves out entries that equal what it announced last. Readers pause between watches, and one that learned of a removal from another reader's notice, or from a full list, still held the old entry. The target's return then looked unchanged: it was left out, in a range of revisions that says it is whole, and the other nodes kept the target as removed. Ruled out: load and admission (the targets of the other service serve as usual), a lost datagram alone (all nodes were wrong). Change: what other readers announce is forgotten by the filter, and a full list empties it. Both tests failed before.

--- a/packages/sidecar/src/core/following/announcement-filter.ts
+++ b/packages/sidecar/src/core/following/announcement-filter.ts
@@ -34,6 +34,23 @@
     return { from, changes: announced }
   }
 
+  /**
+   * Discards what was announced of the targets in changes that this node learned from another reader: its own watch may skip them,
+   * and an entry that returns unchanged after them must be announced.
+   */
+  forget (changes: readonly Change[]): void {
+    for (const change of changes) {
+      if (change.kind === 'target') this.announced.delete(change.target.id)
+      if (change.kind === 'gone') this.announced.delete(change.id)
+      if (change.kind === 'unusable' && change.id !== undefined) this.announced.delete(change.id)
+    }
+  }
+
+  /** Discards all that was announced, because this node has the full list again and may have skipped any change before it. */
+  forgetAll (): void {
+    this.announced.clear()
+  }
+
   private needsAnnouncement (change: Change): boolean {
     switch (change.kind) {
       case 'target': {
--- a/packages/sidecar/src/core/following/follower.ts
+++ b/packages/sidecar/src/core/following/follower.ts
@@ -58,6 +58,7 @@
     if (this.revision === undefined || from > this.revision) return this.scheduleGapFill(ip, shortDelay, to)
     if (to <= this.revision) return
     this.revision = to
+    this.announcementFilter.forget(changes)
     this.options.apply(changes, false)
   }
 
@@ -111,6 +112,7 @@
     // A 'cheap' list may be older than the revision that this node already has.
     if (this.revision !== undefined && revision <= this.revision) return 0
     this.revision = revision
+    this.announcementFilter.forgetAll()
     this.options.apply(changes, true)
     this.options.onListed(revision)
     return 0
@@ -147,6 +149,7 @@
     logger.info('list-from-node', { from: ip, known, heard: revision, revision: state?.revision ?? 'none' })
     if (state?.revision === undefined || (this.revision !== undefined && state.revision <= this.revision)) return
     this.revision = state.revision
+    this.announcementFilter.forgetAll()
     apply([{ kind: 'configuration', configuration: state.configuration }, ...state.targets.map((target): Change => ({ kind: 'target', target }))], true)
   }
 
--- a/packages/sidecar/test/following.test.ts
+++ b/packages/sidecar/test/following.test.ts
@@ -169,6 +169,33 @@
   assert.is(follower.knownRevision, 12)
 })
 
+test('a target that returns after another reader has announced its removal is announced again', async () => {
+  const { clock, calls, follower } = createFixture([
+    listedAt7,
+    { kind: 'changes', changes: [createTarget('x')], revision: 9 },
+    { kind: 'changes', changes: [createTarget('x')], revision: 14 }
+  ])
+  await clock.advance(200)
+  // This reader pauses after its first changes; meanwhile another reader announces the removal.
+  follower.receiveChanges('10.0.0.1', true, { kind: 'changes', from: 9, to: 12, changes: [{ kind: 'gone', id: 'x' }] })
+  await clock.advance(5_000)
+  follower.close()
+  assert.equal(calls.filter(call => call.startsWith('announce')), ['announce 7-9: 1', 'announce 12-14: 1'])
+})
+
+test('a target that returns after the full list was read again is announced again', async () => {
+  const { clock, calls, follower } = createFixture([
+    listedAt7,
+    { kind: 'changes', changes: [createTarget('x')], revision: 9 },
+    { kind: 'forgotten' },
+    { kind: 'changes', changes: [], revision: 20 },
+    { kind: 'changes', changes: [createTarget('x')], revision: 22 }
+  ])
+  await clock.advance(5_000)
+  follower.close()
+  assert.equal(calls.filter(call => call.startsWith('announce')), ['announce 7-9: 1', 'announce 20-22: 1'])
+})
+
 test('a change only in how long a target stays slow is not announced, and leaves no gap in the revisions', () => {
   const filter = AnnouncementFilter.create()
   assert.equal(filter.select([createTarget('one')], 1, 3)?.from, 1)
