--- a/packages/bench/src/scene/scenes.ts
+++ b/packages/bench/src/scene/scenes.ts
@@ -32,9 +32,10 @@
   { ...shortLimits, name: 'back-short', disturbances: [{ fromMs: 3_000, toMs: 20_000, down: { service: 'back', count: 1 } }] }
 ]
 
-/** The same scene with all times longer or shorter by a factor, and as many fewer or more requests. */
+/** The same scene with all times longer or shorter by a factor, slow moments and hops included, and as many fewer or more requests. */
 export function scaleScene (scene: Scene, factor: number): Scene {
   const kinds = scene.kinds.map(kind => ({ ...kind, perSecond: kind.perSecond / factor, workMs: kind.workMs * factor, objectiveMs: kind.objectiveMs * factor, timeoutMs: kind.timeoutMs * factor }))
   const disturbances = scene.disturbances.map(disturbance => ({ ...disturbance, fromMs: disturbance.fromMs * factor, toMs: disturbance.toMs * factor }))
-  return { ...scene, name: `${scene.name} x${factor}`, kinds, disturbances, lengthMs: scene.lengthMs * factor }
+  const groups = scene.groups.map(group => ({ ...group, noise: { ...group.noise, everyMs: group.noise.everyMs * factor } }))
+  return { ...scene, name: `${scene.name} x${factor}`, kinds, groups, disturbances, lengthMs: scene.lengthMs * factor, hopMs: scene.hopMs * factor }
 }
