Ask callers that a target rejected to come back when a slot is free, not after 200 ms

Cause: targets that shed reject more than half of what they get while their slots are free. Change: Retry-After follows the forecast of the target's slots; the constant is gone.

--- a/packages/sidecar/src/core/admission/slots.ts
+++ b/packages/sidecar/src/core/admission/slots.ts
@@ -95,6 +95,12 @@
     for (const queued of this.queue.splice(0)) this.refuse(queued, 'expired')
   }
 
+  /** Expected milliseconds until a request that comes back finds a free slot, after all that are queued now. */
+  estimateRetryAfterMs (): number {
+    const queuedMs = this.queue.reduce((sum, { request }) => sum + request.workMs, 0)
+    return this.estimateWaitMs(queuedMs)
+  }
+
   /** Whether a request that arrives now finds a free slot and an empty queue. */
   private get hasFreeSlot (): boolean {
     return this.runningCount < this.slotLimit && this.queue.length === 0
@@ -223,8 +229,7 @@
   }
 
   private createRefusal (cause: RefusalCause): AdmissionDecision {
-    const queuedMs = this.queue.reduce((sum, { request }) => sum + request.workMs, 0)
-    return { kind: 'refused', cause, retryAfterMs: Math.max(minRetryAfterMs, Math.round(this.estimateWaitMs(queuedMs))) }
+    return { kind: 'refused', cause, retryAfterMs: Math.max(minRetryAfterMs, Math.round(this.estimateRetryAfterMs())) }
   }
 }
 
--- a/packages/sidecar/src/core/own-target/constants.ts
+++ b/packages/sidecar/src/core/own-target/constants.ts
@@ -52,9 +52,6 @@
 /** Number of slots assumed for a target that has neither reported nor listed them. */
 export const defaultSlots = 8
 
-/** Retry delay after a target has rejected a request because it was full, in milliseconds: about when a slot becomes free. */
-export const rejectedRetryAfterMs = 200
-
 /** Expected length of a slow period before one was observed, in milliseconds. */
 export const initialSlowPeriodMs = 400
 
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -8,7 +8,7 @@
 import type { AnswerHead, Protocol } from '../forwarding/types.js'
 import { FailureRate, usableSlotShare } from '../targets/index.js'
 import type { Directory, TargetReport, TargetState } from '../targets/index.js'
-import { connectTimeoutMs, defaultSlots, freshDurationMs, initialWorkShare, maxConnections, maxLoadAgeMs, maxNonIdempotentIdleMs, rejectedRetryAfterMs, unhealthyFailureShare } from './constants.js'
+import { connectTimeoutMs, defaultSlots, freshDurationMs, initialWorkShare, maxConnections, maxLoadAgeMs, maxNonIdempotentIdleMs, unhealthyFailureShare } from './constants.js'
 import { SpeedEstimate } from './speed-estimate.js'
 import { mayHaveRun, notRun } from './types.js'
 import type { Job, Outcome } from './types.js'
@@ -227,7 +227,7 @@
     const { status, headers, body } = result
     const head = this.options.protocol.readAnswer(status, headers)
     this.updateFromAnswer(head)
-    if (head.notRun) return notRun('rejected', rejectedRetryAfterMs)
+    if (head.notRun) return notRun('rejected', this.slots.estimateRetryAfterMs())
     if (head.encoded || (status < 300 && !head.sealed)) return mayHaveRun('invalid')
     if (notRunStatuses.has(status)) return mayHaveRun('unproven')
     return { kind: 'answer', status, headers: this.options.protocol.filterAnswer(headers), body }
