Refuse a queued request once it can no longer meet its objective

Cause: requests waited a fifth of their limit beyond the moment at which they could be in time: twice as many were refused after 100 to 160 ms as at once, and others became late behind them. Change: the wait in a queue ends at the last moment at which the objective can be met; short calls still wait to their deadline.

--- a/packages/sidecar/src/core/admission/slots.ts
+++ b/packages/sidecar/src/core/admission/slots.ts
@@ -1,6 +1,6 @@
 import type { Clock, Timeout } from 'auburnturn/core/clock'
 import { slowFactor } from '../targets/index.js'
-import { maxHoldMs, maxQueuedPerSlot, meanWorkWeight, minRetryAfterMs, overdueWaitShare } from './constants.js'
+import { maxQueuedPerSlot, meanWorkWeight } from './constants.js'
 import { compareSlotRequests, isShort } from './order.js'
 import type { OrderingContext } from './order.js'
 import type { AdmissionDecision, RefusalCause, ServiceSpeed, SlotRequest } from './types.js'
@@ -78,7 +78,7 @@
     this.meanWorkMs += (request.workMs - this.meanWorkMs) * (this.meanWorkMs === 0 ? 1 : meanWorkWeight)
     const cause = this.findRefusalCause(request, now)
     if (cause !== undefined) return createDecidedAcquisition(this.createRefusal(cause))
-    if (!this.hasFreeSlot || this.isHeld(request, now, now)) return this.enqueue(request, now)
+    if (!this.hasFreeSlot || this.isHeld(request)) return this.enqueue(request, now)
     this.occupy(request)
     return createDecidedAcquisition({ kind: 'admitted', waitedMs: 0 })
   }
@@ -131,14 +131,9 @@
     return workMs * (slowness - usualSlowness) > expectedSlowMs
   }
 
-  /**
-   * Whether a request that was queued at `queuedAt` keeps waiting for the usual speed: for a limited time, or longer if it
-   * would miss its deadline at the present speed.
-   */
-  private isHeld ({ workMs, deadlineAt }: SlotRequest, queuedAt: number, now: number): boolean {
-    if (!this.isHoldingWork || !this.gainsFromHolding(workMs)) return false
-    const meetsDeadline = now + workMs * this.speed.slowness <= deadlineAt
-    return now - queuedAt < maxHoldMs || !meetsDeadline
+  /** Whether a request keeps waiting for the usual speed. */
+  private isHeld ({ workMs }: SlotRequest): boolean {
+    return this.isHoldingWork && this.gainsFromHolding(workMs)
   }
 
   /** Why a request that arrives now is refused; undefined if it may start or be queued. */
@@ -162,17 +157,16 @@
   }
 
   /**
-   * Longest time that a request may stay queued, in milliseconds: until it can no longer meet its objective, plus a share of its
-   * remaining time, but never so long that it would miss its deadline. Short requests may wait as long as they can still meet
-   * their deadline, since mostly a running request needs their answer even after the objective.
+   * Longest time that a request may stay queued, in milliseconds: until it can no longer meet its objective, so that its caller
+   * has time for another attempt. Short requests may wait as long as they can still meet their deadline, since mostly a running
+   * request needs their answer even after the objective.
    */
   private computeMaxWaitMs (request: SlotRequest, now: number): number {
     const { workMs, objectiveAt, deadlineAt } = request
     const context = this.createOrderingContext(now)
     const expectedMs = workMs * context.slowness
     if (isShort(request, context)) return deadlineAt - now - expectedMs
-    const objectiveSlackMs = Math.max(0, objectiveAt - now - expectedMs)
-    return Math.min(deadlineAt - now - expectedMs, objectiveSlackMs + (deadlineAt - now) * overdueWaitShare)
+    return Math.max(0, Math.min(objectiveAt, deadlineAt) - now - expectedMs)
   }
 
   private enqueue (request: SlotRequest, now: number): SlotAcquisition {
@@ -211,7 +205,7 @@
     const context = this.createOrderingContext(now)
     let first: QueuedRequest | undefined
     for (const queued of this.queue) {
-      if (this.isHeld(queued.request, queued.queuedAt, now)) continue
+      if (this.isHeld(queued.request)) continue
       if (first === undefined || compareSlotRequests(queued.request, first.request, context) < 0) first = queued
     }
     if (first !== undefined) this.queue.splice(this.queue.indexOf(first), 1)
@@ -229,7 +223,7 @@
   }
 
   private createRefusal (cause: RefusalCause): AdmissionDecision {
-    return { kind: 'refused', cause, retryAfterMs: Math.max(minRetryAfterMs, Math.round(this.estimateRetryAfterMs())) }
+    return { kind: 'refused', cause, retryAfterMs: Math.round(Math.max(this.meanWorkMs, this.estimateRetryAfterMs())) }
   }
 }
 
