Weigh the failures of a target less

Cause: the estimated share of failures varies by 0.1 from target to target when all fail alike, and with a cost of six service times that moved requests away from free targets; failures of calls count too, though they are not the target's fault. Ruled out: a slower average (weight 0.03: half of the gain); leaving out answers of 500: the same gain where calls fail, none where targets shed. Change: a failure rate of 1 costs two service times in place of six.

--- a/packages/sidecar/src/core/targets/constants.ts
+++ b/packages/sidecar/src/core/targets/constants.ts
@@ -5,7 +5,7 @@
 export const coldStartSlowness = 2
 
 /** Cost of a failure rate of 1, in service times: a target that fails half of its requests costs as much as a much slower one. */
-export const failureCost = 6
+export const failureCost = 2
 
 /** Age of the last report, in milliseconds, above which a node counts as unresponsive. */
 export const unresponsiveAfterMs = 1_200
