Offer a request to two targets at most

Cause: at overload each refused request was offered to four nodes, with work on two nodes for each offer. Change: maxTargetAttempts 2 in place of 4.

--- a/packages/sidecar/src/core/forwarding/constants.ts
+++ b/packages/sidecar/src/core/forwarding/constants.ts
@@ -8,7 +8,7 @@
 export const maxStateConnections = 4
 
 /** Maximum number of targets on which one request is attempted, including those whose nodes refuse it. */
-export const maxTargetAttempts = 4
+export const maxTargetAttempts = 2
 
 /** Maximum Retry-After, as a share of the time that the caller still waits; callers ignore a longer delay. */
 export const maxRetryAfterShare = 1 / 3
