--- a/packages/sidecar/test/slots.test.ts
+++ b/packages/sidecar/test/slots.test.ts
@@ -68,8 +68,8 @@
 test('burst: a queued request is refused when it can no longer meet its objective, not later', async () => {
   const harness = new Harness(1)
   harness.send('running', { workMs: 800 })
-  harness.send('queued', { objectiveAt: 600, workMs: 100 })
-  await harness.clock.advance(490)
+  harness.send('queued', { objectiveAt: 1_050, workMs: 500 })
+  await harness.clock.advance(540)
   assert.equal(harness.refused, [])
   await harness.clock.advance(30)
   assert.equal(harness.refused, ['queued'])
