Let the last attempt of a request wait at a slow target

Cause: with two attempts a request that two targets refused as slow was refused for want of a target, since only a third attempt could wait. Change: the last attempt may wait for the usual speed; the constant for it is gone. The test failed before; tests of the forwarder alone are new.

--- a/packages/sidecar/src/core/forwarding/constants.ts
+++ b/packages/sidecar/src/core/forwarding/constants.ts
@@ -31,9 +31,6 @@
 /** Expected work time of a route without completed requests, as a share of its objective. */
 export const initialWorkShare = 0.5
 
-/** Number of attempts of a request that a slow target may refuse in favour of a faster one. */
-export const maxNonWaitingAttempts = 2
-
 /** Path at which a node serves its configuration and its targets to other nodes. */
 export const statePath = '/auburnturn/state'
 
--- a/packages/sidecar/src/core/forwarding/forwarder.ts
+++ b/packages/sidecar/src/core/forwarding/forwarder.ts
@@ -9,7 +9,7 @@
 import type { RetryBudget } from '../retries/index.js'
 import { chooseTarget, estimateCost, slowFactor, widenAboveCost } from '../targets/index.js'
 import type { Candidate, Directory } from '../targets/index.js'
-import { initialWorkShare, maxNonWaitingAttempts, maxTargetAttempts, defaultRetryAfterMs } from './constants.js'
+import { initialWorkShare, maxTargetAttempts, defaultRetryAfterMs } from './constants.js'
 import { awaitHedgeTarget, createLinkedCancellation, awaitFirstSuccess, computeFirstCheckAt, shouldHedge } from './hedge.js'
 import type { RequestSender } from './types.js'
 
@@ -47,8 +47,8 @@
       if (target === undefined || !this.mayAttempt(job, route, progress)) break
       if (attempts > 0) this.options.metrics.count('retries_total')
       progress.tried.add(target.id)
-      // The request may wait at a slow target if even the best one is slow, and on the last attempts.
-      const mayWait = target.slowness >= slowFactor || attempts >= maxNonWaitingAttempts
+      // The request may wait at a slow target if even the best one is slow, and on the last attempt.
+      const mayWait = target.slowness >= slowFactor || attempts === maxTargetAttempts - 1
       const outcome = await this.attemptWithHedge({ ...job, mayWait }, route, target, progress, signal)
       if (outcome.kind === 'not-run' && outcome.cause === 'slow') {
         progress.tried.delete(target.id)
--- /dev/null
+++ b/packages/sidecar/test/forwarder.test.ts
@@ -0,0 +1,71 @@
+import { Cancellation, ManualClock } from 'auburnturn/core/clock'
+import { Logger } from 'auburnturn/core/logger'
+import { Metrics } from 'auburnturn/core/metrics'
+import { Random } from 'auburnturn/core/random'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import type { Route } from '../src/core/configuration/index.js'
+import { Forwarder } from '../src/core/forwarding/index.js'
+import { notRun } from '../src/core/own-target/index.js'
+import type { Job, Outcome, OwnTarget } from '../src/core/own-target/index.js'
+import { Directory } from '../src/core/targets/index.js'
+
+const test = suite('forwarder')
+
+const route: Route = { name: 'pages', host: 'shop.example', prefix: '/', kind: 'idempotent', timeoutMs: 2_000, objectiveMs: 600, priority: 1, maxAttempts: 2, shares: [{ service: 'shop', weight: 1 }] }
+
+const answer: Outcome = { kind: 'answer', status: 200, headers: [], body: Buffer.alloc(0) }
+
+function createJob (clock: ManualClock): Job {
+  const now = clock.now()
+  return { id: 'r', method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), route: route.name, service: 'shop', caller: 'shop', idempotent: true, objectiveMs: 600, priority: 1, mayWait: false, objectiveAt: now + 600, deadlineAt: now + 2_000 }
+}
+
+/** Forwards one request in a deployment of `targets` targets on other VMs, whose nodes answer with `serve`. */
+async function forward (targets: number, serve: (job: Job, target: string) => Outcome): Promise<{ outcome: Outcome, offers: string[] }> {
+  const clock = ManualClock.create()
+  const directory = Directory.create({ clock })
+  for (let index = 1; index <= targets; index++) {
+    directory.put({ id: `i-${index}`, service: 'shop', address: `10.0.0.${index}:1`, ip: `10.0.0.${index}`, failureDomain: 'a', slots: 8, state: 'ready', coldMs: 0 })
+  }
+  const offers: string[] = []
+  const forwarder = Forwarder.create({
+    clock,
+    random: Random.create(1),
+    logger: Logger.createSilent(),
+    metrics: Metrics.create({ clock }),
+    directory,
+    ownTarget: { describe: () => ({ id: '', service: 'other' }) } as unknown as OwnTarget,
+    peers: {
+      send: async (job, target) => {
+        offers.push(target.id)
+        return serve(job, target.id)
+      }
+    },
+    ip: '10.0.0.99',
+    failureDomain: 'a',
+    onShortage: () => {},
+    retryBudget: () => ({ ratio: 0.2, allowance: 58, nodes: 1 })
+  })
+  return { outcome: await forwarder.run(createJob(clock), route, Cancellation.create()), offers }
+}
+
+test('targets that turn slow: the last attempt may wait for the usual speed, so that the request is not refused', async () => {
+  const { outcome, offers } = await forward(3, job => job.mayWait ? answer : notRun('slow'))
+  assert.is(outcome.kind, 'answer')
+  assert.is(offers.length, 2)
+})
+
+test('overload: a request is offered to two of many full targets, and refused with the delay that the last one named', async () => {
+  const { outcome, offers } = await forward(7, () => notRun('overloaded', 120))
+  assert.equal(outcome, notRun('overloaded', 120))
+  assert.is(new Set(offers).size, 2)
+})
+
+test('a target that rejects: an idempotent request goes to another one', async () => {
+  const { outcome, offers } = await forward(2, (_job, target) => target === 'i-1' ? notRun('rejected') : answer)
+  assert.is(outcome.kind, 'answer')
+  assert.ok(offers.at(-1) === 'i-2')
+})
+
+test.run()
