Split the forecasts from the slots of a target

Cause: slots.ts mixed the queue with the forecasts on which admission control decides. Change: admission/forecast.ts has the wait, the longest wait and holding as functions of what runs and how fast; no behaviour changes.

--- a/packages/sidecar/src/core/admission/slots.ts
+++ b/packages/sidecar/src/core/admission/slots.ts
@@ -1,8 +1,8 @@
 import type { Clock, Timeout } from 'auburnturn/core/clock'
-import { slowFactor } from '../targets/index.js'
 import { maxQueuedPerSlot, meanWorkWeight } from './constants.js'
+import { computeMaxWaitMs, createOrderingContext, estimateWaitMs, isHeld, isSlow } from './forecast.js'
+import type { TargetWork } from './forecast.js'
 import { compareSlotRequests, isShort } from './order.js'
-import type { OrderingContext } from './order.js'
 import type { AdmissionDecision, RefusalCause, ServiceSpeed, SlotRequest } from './types.js'
 
 /** A request in the queue for a slot; times are clock milliseconds. */
@@ -56,7 +56,7 @@
 
   /** Whether work at present takes much longer than usual. */
   get slow (): boolean {
-    return this.speed.slowness >= this.speed.usualSlowness * slowFactor
+    return isSlow(this.speed)
   }
 
   /** Sets the present capacity of the target: how many requests may run, and how fast they run. */
@@ -78,7 +78,7 @@
     this.meanWorkMs += (request.workMs - this.meanWorkMs) * (this.meanWorkMs === 0 ? 1 : meanWorkWeight)
     const cause = this.findRefusalCause(request, now)
     if (cause !== undefined) return createDecidedAcquisition(this.createRefusal(cause))
-    if (!this.hasFreeSlot || this.isHeld(request)) return this.enqueue(request, now)
+    if (!this.hasFreeSlot || isHeld(request.workMs, this.work)) return this.enqueue(request, now)
     this.occupy(request)
     return createDecidedAcquisition({ kind: 'admitted', waitedMs: 0 })
   }
@@ -98,7 +98,7 @@
   /** Expected milliseconds until a request that comes back finds a free slot, after all that are queued now. */
   estimateRetryAfterMs (): number {
     const queuedMs = this.queue.reduce((sum, { request }) => sum + request.workMs, 0)
-    return this.estimateWaitMs(queuedMs)
+    return estimateWaitMs(queuedMs, this.work)
   }
 
   /** Whether a request that arrives now finds a free slot and an empty queue. */
@@ -106,34 +106,10 @@
     return this.runningCount < this.slotLimit && this.queue.length === 0
   }
 
-  /**
-   * Expected milliseconds until a request that arrives now can start, when `aheadMs` of queued work run before it. On average,
-   * running requests are half done.
-   */
-  private estimateWaitMs (aheadMs: number): number {
-    const halfOfRunningMs = this.runningCount === 0 ? 0 : this.runningWorkMs / this.runningCount / 2
-    const { slowness } = this.createOrderingContext(0)
-    const holdMs = this.isHoldingWork ? this.speed.expectedSlowMs : 0
-    return holdMs + (halfOfRunningMs / Math.max(1, Math.min(this.runningCount, this.slotLimit)) + aheadMs / this.slotLimit) * slowness
-  }
-
-  /**
-   * Whether requests are held back until the target works at its usual speed. Work that starts while the target is slow stays
-   * slow to its end, so waiting is better unless the wait is longer than what it saves.
-   */
-  private get isHoldingWork (): boolean {
-    return this.slow && this.gainsFromHolding(this.meanWorkMs)
-  }
-
-  /** Whether the usual speed saves more time for this work than the wait for it takes. */
-  private gainsFromHolding (workMs: number): boolean {
-    const { slowness, usualSlowness, expectedSlowMs } = this.speed
-    return workMs * (slowness - usualSlowness) > expectedSlowMs
-  }
-
-  /** Whether a request keeps waiting for the usual speed. */
-  private isHeld ({ workMs }: SlotRequest): boolean {
-    return this.isHoldingWork && this.gainsFromHolding(workMs)
+  /** What runs now and how fast, for forecasts. */
+  private get work (): TargetWork {
+    const { running, runningWorkMs, limit, meanWorkMs, speed } = this
+    return { running, runningWorkMs, limit, meanWorkMs, speed }
   }
 
   /** Why a request that arrives now is refused; undefined if it may start or be queued. */
@@ -144,29 +120,10 @@
     if (!request.mayWait && this.slow) return 'slow'
     // A free slot is always used, since the estimates of work and waits may be wrong.
     if (this.hasFreeSlot) return undefined
-    const context = this.createOrderingContext(now)
+    const context = createOrderingContext(this.work, now)
     if (this.queue.length >= this.slotLimit * maxQueuedPerSlot && !isShort(request, context)) return 'overloaded'
     const aheadMs = this.queue.reduce((sum, { request: other }) => compareSlotRequests(other, request, context) <= 0 ? sum + other.workMs : sum, 0)
-    return this.estimateWaitMs(aheadMs) > this.computeMaxWaitMs(request, now) ? 'overloaded' : undefined
-  }
-
-  private createOrderingContext (now: number): OrderingContext {
-    const { slowness, usualSlowness } = this.speed
-    // Requests that are held back start when the target works at its usual speed.
-    return { now, slowness: this.isHoldingWork ? usualSlowness : slowness, meanWorkMs: this.meanWorkMs }
-  }
-
-  /**
-   * Longest time that a request may stay queued, in milliseconds: until it can no longer meet its objective, so that its caller
-   * has time for another attempt. Short requests may wait as long as they can still meet their deadline, since mostly a running
-   * request needs their answer even after the objective.
-   */
-  private computeMaxWaitMs (request: SlotRequest, now: number): number {
-    const { workMs, objectiveAt, deadlineAt } = request
-    const context = this.createOrderingContext(now)
-    const expectedMs = workMs * context.slowness
-    if (isShort(request, context)) return deadlineAt - now - expectedMs
-    return Math.max(0, Math.min(objectiveAt, deadlineAt) - now - expectedMs)
+    return estimateWaitMs(aheadMs, this.work) > computeMaxWaitMs(request, context) ? 'overloaded' : undefined
   }
 
   private enqueue (request: SlotRequest, now: number): SlotAcquisition {
@@ -180,7 +137,7 @@
         this.refuse(queued, cause)
       }
       // A request that can no longer finish in time is refused at that time, not at its deadline.
-      queued.timer = this.clock.timerWheel.after(Math.max(0, this.computeMaxWaitMs(request, now)), () => { remove('expired') })
+      queued.timer = this.clock.timerWheel.after(computeMaxWaitMs(request, createOrderingContext(this.work, now)), () => { remove('expired') })
       cancel = () => { remove('left') }
       this.queue.push(queued)
     })
@@ -202,10 +159,11 @@
 
   /** Removes the request to start next from the queue; undefined when all are held back for the usual speed. */
   private dequeueNext (now: number): QueuedRequest | undefined {
-    const context = this.createOrderingContext(now)
+    const { work } = this
+    const context = createOrderingContext(work, now)
     let first: QueuedRequest | undefined
     for (const queued of this.queue) {
-      if (this.isHeld(queued.request)) continue
+      if (isHeld(queued.request.workMs, work)) continue
       if (first === undefined || compareSlotRequests(queued.request, first.request, context) < 0) first = queued
     }
     if (first !== undefined) this.queue.splice(this.queue.indexOf(first), 1)
