--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -8,15 +8,13 @@
 import type { AnswerHead, Protocol } from '../forwarding/types.js'
 import { FailureRate, usableSlotShare } from '../targets/index.js'
 import type { Directory, TargetReport, TargetState } from '../targets/index.js'
+import { classifyAnswer, isTargetFailure } from './classify-answer.js'
 import { connectTimeoutMs, defaultSlots, freshDurationMs, initialWorkShare, maxConnections, maxLoadAgeMs, maxNonIdempotentIdleMs, unhealthyFailureShare } from './constants.js'
 import { SpeedEstimate } from './speed-estimate.js'
 import { mayHaveRun, notRun } from './types.js'
 import type { Job, Outcome } from './types.js'
 import { WorkEstimate } from './work-estimate.js'
 
-/** Statuses that claim that the request did not run. The claim is unproven unless `AnswerHead.notRun` is set. */
-const notRunStatuses = new Set([408, 421, 429, 503])
-
 /** The target on this VM: its slots and its state. All requests to it go through this class. */
 export class OwnTarget {
   readonly slots: Slots
@@ -228,17 +226,7 @@
     const head = this.options.protocol.readAnswer(status, headers)
     this.updateFromAnswer(head)
     if (head.notRun) return notRun('rejected', this.slots.estimateRetryAfterMs())
-    if (head.encoded || (status < 300 && !head.sealed)) return mayHaveRun('invalid')
-    if (notRunStatuses.has(status)) return mayHaveRun('unproven')
-    return { kind: 'answer', status, headers: this.options.protocol.filterAnswer(headers), body }
-  }
-}
-
-function isTargetFailure (outcome: Outcome): boolean {
-  switch (outcome.kind) {
-    case 'answer': return outcome.status >= 500
-    case 'not-run': return outcome.cause === 'rejected'
-    case 'may-have-run': return outcome.cause !== 'left'
+    return classifyAnswer({ status, headers: this.options.protocol.filterAnswer(headers), body, head })
   }
 }
 
--- a/packages/sidecar/src/core/targets/directory.ts
+++ b/packages/sidecar/src/core/targets/directory.ts
@@ -1,6 +1,7 @@
 import type { Clock } from 'auburnturn/core/clock'
 import { listOutageMs, maxRemovedIds, missingEntryGraceMs, reportRetentionMs, slowFactor, unlistedUseMs, unresponsiveAfterMs, usableSlotShare } from './constants.js'
 import { LocationIndex } from './location-index.js'
+import { OutstandingRequests } from './outstanding-requests.js'
 import type { Candidate, ListedTarget, TargetLocations, TargetReport } from './types.js'
 
 /** An entry of the platform's list with the state that this node keeps for it. Part of the dump. Times are clock milliseconds. */
@@ -20,14 +21,6 @@
   readonly since: number
 }
 
-/** Numbers of requests from this node to one target. Part of the dump. */
-interface OutstandingRequests {
-  /** Requests in flight. */
-  underWay: number
-  /** Requests in flight that were started after the last report of the target's node, which can't include them. */
-  unreported: number
-}
-
 /** All targets known to this node: the list in the platform's store, corrected by the reports of the nodes on the targets' VMs. */
 export class Directory {
   private readonly clock: Clock
@@ -35,7 +28,7 @@
   private readonly locationIndex = LocationIndex.create()
   private readonly listings = new Map<string, Listing>()
   private readonly reports = new Map<string, ReceivedReport>()
-  private readonly outstanding = new Map<string, OutstandingRequests>()
+  private readonly outstanding = OutstandingRequests.create()
   /** Ids of targets that were removed from the list: a report does not make them usable again. */
   private readonly removedIds = new Set<string>()
   /** Clock milliseconds of the last answer that the platform's list gave, to this node or to a reader. */
@@ -97,8 +90,7 @@
     const sameTarget = previous !== undefined && previous.report.id === report.id
     if (!sameTarget) this.locationIndex.recordReport(ip, report)
     this.reports.set(ip, { report, at: this.clock.now(), since: sameTarget ? previous.since : this.clock.now() })
-    const requests = this.outstanding.get(report.id)
-    if (requests !== undefined) requests.unreported = 0
+    this.outstanding.recordReport(report.id)
   }
 
   /** Whether a target of the service is known at an address. */
@@ -174,23 +166,16 @@
 
   /** Records that this node has sent a request to a target. */
   recordRequestStart (id: string): void {
-    const requests = this.outstanding.get(id) ?? { underWay: 0, unreported: 0 }
-    requests.underWay++
-    requests.unreported++
-    this.outstanding.set(id, requests)
+    this.outstanding.recordStart(id)
   }
 
   /** Records that a request sent to a target has ended, whatever its outcome. */
   recordRequestEnd (id: string): void {
-    const requests = this.outstanding.get(id)
-    if (requests === undefined) return
-    requests.underWay--
-    requests.unreported = Math.min(requests.unreported, requests.underWay)
-    if (requests.underWay === 0) this.outstanding.delete(id)
+    this.outstanding.recordEnd(id)
   }
 
   dump (): unknown {
-    return { listed: [...this.listings.values()], heard: [...this.reports], sent: [...this.outstanding] }
+    return { listed: [...this.listings.values()], heard: [...this.reports], sent: this.outstanding.dump() }
   }
 
   /** Returns the last report of the node at `ip`, unless the node is unresponsive. */
@@ -240,7 +225,7 @@
     const { id, service, ip, failureDomain } = target
     const cold = coldUntil > now
     if (received !== undefined) return { ...this.createReportedCandidate(ip, received, now), failureDomain, cold }
-    const { underWay } = this.outstanding.get(id) ?? { underWay: 0 }
+    const { underWay } = this.outstanding.read(id)
     const limit = Math.max(1, Math.floor(target.slots * usableSlotShare))
     return { id, service, ip, failureDomain, state: 'up', running: underWay, waiting: 0, limit, slowness: 1.5, cold, failures: 0, reportAgeMs: this.getReportAgeMs(ip) }
   }
@@ -252,7 +237,7 @@
   /** Adds the requests of this node that the report can't include to the reported load. */
   private createReportedCandidate (ip: string, { report, at }: ReceivedReport, now: number): Candidate {
     const { id, service, failureDomain, state, running, waiting, limit, slowness, failures } = report
-    const { underWay, unreported } = this.outstanding.get(id) ?? { underWay: 0, unreported: 0 }
+    const { underWay, unreported } = this.outstanding.read(id)
     return { id, service, ip, failureDomain, state, running: Math.max(running + unreported, underWay), waiting, limit, slowness, failures, cold: false, reportAgeMs: now - at }
   }
 }
