Apply a configuration from a watch also when its changes were announced before

Cause: a reader dropped the answer of its own watch when another reader had announced changes up to that revision. Announcements have no configuration; nodes fetch it from its sender. If that one loses power at this moment, no node has the configuration although three have read it, until the store is listed again. Change: configurations in an answer are always offered; older versions are refused as before. The test failed before.

--- a/packages/sidecar/src/core/following/follower.ts
+++ b/packages/sidecar/src/core/following/follower.ts
@@ -120,17 +120,24 @@
 
   private applyWatchedChanges (changes: readonly Change[], watchedFrom: number, revision: number): number {
     const { random } = this.options
-    // Another reader may have announced these changes before.
-    if (this.revision !== undefined && revision > this.revision) {
-      this.revision = revision
-      this.options.apply(changes, false)
-    }
+    this.applyUnknownChanges(changes, revision)
     const announcement = this.announcementFilter.select(changes, watchedFrom, revision)
     if (announcement !== undefined) this.options.announceChanges(announcement.from, revision, announcement.changes)
     // The random part keeps readers from pausing at the same time, which would delay changes for all nodes.
     return changes.length > 0 ? batchDelayMs * (0.75 + random.fraction() / 2) : 0
   }
 
+  /**
+   * Applies the changes of a watch that this node does not know yet. Another reader may have announced them, but no announcement
+   * contains the configuration, and that reader may end before it has served it.
+   */
+  private applyUnknownChanges (changes: readonly Change[], revision: number): void {
+    const known = this.revision !== undefined && revision <= this.revision
+    const unknown = known ? changes.filter(({ kind }) => kind === 'configuration') : changes
+    if (!known) this.revision = revision
+    if (!known || unknown.length > 0) this.options.apply(unknown, false)
+  }
+
   private scheduleGapFill (ip: string, shortDelay: boolean, revision: number): void {
     if (this.fillingGap || this.closed) return
     this.fillingGap = true
--- a/packages/sidecar/test/following.test.ts
+++ b/packages/sidecar/test/following.test.ts
@@ -26,7 +26,7 @@
  * Creates a follower whose store gives `answers` and then none. It becomes a reader when it is `alone`; otherwise it
  * receives notices of three readers. Other nodes return `state` on request. `calls` records its calls and their effects.
  */
-function createFixture (answers: StoreAnswer[], { alone = true, discovered = true, state = undefined as SharedState | undefined } = {}): { clock: ManualClock, calls: string[], waits: number[], follower: Follower, election: ReaderElection } {
+function createFixture (answers: Array<StoreAnswer | Promise<StoreAnswer>>, { alone = true, discovered = true, state = undefined as SharedState | undefined } = {}): { clock: ManualClock, calls: string[], waits: number[], follower: Follower, election: ReaderElection } {
   const clock = ManualClock.create()
   const calls: string[] = []
   const waits: number[] = []
@@ -196,6 +196,20 @@
   assert.equal(calls.filter(call => call.startsWith('announce')), ['announce 7-9: 1', 'announce 20-22: 1'])
 })
 
+test('a configuration in the answer of a watch is applied, even if another reader has announced changes up to that revision', async () => {
+  const configuration: Change = { kind: 'configuration', configuration: createConfiguration(18) }
+  let answerWatch = (_answer: StoreAnswer): void => {}
+  const watched = new Promise<StoreAnswer>(resolve => { answerWatch = resolve })
+  const { clock, calls, follower } = createFixture([listedAt7, watched])
+  await clock.advance(200)
+  // The notice of changes has no configuration, and its sender ends before any node has fetched the configuration.
+  follower.receiveChanges('10.0.0.1', true, { kind: 'changes', from: 7, to: 9, changes: [{ kind: 'gone', id: 'x' }] })
+  answerWatch({ kind: 'changes', changes: [{ kind: 'gone', id: 'x' }, configuration], revision: 9 })
+  await clock.advance(2_000)
+  follower.close()
+  assert.equal(calls.filter(call => call.startsWith('apply')), ['apply 0 full', 'apply 1', 'apply 1'])
+})
+
 test('a change only in how long a target stays slow is not announced, and leaves no gap in the revisions', () => {
   const filter = AnnouncementFilter.create()
   assert.equal(filter.select([createTarget('one')], 1, 3)?.from, 1)
