Proxy the port for calls between nodes in the soak

Change: a proxy for that port at each VM, with the same faults as the others. Also clearer comments in the scene.

--- a/packages/bench/src/scene/scene-node.ts
+++ b/packages/bench/src/scene/scene-node.ts
@@ -20,6 +20,15 @@
 /** Delay of an exchange between a node and the target on its VM, in milliseconds, both ways together. */
 const exchangeMs = 1
 
+/** Memory for bodies, in bytes; more than any scene needs. */
+const bodyMemoryBytes = 2 ** 30
+
+/** Health checks that a target allows, per second. */
+const probesPerSecond = 60
+
+/** Retries that a service allows: a share of its requests, and a number besides. */
+const retryBudget = { ratio: 0.2, allowance: 58 }
+
 const emptyBody = Buffer.alloc(0)
 
 /** What the nodes of a scene share. */
@@ -28,9 +37,11 @@
   readonly random: Random
   readonly ip: string
   readonly failureDomain: string
+  /** The target on the VM of the node. */
   readonly target: SimulatedTarget
+  /** Time of one hop to another node, there and back, in milliseconds. */
   readonly hopMs: number
-  /** The retry budget of a deployment. */
+  /** All nodes of the scene, by address. */
   readonly nodes: ReadonlyMap<string, SceneNode>
   /** Runs a request on the simulated target. */
   readonly runAtTarget: (node: SceneNode, requestId: string, deadlineAt: number) => Promise<TargetResult>
@@ -42,7 +53,7 @@
   readonly failureDomain: string
   readonly target: SimulatedTarget
   readonly forwarder: Forwarder
-  /** Attempts at the target of this node, refusals included. */
+  /** Requests of other nodes for the target of this node, refused ones included. */
   attempts = 0
   /** Whether the target is out of reach. */
   down = false
@@ -60,18 +71,17 @@
     this.target = target
     const logger = Logger.createSilent()
     const metrics = Metrics.create({ clock })
-    const memory = BodyMemory.create({ maxBytes: 2 ** 30 })
+    const memory = BodyMemory.create({ maxBytes: bodyMemoryBytes })
     this.directory = Directory.create({ clock })
     const { directory } = this
     const exchange = async (sent: ExchangeOptions): Promise<ExchangeResult> => await this.exchange(sent)
     const loadMonitor = { refresh: async () => { await this.prober.refresh() }, useShortInterval: () => { this.prober.useShortInterval() } }
     this.ownTarget = OwnTarget.create({ address: `${ip}:1`, service: target.group.service, failureDomain, clock, memory, logger, metrics, protocol, directory, loadMonitor, exchange, onChange: () => { this.reporter?.reportChanges() } })
-    this.prober = Prober.create({ address: `${ip}:1`, clock, memory, protocol, target: this.ownTarget, exchange, healthPath: () => '/health', probesPerSecond: () => 60, onFailure: error => { throw error } })
-    const subscribers = { sameDomain: (): string[] => this.listOthers(true), crossDomain: (): string[] => this.listOthers(false) }
+    this.prober = Prober.create({ address: `${ip}:1`, clock, memory, protocol, target: this.ownTarget, exchange, healthPath: () => '/health', probesPerSecond: () => probesPerSecond, onFailure: error => { throw error } })
     this.reporter = Reporter.create({
       clock,
       describe: () => ({ kind: 'full', target: this.ownTarget.describe(), configurationVersion: 1 }),
-      subscribers: () => ({ sameDomain: subscribers.sameDomain(), crossDomain: subscribers.crossDomain() }),
+      subscribers: () => ({ sameDomain: this.listOthers(true), crossDomain: this.listOthers(false) }),
       otherAddresses: () => [...nodes.keys()].filter(other => other !== ip),
       send: (bytes, to) => { clock.after(datagramMs, () => { nodes.get(to)?.receive(ip, bytes) }) }
     })
@@ -86,7 +96,7 @@
       ip,
       failureDomain,
       onShortage: () => {},
-      retryBudget: () => ({ ratio: 0.2, allowance: 58, nodes: nodes.size })
+      retryBudget: () => ({ ...retryBudget, nodes: nodes.size })
     })
   }
 
--- a/packages/bench/src/scene/types.ts
+++ b/packages/bench/src/scene/types.ts
@@ -46,7 +46,7 @@
   readonly groups: readonly TargetGroup[]
   readonly disturbances: readonly Disturbance[]
   readonly lengthMs: number
-  /** Time of one hop between two nodes, in milliseconds, processing included. */
+  /** Time of a request between two nodes, there and back, in milliseconds, processing included. */
   readonly hopMs: number
 }
 
@@ -72,6 +72,6 @@
   readonly kinds: ReadonlyMap<string, Tally>
   /** Spans of two seconds, in order. */
   readonly windows: readonly Tally[]
-  /** Attempts at targets and nodes, refusals included. */
+  /** Requests that nodes sent to other nodes, refused ones included. */
   readonly attempts: number
 }
--- a/packages/bench/src/soak/inject-fault.ts
+++ b/packages/bench/src/soak/inject-fault.ts
@@ -52,8 +52,8 @@
     case 'drain-target': return await vm.drainTarget()
     case 'delay-link': return await delayTraffic(proxies, forMs)
     case 'reset-link': return resetAllConnections(proxies)
-    case 'swallow-requests': return await dropTraffic([vm.proxies.nodes, vm.proxies.upstream], 'swallow-requests', forMs)
-    case 'swallow-answers': return await dropTraffic([vm.proxies.nodes, vm.proxies.upstream], 'swallow-answers', forMs)
+    case 'swallow-requests': return await dropTraffic([vm.proxies.nodes, vm.proxies.peerCalls, vm.proxies.upstream], 'swallow-requests', forMs)
+    case 'swallow-answers': return await dropTraffic([vm.proxies.nodes, vm.proxies.peerCalls, vm.proxies.upstream], 'swallow-answers', forMs)
     case 'silence-connections':
       for (const proxy of proxies) proxy.blackholeConnections()
       return
--- a/packages/bench/src/soak/vm.ts
+++ b/packages/bench/src/soak/vm.ts
@@ -26,11 +26,19 @@
   readonly onUnexpectedExit: (exit: UnexpectedExit) => void
 }
 
+/** The TCP proxies of one VM: in front of its node's state and its calls, of its target, and of the store. */
+export interface VmProxies {
+  readonly nodes: TcpProxy
+  readonly peerCalls: TcpProxy
+  readonly upstream: TcpProxy
+  readonly store: TcpProxy
+}
+
 /** One VM: a node, its target, and the proxies in front of both and of the store. */
 export class Vm {
   readonly spec: VmSpec
   private readonly options: VmOptions
-  private startedProxies: { readonly nodes: TcpProxy, readonly upstream: TcpProxy, readonly store: TcpProxy } | undefined
+  private startedProxies: VmProxies | undefined
   private node: ManagedProcess | undefined
   private target: ManagedProcess | undefined
   private targetId = ''
@@ -45,19 +53,20 @@
   static async create (options: VmOptions): Promise<Vm> {
     const vm = new Vm(options)
     const { ip, proxyIp, storeProxyIp } = options.spec
-    const [nodes, upstream, store] = await Promise.all([
+    const [nodes, peerCalls, upstream, store] = await Promise.all([
       TcpProxy.create({ ip: proxyIp, port: ports.nodes, targetIp: ip }),
+      TcpProxy.create({ ip: proxyIp, port: ports.internal, targetIp: ip }),
       TcpProxy.create({ ip: proxyIp, port: ports.upstream, targetIp: ip }),
       TcpProxy.create({ ip: storeProxyIp, port: ports.store, targetIp: options.storeIp })
     ])
-    vm.startedProxies = { nodes, upstream, store }
+    vm.startedProxies = { nodes, peerCalls, upstream, store }
     writeFileSync(vm.settingsFile, JSON.stringify(vm.createSettings()))
     await vm.startTarget()
     vm.startNode()
     return vm
   }
 
-  get proxies (): { readonly nodes: TcpProxy, readonly upstream: TcpProxy, readonly store: TcpProxy } {
+  get proxies (): VmProxies {
     if (this.startedProxies === undefined) throw new Error('the proxies of the VM are not started')
     return this.startedProxies
   }
