Part the head that callers send from the one that targets expect

Cause: since requests between nodes are frames, nobody reads the caller's service and the expected target from a request's head, but readRequest still looked for them. Change: RequestHead has the id and the time left, TargetRequestHead what a target expects.

--- a/packages/bench/src/scene/scene-node.ts
+++ b/packages/bench/src/scene/scene-node.ts
@@ -163,7 +163,7 @@
 
 /** The headers of a scene: positions in place of names. */
 const protocol: Protocol = {
-  readRequest: () => ({ id: '', timeoutMs: undefined, caller: '', target: '' }),
+  readRequest: () => ({ id: '', timeoutMs: undefined }),
   filterRequest: headers => [...headers],
   writeRequest: (_headers, { id }) => ['id', id],
   readAnswer: (status, headers): AnswerHead => {
--- a/packages/sidecar/src/core/forwarding/types.ts
+++ b/packages/sidecar/src/core/forwarding/types.ts
@@ -3,12 +3,20 @@
 import type { Job, Outcome } from '../own-target/index.js'
 import type { Candidate } from '../targets/index.js'
 
-/** Fields of a request head that this system uses. */
+/** Fields of a caller's request head that this system uses. */
 export interface RequestHead {
   /** Id of the caller's attempt; empty when missing. */
   readonly id: string
-  /** Time that the sender still waits, in milliseconds; undefined when missing or invalid. */
+  /** Time that the caller still waits, in milliseconds; undefined when missing or invalid. */
   readonly timeoutMs: number | undefined
+}
+
+/** Fields that a target expects in the head of a request. */
+export interface TargetRequestHead {
+  /** Id of the caller's attempt. */
+  readonly id: string
+  /** Time that the caller still waits, in milliseconds. */
+  readonly timeoutMs: number
   /** Service on the VM where the request originated. */
   readonly caller: string
   /** Id of the only target that may run the request. */
@@ -50,7 +58,7 @@
   /** Returns the request headers to forward: without hop-by-hop headers and those that each node sets itself. */
   filterRequest (headers: Headers): string[]
   /** Adds the headers that a target expects to those that are forwarded. */
-  writeRequest (headers: Headers, head: RequestHead): string[]
+  writeRequest (headers: Headers, head: TargetRequestHead): string[]
   readAnswer (status: number, headers: Headers): AnswerHead
   /** Returns the answer headers for the caller: without hop-by-hop headers, the length and the load. */
   filterAnswer (headers: Headers): string[]
--- a/packages/sidecar/src/platform/protocol.ts
+++ b/packages/sidecar/src/platform/protocol.ts
@@ -1,6 +1,6 @@
 import { findHeader, filterEndToEndHeaders } from 'auburnturn/core/http'
 import type { Headers } from '../core/exchange/index.js'
-import type { AnswerHead, Protocol, RequestHead, TargetLoad } from '../core/forwarding/index.js'
+import type { AnswerHead, Protocol, RequestHead, TargetLoad, TargetRequestHead } from '../core/forwarding/index.js'
 
 /** Names of headers of requests and answers on the platform. */
 const headerNames = {
@@ -37,9 +37,7 @@
   const timeoutMs = Number(findHeader(headers, headerNames.timeoutMs) ?? Number.NaN)
   return {
     id: findHeader(headers, headerNames.attemptId) ?? '',
-    timeoutMs: Number.isFinite(timeoutMs) && timeoutMs >= 0 ? timeoutMs : undefined,
-    caller: findHeader(headers, headerNames.callerService) ?? '',
-    target: findHeader(headers, headerNames.expectedTarget) ?? ''
+    timeoutMs: Number.isFinite(timeoutMs) && timeoutMs >= 0 ? timeoutMs : undefined
   }
 }
 
@@ -47,11 +45,9 @@
   return dropHeaders(filterEndToEndHeaders(headers), replacedHeaders)
 }
 
-function writeRequest (headers: Headers, { timeoutMs, caller, target }: RequestHead): string[] {
-  const nextHeaders = [...headers]
-  if (timeoutMs !== undefined) nextHeaders.push(headerNames.timeoutMs, String(Math.max(1, Math.floor(timeoutMs))))
-  nextHeaders.push(headerNames.expectedTarget, target, headerNames.callerService, caller)
-  return nextHeaders
+function writeRequest (headers: Headers, { timeoutMs, caller, target }: TargetRequestHead): string[] {
+  const remainingMs = String(Math.max(1, Math.floor(timeoutMs)))
+  return [...headers, headerNames.timeoutMs, remainingMs, headerNames.expectedTarget, target, headerNames.callerService, caller]
 }
 
 function readAnswer (status: number, headers: Headers): AnswerHead {
