--- a/packages/bench/src/scene/play-scene.ts
+++ b/packages/bench/src/scene/play-scene.ts
@@ -25,7 +25,7 @@
 
 /** Plays a scene with a seed: the same seed gives the same arrivals, work and slow moments. */
 export async function playScene (scene: Scene, seed: number): Promise<SceneResult> {
-  return await new ScenePlay(scene, seed).play()
+  return await ScenePlay.create(scene, seed).play()
 }
 
 /** One play of a scene. */
@@ -43,7 +43,7 @@
   private readonly total = createTally()
   private requestCount = 0
 
-  constructor (scene: Scene, seed: number) {
+  private constructor (scene: Scene, seed: number) {
     this.scene = scene
     this.random = Random.create(seed)
     this.arrivalRandom = Random.create(seed + 7_000)
@@ -52,6 +52,10 @@
     this.createNodes(seed)
   }
 
+  static create (scene: Scene, seed: number): ScenePlay {
+    return new ScenePlay(scene, seed)
+  }
+
   async play (): Promise<SceneResult> {
     for (const kind of this.scene.kinds) this.scheduleArrival(kind, 0)
     for (const { fromMs, toMs, down } of this.scene.disturbances) {
