Log the rate limits that targets name, and what is sent to them

Cause of the gap: no log line or metric held a limit or the requests sent to one target, so the hypotheses could not be told apart. Change: the answer head has the rate limit and the announced drain; changes are logged with the age of the limit and the requests sent in the last 4 s, and both are gauges. The unused field 'leaving' (connection: close) of the answer head goes.

--- a/packages/bench/src/scene/scene-node.ts
+++ b/packages/bench/src/scene/scene-node.ts
@@ -169,7 +169,7 @@
   readAnswer: (status, headers): AnswerHead => {
     const [id = '', targetId = '', ...load] = headers
     const [running = 0, waiting = 0, slots = 1, slowness = 1] = load.map(Number)
-    return { id, targetId, sealed: true, notRun: status === 503, encoded: false, leaving: false, load: { running, waiting, slots, slowness } }
+    return { id, targetId, sealed: true, notRun: status === 503, encoded: false, draining: false, rateLimit: 'none', load: { running, waiting, slots, slowness } }
   },
   filterAnswer: headers => [...headers]
 }
--- a/packages/sidecar/src/core/forwarding/types.ts
+++ b/packages/sidecar/src/core/forwarding/types.ts
@@ -35,6 +35,9 @@
   readonly slowness: number | undefined
 }
 
+/** Rate limit that an answer names, in requests per second; 'unreadable' for a value that is no such number. */
+export type NamedRateLimit = number | 'none' | 'unreadable'
+
 /** Fields of an answer head that this system uses. */
 export interface AnswerHead {
   /** Id of the attempt that is answered; empty when missing. */
@@ -45,8 +48,10 @@
   readonly notRun: boolean
   /** The answer has a content encoding, so the body is not as the target made it. */
   readonly encoded: boolean
-  /** The sender of the answer closes the connection after it. */
-  readonly leaving: boolean
+  /** The target announces that it drains: it ends soon. */
+  readonly draining: boolean
+  /** Requests per second that the target takes from all nodes together. */
+  readonly rateLimit: NamedRateLimit
   /** Id of the target; empty when missing. */
   readonly targetId: string
   readonly load: TargetLoad | undefined
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -6,6 +6,7 @@
 import { ConnectionPool, exchange } from '../exchange/index.js'
 import type { BodyMemory, Exchange, ExchangeResult } from '../exchange/index.js'
 import type { AnswerHead, Protocol } from '../forwarding/types.js'
+import { RateLimit } from '../rate-limit/index.js'
 import { FailureRate, usableSlotShare } from '../targets/index.js'
 import type { Directory, TargetReport, TargetState } from '../targets/index.js'
 import { classifyAnswer, isTargetFailure } from './classify-answer.js'
@@ -18,6 +19,8 @@
 /** The target on this VM: its slots and its state. All requests to it go through this class. */
 export class OwnTarget {
   readonly slots: Slots
+  /** The limit that the target names in its answers. */
+  readonly rateLimit: RateLimit
   private readonly options: OwnTargetOptions
   private readonly connections: ConnectionPool
   private readonly failures = FailureRate.create()
@@ -31,10 +34,13 @@
   private freshUntil = -Infinity
   private loadReceivedAt = -Infinity
   private closing = false
+  /** Whether the last answer of the target announced that it drains. */
+  private announcedDraining = false
 
   private constructor (options: OwnTargetOptions) {
     this.options = options
     this.slots = Slots.create({ clock: options.clock })
+    this.rateLimit = RateLimit.create({ clock: options.clock })
     this.connections = ConnectionPool.create({ address: options.address, limit: maxConnections, clock: options.clock, memory: options.memory })
   }
 
@@ -140,9 +146,10 @@
     this.options.logger.info('target-up', { id: this.instanceId })
   }
 
-  /** Updates the incarnation and the load of the target from the head of an answer. */
+  /** Updates the incarnation, the load and the demands of the target from the head of an answer. */
   private updateFromAnswer (head: AnswerHead): void {
     const { clock, logger, onChange } = this.options
+    this.updateDemands(head)
     if (head.targetId !== '' && head.targetId !== this.instanceId) {
       logger.info('target-changed', { from: this.instanceId, to: head.targetId })
       if (this.instanceId !== '') this.freshUntil = clock.now() + freshDurationMs
@@ -160,6 +167,18 @@
     onChange()
   }
 
+  /** Applies what the target demands of the nodes: a rate limit, and an end of new requests when it drains. */
+  private updateDemands (head: AnswerHead): void {
+    const { logger, metrics } = this.options
+    if (head.rateLimit === 'unreadable') metrics.count('rate_limits_unreadable_total')
+    const change = this.rateLimit.update(head.rateLimit)
+    if (change !== undefined) logger.info('rate-limit-changed', { target: this.instanceId, from: change.from, to: change.to, ageMs: Math.round(change.ageMs), sentInWindow: this.rateLimit.sentInWindow })
+    if (head.draining !== this.announcedDraining) {
+      this.announcedDraining = head.draining
+      logger.info('draining-announced', { target: this.instanceId, draining: head.draining })
+    }
+  }
+
   /** The outcome of a request that can't run in the present state of the target; undefined if it can. */
   private findNotRunOutcome (target: string): Outcome | undefined {
     if (target !== this.instanceId) return notRun('moved')
@@ -181,6 +200,7 @@
     const { slowness } = this
     const timeoutMs = job.deadlineAt - startedAt
     if (timeoutMs <= 0) return notRun('expired')
+    this.rateLimit.countSent()
     if (!job.idempotent) this.connections.closeIdleLongerThan(maxNonIdempotentIdleMs)
     const result = await (this.options.exchange ?? exchange)({
       connections: this.connections,
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -370,6 +370,9 @@
     metrics.register('in_flight', 'gauge', () => this.inFlightRequests.count)
     metrics.register('admission_running', 'gauge', () => target.slots.running)
     metrics.register('admission_queued', 'gauge', () => target.slots.waiting)
+    metrics.register('target_rate_limit', 'gauge', () => target.rateLimit.perSecond)
+    metrics.register('target_rate_limit_age_seconds', 'gauge', () => target.rateLimit.ageMs / 1_000)
+    metrics.register('target_sent_in_window', 'gauge', () => target.rateLimit.sentInWindow)
     metrics.register('configuration_version', 'gauge', () => configuration.version)
   }
 
--- a/packages/sidecar/src/platform/protocol.ts
+++ b/packages/sidecar/src/platform/protocol.ts
@@ -1,6 +1,6 @@
 import { findHeader, filterEndToEndHeaders } from 'auburnturn/core/http'
 import type { Headers } from '../core/exchange/index.js'
-import type { AnswerHead, Protocol, RequestHead, TargetLoad, TargetRequestHead } from '../core/forwarding/index.js'
+import type { AnswerHead, NamedRateLimit, Protocol, RequestHead, TargetLoad, TargetRequestHead } from '../core/forwarding/index.js'
 
 /** Names of headers of requests and answers on the platform. */
 const headerNames = {
@@ -19,11 +19,17 @@
   /** Id of the incarnation of the target that answers. */
   instanceId: 'x-instance-id',
   /** Load of the target: requests running, requests waiting, slots, and slowness in hundredths, separated by commas. */
-  serverLoad: 'x-server-load'
+  serverLoad: 'x-server-load',
+  /** Requests per second, a decimal number, that the target takes from all nodes together; absent without a limit. */
+  serverLimit: 'server-limit',
+  /** '1' if the target drains. */
+  serverLeaving: 'server-leaving'
 } as const
 
 const misdirectedStatus = 421
 
+const decimalPattern = /^\d{1,9}(\.\d{1,9})?$/
+
 /** Request headers that are not forwarded, since each node sets its own. */
 const replacedHeaders = new Set<string>([headerNames.timeoutMs, headerNames.expectedTarget, headerNames.callerService, 'content-length'])
 
@@ -56,7 +62,8 @@
     sealed: findHeader(headers, headerNames.responseSeal) !== undefined,
     notRun: findHeader(headers, headerNames.notExecuted) !== undefined || status === misdirectedStatus,
     encoded: findHeader(headers, 'content-encoding') !== undefined,
-    leaving: findHeader(headers, 'connection')?.toLowerCase() === 'close',
+    draining: findHeader(headers, headerNames.serverLeaving) === '1',
+    rateLimit: parseRateLimit(findHeader(headers, headerNames.serverLimit)),
     targetId: findHeader(headers, headerNames.instanceId) ?? '',
     load: parseLoad(findHeader(headers, headerNames.serverLoad))
   }
@@ -84,6 +91,11 @@
   return { running, waiting, slots, slowness: isCount(slowness) && slowness > 0 ? slowness / 100 : undefined }
 }
 
+function parseRateLimit (text: string | undefined): NamedRateLimit {
+  if (text === undefined) return 'none'
+  return decimalPattern.test(text) ? Number(text) : 'unreadable'
+}
+
 function isCount (value: number | undefined): value is number {
   return value !== undefined && Number.isFinite(value) && value >= 0
 }
