--- a/packages/bench/src/scene/play-scene.ts
+++ b/packages/bench/src/scene/play-scene.ts
@@ -7,7 +7,7 @@
 import { SceneNode } from './scene-node.js'
 import { SimulatedTarget } from './simulated-target.js'
 import type { TargetResult } from './simulated-target.js'
-import type { Ending, RequestKind, Scene, SceneResult, Tally } from './types.js'
+import type { Disturbance, Ending, RequestKind, Scene, SceneResult, Tally } from './types.js'
 
 /** Length of a span of the result, in milliseconds. */
 const windowMs = 2_000
@@ -41,7 +41,9 @@
   private readonly kindTallies = new Map<string, Tally>()
   private readonly windows: Tally[] = []
   private readonly total = createTally()
+  private readonly listed: ListedTarget[] = []
   private requestCount = 0
+  private attemptsBeforeRestart = 0
 
   private constructor (scene: Scene, seed: number) {
     this.scene = scene
@@ -58,24 +60,45 @@
 
   async play (): Promise<SceneResult> {
     for (const kind of this.scene.kinds) this.scheduleArrival(kind, 0)
-    for (const { fromMs, toMs, down } of this.scene.disturbances) {
-      if (down === undefined) continue
-      const nodes = [...this.nodes.values()].filter(({ target }) => target.group.service === down.service).slice(0, down.count)
-      this.at(fromMs, () => { for (const node of nodes) node.down = true })
-      this.at(toMs, () => { for (const node of nodes) node.down = false })
-    }
+    for (const disturbance of this.scene.disturbances) this.scheduleDisturbance(disturbance)
     await this.time.run(leadMs + this.scene.lengthMs + tailMs)
     let attempts = 0
     for (const node of this.nodes.values()) {
       node.close()
       attempts += node.attempts
     }
-    return { total: this.total, kinds: this.kindTallies, windows: this.windows, attempts }
+    const rateLimitUse = Math.max(...this.targets.map(target => target.rateLimitUse))
+    return { total: this.total, kinds: this.kindTallies, windows: this.windows, attempts: attempts + this.attemptsBeforeRestart, rateLimitUse }
+  }
+
+  private scheduleDisturbance ({ fromMs, toMs, down, rateLimit, restart }: Disturbance): void {
+    if (down !== undefined) {
+      this.at(fromMs, () => { for (const node of this.listFirst(down)) node.down = true })
+      this.at(toMs, () => { for (const node of this.listFirst(down)) node.down = false })
+    }
+    if (rateLimit !== undefined) {
+      this.at(fromMs, () => { for (const { target } of this.listFirst(rateLimit)) target.rateLimit = rateLimit.perSecond })
+      this.at(toMs, () => { for (const { target } of this.listFirst(rateLimit)) target.rateLimit = undefined })
+    }
+    if (restart !== undefined) this.at(fromMs, () => { for (const node of this.listFirst(restart)) this.restart(node) })
+  }
+
+  /** The nodes beside the first targets of a service. */
+  private listFirst ({ service, count }: { readonly service: string, readonly count: number }): SceneNode[] {
+    return [...this.nodes.values()].filter(({ target }) => target.group.service === service).slice(0, count)
+  }
+
+  /** Replaces a node by one that knows nothing of before; requests that it had taken are still completed. */
+  private restart (node: SceneNode): void {
+    this.attemptsBeforeRestart += node.attempts
+    node.close()
+    const restarted = node.createSuccessor()
+    this.nodes.set(node.ip, restarted)
+    restarted.list(this.listed)
   }
 
   private createNodes (seed: number): void {
     const { time, nodes, scene: { groups, hopMs } } = this
-    const listed: ListedTarget[] = []
     for (const group of groups) {
       for (let index = 0; index < group.count; index++) {
         const number = nodes.size + 1
@@ -83,11 +106,11 @@
         const failureDomain = failureDomains[number % failureDomains.length] as string
         const target = SimulatedTarget.create(`i-${number}`, group, time, seed * 1_000 + 2 * number)
         this.targets.push(target)
-        listed.push({ id: target.id, service: group.service, address: `${ip}:1`, ip, failureDomain, slots: group.slots, state: 'ready', coldMs: 0 })
+        this.listed.push({ id: target.id, service: group.service, address: `${ip}:1`, ip, failureDomain, slots: group.slots, state: 'ready', coldMs: 0 })
         nodes.set(ip, SceneNode.create({ time, random: Random.create(seed * 2_000 + number), ip, failureDomain, target, hopMs, nodes, runAtTarget: async (node, id, deadlineAt) => await this.runAtTarget(node, id, deadlineAt) }))
       }
     }
-    for (const node of nodes.values()) node.list(listed)
+    for (const node of nodes.values()) node.list(this.listed)
   }
 
   private at (sceneMs: number, action: () => void): void {
--- a/packages/bench/src/scene/scene-node.ts
+++ b/packages/bench/src/scene/scene-node.ts
@@ -104,6 +104,11 @@
     return new SceneNode(options)
   }
 
+  /** Creates the node that runs in place of this one after a restart. */
+  createSuccessor (): SceneNode {
+    return SceneNode.create(this.options)
+  }
+
   /** Replaces the list of targets. */
   list (targets: readonly ListedTarget[]): void {
     this.directory.recordListResponse()
@@ -156,8 +161,9 @@
 
   /** The answer head as headers: id of the request, id of the target, load. */
   private answer (status: number, id: string): ExchangeResult {
-    const { id: targetId, running, queued, group, slowness } = this.target
-    return { kind: 'answer', status, headers: [id, targetId, String(running), String(queued), String(group.slots), String(slowness)], body: emptyBody }
+    const { id: targetId, running, queued, group, slowness, rateLimit } = this.target
+    const named = rateLimit === undefined ? [] : [String(rateLimit)]
+    return { kind: 'answer', status, headers: [id, targetId, String(running), String(queued), String(group.slots), String(slowness), ...named], body: emptyBody }
   }
 }
 
@@ -167,9 +173,9 @@
   filterRequest: headers => [...headers],
   writeRequest: (_headers, { id }) => ['id', id],
   readAnswer: (status, headers): AnswerHead => {
-    const [id = '', targetId = '', ...load] = headers
-    const [running = 0, waiting = 0, slots = 1, slowness = 1] = load.map(Number)
-    return { id, targetId, sealed: true, notRun: status === 503, encoded: false, draining: false, rateLimit: 'none', load: { running, waiting, slots, slowness } }
+    const [id = '', targetId = '', ...figures] = headers
+    const [running = 0, waiting = 0, slots = 1, slowness = 1, rateLimit = 'none'] = figures.map(Number)
+    return { id, targetId, sealed: true, notRun: status === 503, encoded: false, draining: false, rateLimit, load: { running, waiting, slots, slowness } }
   },
   filterAnswer: headers => [...headers]
 }
--- a/packages/bench/src/scene/scenes.ts
+++ b/packages/bench/src/scene/scenes.ts
@@ -1,4 +1,4 @@
-import type { Scene } from './types.js'
+import type { Disturbance, Scene } from './types.js'
 
 const noise = { share: 0.25, factor: 4, everyMs: 300 }
 
@@ -21,6 +21,16 @@
   hopMs: 4
 }
 
+/** Targets that name a rate limit, while the nodes beside them restart twice in a row. */
+function limitedTargets (service: string, count: number, perSecond: number): Disturbance[] {
+  const restart = { service, count }
+  return [
+    { fromMs: 3_000, toMs: 16_000, rateLimit: { service, count, perSecond } },
+    { fromMs: 9_000, toMs: 9_000, restart },
+    { fromMs: 10_500, toMs: 10_500, restart }
+  ]
+}
+
 /** The loads that decide how well a deployment serves its callers; each is named by its pattern. */
 export const scenes: readonly Scene[] = [
   shortLimits,
@@ -29,6 +39,8 @@
   { ...shortLimits, name: 'shedding-targets', disturbances: [{ fromMs: 3_000, toMs: 20_000, down: { service: 'front', count: 1 } }, { fromMs: 4_000, toMs: 12_000, shed: { service: 'front', share: 0.55 } }] },
   { ...shortLimits, name: 'one-sheds', disturbances: [{ fromMs: 3_000, toMs: 14_000, shed: { service: 'front', share: 0.5, count: 1 } }] },
   { ...shortLimits, name: 'back-two-less', disturbances: [{ fromMs: 3_000, toMs: 20_000, down: { service: 'back', count: 2 } }] },
+  { ...shortLimits, name: 'limited-targets', disturbances: limitedTargets('front', 3, 30) },
+  { ...shortLimits, name: 'limited-called-targets', disturbances: limitedTargets('back', 2, 40) },
   { ...shortLimits, name: 'back-short', disturbances: [{ fromMs: 3_000, toMs: 20_000, down: { service: 'back', count: 1 } }] }
 ]
 
--- a/packages/bench/src/scene/simulated-target.ts
+++ b/packages/bench/src/scene/simulated-target.ts
@@ -8,6 +8,9 @@
 /** Standard deviation of work, as a share of its mean. */
 const workSpread = 0.3
 
+/** Length of the sliding window in which the use of a rate limit is measured, in milliseconds. */
+const rateLimitWindowMs = 4_000
+
 /** Result of one request at a simulated target. */
 export type TargetResult = 'done' | 'rejected' | 'call-failed' | 'expired'
 
@@ -16,6 +19,12 @@
   readonly id: string
   readonly group: TargetGroup
   running = 0
+  /** Requests per second that the target takes; undefined without a limit. */
+  rateLimit: number | undefined
+  /** Most requests that arrived within `rateLimitWindowMs` under a limit, as a multiple of what it allows. */
+  rateLimitUse = 0
+  /** Clock milliseconds of the requests that arrived under the limit. */
+  private limitedArrivals: number[] = []
   private readonly time: VirtualTime
   private readonly random: Random
   /** Draws the slow moments alone, so that they are the same whatever the nodes decide. */
@@ -53,6 +62,7 @@
 
   /** Runs a request; `call` makes its calls and resolves to whether all of them succeeded. */
   async run (workMs: number, deadlineAt: number, shed: number, call: () => Promise<boolean>): Promise<TargetResult> {
+    this.countArrival()
     if (this.random.fraction() < shed || this.waiting.length >= this.group.queue) return 'rejected'
     if (this.running >= this.group.slots) await new Promise<void>(resolve => { this.waiting.push(resolve) })
     if (this.time.now() >= deadlineAt) return this.release('rejected')
@@ -65,6 +75,16 @@
     return this.release(this.time.now() >= deadlineAt ? 'expired' : succeeded ? 'done' : 'call-failed')
   }
 
+  private countArrival (): void {
+    if (this.rateLimit === undefined) {
+      this.limitedArrivals = []
+      return
+    }
+    const now = this.time.now()
+    this.limitedArrivals = [...this.limitedArrivals, now].filter(at => at > now - rateLimitWindowMs)
+    this.rateLimitUse = Math.max(this.rateLimitUse, this.limitedArrivals.length * 1_000 / (this.rateLimit * rateLimitWindowMs))
+  }
+
   private release (result: TargetResult): TargetResult {
     this.waiting.shift()?.()
     return result
--- a/packages/bench/src/scene/types.ts
+++ b/packages/bench/src/scene/types.ts
@@ -37,6 +37,10 @@
   readonly shed?: { readonly service: string, readonly share: number, readonly count?: number }
   /** Number of targets of a service that are down; the others go on. */
   readonly down?: { readonly service: string, readonly count: number }
+  /** Requests per second that each of the first targets of a service takes from all nodes together, and names in its answers. */
+  readonly rateLimit?: { readonly service: string, readonly count: number, readonly perSecond: number }
+  /** Nodes beside the first targets of a service that restart at the start of the span: they know nothing of before. */
+  readonly restart?: { readonly service: string, readonly count: number }
 }
 
 /** Load, targets and disturbances that are played in virtual time. */
@@ -74,4 +78,6 @@
   readonly windows: readonly Tally[]
   /** Requests that nodes sent to other nodes, refused ones included. */
   readonly attempts: number
+  /** Most requests that a target with a rate limit got in some 4 s, as a multiple of what the limit allows; 0 without limits. */
+  readonly rateLimitUse: number
 }
--- a/packages/bench/test/scene.test.ts
+++ b/packages/bench/test/scene.test.ts
@@ -82,6 +82,14 @@
   }
 })
 
+// Guards against requests above the rate limit that a target names, also just after restarts of the node beside it (LIMIT, issue 26).
+test('targets that name a rate limit: all nodes together send at most one and a half times that in any 4 s, restarts included', async () => {
+  for (const name of ['limited-targets', 'limited-called-targets']) {
+    const { rateLimitUse } = await play(name)
+    assert.ok(rateLimitUse <= 1.5, `${name}: ${rateLimitUse} times the limit`)
+  }
+})
+
 test('work from a third to ten times as long is served no worse', async () => {
   for (const name of ['burst', 'two-targets-less']) {
     const usual = readWorth((await play(name)).total)
