Keep the rate limits that targets name, at the node beside each target

Cause: Server-Limit was read by nobody; slots and speed alone decided what a node lets through to its target. Ruled out: shares of nodes that sum up to more (all requests to a target go through the node beside it), and a limit lost in a restart (broken 4 s before the first restart). Change: the node beside a target keeps a token bucket for the limit; a request takes a token when it gets its slot, whatever way it came. The bucket is empty when a limit begins, so a restarted node, which reads the limit in the first health check, before any request, lets no burst through. Requests wait for the limit only where they meet their objective; others are refused at once with the time at which the limit lets them through. Reports carry limit and allowance, so other nodes choose other targets; a target refuses a request that could go elsewhere ('rate-limited'), as a slow one does.

--- a/packages/sidecar/src/core/admission/constants.ts
+++ b/packages/sidecar/src/core/admission/constants.ts
@@ -3,3 +3,6 @@
 
 /** Weight of a new request in the moving average of work. */
 export const meanWorkWeight = 0.05
+
+/** Maximum Retry-After of a target that takes no requests at present, in milliseconds. */
+export const maxRetryAfterMs = 60_000
--- a/packages/sidecar/src/core/admission/slots.ts
+++ b/packages/sidecar/src/core/admission/slots.ts
@@ -1,5 +1,6 @@
 import type { Clock, Timeout } from 'auburnturn/core/clock'
-import { maxQueuedPerSlot, meanWorkWeight } from './constants.js'
+import { RateLimit } from '../rate-limit/index.js'
+import { maxQueuedPerSlot, maxRetryAfterMs, meanWorkWeight } from './constants.js'
 import { computeMaxWaitMs, createOrderingContext, estimateWaitMs, isHeld, isSlow } from './forecast.js'
 import type { TargetWork } from './forecast.js'
 import { compareSlotRequests, isShort } from './order.js'
@@ -16,13 +17,16 @@
 /** A slot that was requested, and may be granted later. */
 export interface SlotAcquisition {
   readonly decision: Promise<AdmissionDecision>
+  /** Whether the request was queued because of the rate limit. */
+  readonly waitsForRate: boolean
   /** Removes the request from the queue; does nothing once it is decided. */
   cancel (): void
 }
 
-/** The slots of the target on this VM, and the queue of requests for them. */
+/** The slots of the target on this VM, and the queue of requests for them and for the rate limit that the target names. */
 export class Slots {
   private readonly clock: Clock
+  private readonly rateLimit: RateLimit
   private readonly queue: QueuedRequest[] = []
   private runningCount = 0
   private runningWorkMs = 0
@@ -30,13 +34,16 @@
   private speed: ServiceSpeed = { slowness: 1, usualSlowness: 1, expectedSlowMs: 0 }
   private meanWorkMs = 0
   private accepting = true
+  /** Fires when the rate limit lets the next queued request through. */
+  private rateTimer: Timeout | undefined
 
-  private constructor (clock: Clock) {
+  private constructor ({ clock, rateLimit = RateLimit.create({ clock }) }: SlotsOptions) {
     this.clock = clock
+    this.rateLimit = rateLimit
   }
 
-  static create ({ clock }: { clock: Clock }): Slots {
-    return new Slots(clock)
+  static create (options: SlotsOptions): Slots {
+    return new Slots(options)
   }
 
   /** Number of requests that run now. */
@@ -78,7 +85,7 @@
     this.meanWorkMs += (request.workMs - this.meanWorkMs) * (this.meanWorkMs === 0 ? 1 : meanWorkWeight)
     const cause = this.findRefusalCause(request, now)
     if (cause !== undefined) return createDecidedAcquisition(this.createRefusal(cause))
-    if (!this.hasFreeSlot || isHeld(request.workMs, this.work)) return this.enqueue(request, now)
+    if (!this.canStart || isHeld(request.workMs, this.work)) return this.enqueue(request, now)
     this.occupy(request)
     return createDecidedAcquisition({ kind: 'admitted', waitedMs: 0 })
   }
@@ -90,20 +97,20 @@
     this.startNext()
   }
 
-  /** Refuses all queued requests. Used after a pause of this process, when it is unknown how long they have waited. */
-  refuseQueued (): void {
-    for (const queued of this.queue.splice(0)) this.refuse(queued, 'expired')
+  /** Refuses all queued requests, while later ones are accepted. */
+  refuseQueued (cause: RefusalCause): void {
+    for (const queued of this.queue.splice(0)) this.refuse(queued, cause)
   }
 
-  /** Expected milliseconds until a request that comes back finds a free slot, after all that are queued now. */
+  /** Expected milliseconds until a request that comes back can start, after all that are queued now. */
   estimateRetryAfterMs (): number {
     const queuedMs = this.queue.reduce((sum, { request }) => sum + request.workMs, 0)
-    return estimateWaitMs(queuedMs, this.work)
+    return Math.max(estimateWaitMs(queuedMs, this.work), Math.min(this.rateLimit.computeWaitMs(this.queue.length), maxRetryAfterMs))
   }
 
-  /** Whether a request that arrives now finds a free slot and an empty queue. */
-  private get hasFreeSlot (): boolean {
-    return this.runningCount < this.slotLimit && this.queue.length === 0
+  /** Whether a request that arrives now can start: a slot is free, the rate limit lets it through, and none is queued. */
+  private get canStart (): boolean {
+    return this.runningCount < this.slotLimit && this.queue.length === 0 && this.rateLimit.allowance >= 1
   }
 
   /** What runs now and how fast, for forecasts. */
@@ -118,16 +125,21 @@
     const remainingMs = request.deadlineAt - now
     if (remainingMs <= 0) return 'expired'
     if (!request.mayWait && this.slow) return 'slow'
+    if (!request.mayWait && this.rateLimit.computeWaitMs(this.queue.length) > 0) return 'rate-limited'
     // A free slot is always used, since the estimates of work and waits may be wrong.
-    if (this.hasFreeSlot) return undefined
+    if (this.canStart) return undefined
     const context = createOrderingContext(this.work, now)
     if (this.queue.length >= this.slotLimit * maxQueuedPerSlot && !isShort(request, context)) return 'overloaded'
-    const aheadMs = this.queue.reduce((sum, { request: other }) => compareSlotRequests(other, request, context) <= 0 ? sum + other.workMs : sum, 0)
-    return estimateWaitMs(aheadMs, this.work) > computeMaxWaitMs(request, context) ? 'overloaded' : undefined
+    const ahead = this.queue.filter(({ request: other }) => compareSlotRequests(other, request, context) <= 0)
+    const aheadMs = ahead.reduce((sum, { request: other }) => sum + other.workMs, 0)
+    const maxWaitMs = computeMaxWaitMs(request, context)
+    if (this.rateLimit.computeWaitMs(ahead.length) > maxWaitMs) return 'rate-limited'
+    return estimateWaitMs(aheadMs, this.work) > maxWaitMs ? 'overloaded' : undefined
   }
 
   private enqueue (request: SlotRequest, now: number): SlotAcquisition {
     let cancel = (): void => {}
+    const waitsForRate = this.rateLimit.computeWaitMs(this.queue.length) > 0
     const decision = new Promise<AdmissionDecision>(resolve => {
       const queued: QueuedRequest = { request, queuedAt: now, resolve, timer: undefined }
       const remove = (cause: RefusalCause): void => {
@@ -143,12 +155,14 @@
     })
     // This request can start immediately if a slot is free and all requests ahead of it are held back.
     this.startNext()
-    return { decision, cancel: () => { cancel() } }
+    return { decision, waitsForRate, cancel: () => { cancel() } }
   }
 
   private startNext (): void {
     const now = this.clock.now()
+    this.rateTimer?.cancel()
     while (this.accepting && this.runningCount < this.slotLimit && this.queue.length > 0) {
+      if (this.rateLimit.allowance < 1) return this.awaitRateLimit()
       const next = this.dequeueNext(now)
       if (next === undefined) return
       next.timer?.cancel()
@@ -157,6 +171,12 @@
     }
   }
 
+  /** Starts the next queued request when the rate limit lets it through; a target that takes none has no such time. */
+  private awaitRateLimit (): void {
+    const waitMs = this.rateLimit.computeWaitMs(0)
+    if (waitMs < Infinity) this.rateTimer = this.clock.timerWheel.after(waitMs, () => { this.startNext() })
+  }
+
   /** Removes the request to start next from the queue; undefined when all are held back for the usual speed. */
   private dequeueNext (now: number): QueuedRequest | undefined {
     const { work } = this
@@ -173,6 +193,7 @@
   private occupy (request: SlotRequest): void {
     this.runningCount++
     this.runningWorkMs += request.workMs
+    this.rateLimit.take()
   }
 
   private refuse (queued: QueuedRequest, cause: RefusalCause): void {
@@ -187,5 +208,11 @@
 
 /** Creates an acquisition that was decided without queueing. */
 function createDecidedAcquisition (decision: AdmissionDecision): SlotAcquisition {
-  return { decision: Promise.resolve(decision), cancel: () => {} }
+  return { decision: Promise.resolve(decision), waitsForRate: false, cancel: () => {} }
+}
+
+interface SlotsOptions {
+  readonly clock: Clock
+  /** The limit that the target names; none by default. */
+  readonly rateLimit?: RateLimit
 }
--- a/packages/sidecar/src/core/admission/types.ts
+++ b/packages/sidecar/src/core/admission/types.ts
@@ -8,12 +8,12 @@
   readonly deadlineAt: number
   /** Expected duration on the target at its usual speed, in milliseconds. */
   readonly workMs: number
-  /** Whether the request may wait for the target's usual speed; otherwise a slow target refuses it, and another one is tried. */
+  /** Whether the request may wait for the target's usual speed or its rate limit; otherwise it is refused, and another target is tried. */
   readonly mayWait: boolean
 }
 
 /** Why a request did not get a slot. A refused request has not run. */
-export type RefusalCause = 'closed' | 'overloaded' | 'slow' | 'expired' | 'left'
+export type RefusalCause = 'closed' | 'overloaded' | 'rate-limited' | 'slow' | 'expired' | 'left'
 
 /** Whether a request got a slot; times are in milliseconds. */
 export type AdmissionDecision =
--- a/packages/sidecar/src/core/forwarding/forwarder.ts
+++ b/packages/sidecar/src/core/forwarding/forwarder.ts
@@ -5,6 +5,7 @@
 import type { Route } from '../configuration/index.js'
 import { notRun, WorkEstimate } from '../own-target/index.js'
 import type { Job, Outcome, OwnTarget } from '../own-target/index.js'
+import { computeRateWaitMs } from '../rate-limit/index.js'
 import { RetryWindow } from '../retries/index.js'
 import type { RetryBudget } from '../retries/index.js'
 import { chooseTarget, estimateCost, slowFactor, widenAboveCost } from '../targets/index.js'
@@ -47,12 +48,12 @@
       if (target === undefined || !this.mayAttempt(job, route, progress)) break
       if (attempts > 0) this.options.metrics.count('retries_total')
       progress.tried.add(target.id)
-      // The request may wait at a slow target if even the best one is slow, and on the last attempt.
-      const mayWait = target.slowness >= slowFactor || attempts === maxTargetAttempts - 1
+      // The request may wait at a slow or limited target if even the best one is, and on the last attempt.
+      const mayWait = target.slowness >= slowFactor || target.rateWaitMs > 0 || attempts === maxTargetAttempts - 1
       const outcome = await this.attemptWithHedge({ ...job, mayWait }, route, target, progress, signal)
-      if (outcome.kind === 'not-run' && outcome.cause === 'slow') {
+      if (!mayWait && outcome.kind === 'not-run' && (outcome.cause === 'slow' || outcome.cause === 'rate-limited')) {
         progress.tried.delete(target.id)
-        directory.markSlow(target.id)
+        directory.markRefusing(target.id, outcome.cause)
         continue
       }
       this.logFailure(outcome, job, target, attempts)
@@ -64,11 +65,12 @@
 
   private chooseCandidate (job: Job, tried: ReadonlySet<string>): Candidate | undefined {
     const { directory, failureDomain, random, onShortage } = this.options
+    const workMs = this.readWorkMs(job)
     const candidates = this.withOwnTarget(directory.findCandidates(job.service), job.service)
-    const best = chooseTarget({ candidates, failureDomain, tried, random })
-    if (best !== undefined && estimateCost(best, failureDomain) < widenAboveCost) return best
+    const best = chooseTarget({ candidates, failureDomain, tried, workMs, random })
+    if (best !== undefined && estimateCost(best, failureDomain, workMs) < widenAboveCost) return best
     onShortage(job.service)
-    return best ?? chooseTarget({ candidates: directory.findCandidates(job.service, 'any'), failureDomain, tried, random })
+    return best ?? chooseTarget({ candidates: directory.findCandidates(job.service, 'any'), failureDomain, tried, workMs, random })
   }
 
   /** Replaces the reported state of the target on this VM by its current state. */
@@ -77,7 +79,7 @@
     const others = candidates.filter(candidate => candidate.ip !== ip)
     const report = ownTarget.describe()
     const usable = report.service === service && (report.fresh || this.options.directory.isListedAsReady(report.id))
-    return usable ? [...others, { ...report, ip, cold: false, reportAgeMs: 0 }] : others
+    return usable ? [...others, { ...report, ip, cold: false, rateWaitMs: computeRateWaitMs(report), reportAgeMs: 0 }] : others
   }
 
   /**
@@ -87,7 +89,7 @@
   private async attemptWithHedge (job: Job, route: Route, target: Candidate, progress: Progress, signal: CancelSignal): Promise<Outcome> {
     if (!job.idempotent || progress.reachedTargets > 0) return await this.attempt(job, target, signal)
     const { clock, logger, metrics } = this.options
-    const workMs = this.workEstimate.read(job.route, job.objectiveMs * initialWorkShare)
+    const workMs = this.readWorkMs(job)
     const cancellations = [createLinkedCancellation(signal), createLinkedCancellation(signal)] as const
     const first = this.attempt(job, target, cancellations[0])
     const hedgeTarget = await awaitHedgeTarget(first, {
@@ -133,6 +135,11 @@
     return this.getRetryWindow(job.service).takeRetry(clock.now(), retryBudget())
   }
 
+  /** Expected work of a request at usual speed, in milliseconds. */
+  private readWorkMs ({ route, objectiveMs }: Job): number {
+    return this.workEstimate.read(route, objectiveMs * initialWorkShare)
+  }
+
   /** Whether the outcome of an attempt goes to the caller without another attempt. */
   private isFinal (outcome: Outcome, job: Job, signal: CancelSignal): boolean {
     if (signal.aborted || this.options.clock.now() >= job.deadlineAt) return true
@@ -156,6 +163,7 @@
       running: target.running,
       waiting: target.waiting,
       limit: target.limit,
+      rateWaitMs: Math.round(target.rateWaitMs),
       slowness: target.slowness
     })
   }
--- a/packages/sidecar/src/core/forwarding/hedge.ts
+++ b/packages/sidecar/src/core/forwarding/hedge.ts
@@ -31,7 +31,7 @@
  * expected to answer before the deadline.
  */
 export function shouldHedge ({ job, workMs, current, alternative, now }: HedgeConditions): boolean {
-  if (alternative.running + alternative.waiting >= alternative.limit || alternative.reportAgeMs > unresponsiveAfterMs) return false
+  if (alternative.running + alternative.waiting >= alternative.limit || alternative.rateWaitMs > 0 || alternative.reportAgeMs > unresponsiveAfterMs) return false
   const unreachable = current === undefined || current.state === 'down' || current.reportAgeMs > unresponsiveAfterMs
   return unreachable && now + workMs * alternative.slowness <= job.deadlineAt
 }
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -6,7 +6,7 @@
 import { ConnectionPool, exchange } from '../exchange/index.js'
 import type { BodyMemory, Exchange, ExchangeResult } from '../exchange/index.js'
 import type { AnswerHead, Protocol } from '../forwarding/types.js'
-import { RateLimit } from '../rate-limit/index.js'
+import { EffectLog, RateLimit } from '../rate-limit/index.js'
 import { FailureRate, usableSlotShare } from '../targets/index.js'
 import type { Directory, TargetReport, TargetState } from '../targets/index.js'
 import { classifyAnswer, isTargetFailure } from './classify-answer.js'
@@ -22,6 +22,7 @@
   /** The limit that the target names in its answers. */
   readonly rateLimit: RateLimit
   private readonly options: OwnTargetOptions
+  private readonly effectLog: EffectLog
   private readonly connections: ConnectionPool
   private readonly failures = FailureRate.create()
   private readonly workEstimate = WorkEstimate.create()
@@ -34,13 +35,13 @@
   private freshUntil = -Infinity
   private loadReceivedAt = -Infinity
   private closing = false
-  /** Whether the last answer of the target announced that it drains. */
-  private announcedDraining = false
 
   private constructor (options: OwnTargetOptions) {
     this.options = options
-    this.slots = Slots.create({ clock: options.clock })
-    this.rateLimit = RateLimit.create({ clock: options.clock })
+    const { clock, logger, metrics } = options
+    this.rateLimit = RateLimit.create({ clock })
+    this.slots = Slots.create({ clock, rateLimit: this.rateLimit })
+    this.effectLog = EffectLog.create({ clock, logger, metrics, rateLimit: this.rateLimit })
     this.connections = ConnectionPool.create({ address: options.address, limit: maxConnections, clock: options.clock, memory: options.memory })
   }
 
@@ -69,7 +70,8 @@
     const { running, waiting, limit } = this.slots
     const now = clock.now()
     const failures = Math.min(1, this.failures.read(now) + (this.healthy ? 0 : unhealthyFailureShare))
-    return { id: this.instanceId, service, failureDomain, state: this.getState(), fresh: this.isFresh(now), running, waiting, limit, slowness: this.slowness, failures }
+    const { perSecond: rateLimit, allowance } = this.rateLimit
+    return { id: this.instanceId, service, failureDomain, state: this.getState(), fresh: this.isFresh(now), running, waiting, limit, slowness: this.slowness, failures, rateLimit, rateAllowance: allowance - waiting }
   }
 
   /**
@@ -83,11 +85,13 @@
     const request = this.createSlotRequest(job)
     const acquisition = this.slots.acquire(request)
     if (this.slots.waiting > 0) this.options.loadMonitor.useShortInterval()
+    if (acquisition.waitsForRate) this.effectLog.record('queued', target)
     this.options.onChange()
     signal.addEventListener('abort', acquisition.cancel, { once: true })
     const decision = await acquisition.decision
     signal.removeEventListener('abort', acquisition.cancel)
     if (decision.kind === 'refused') {
+      if (decision.cause === 'rate-limited') this.effectLog.record(job.mayWait ? 'refused' : 'redirected', target)
       this.logRefusal(job, decision)
       return notRun(decision.cause, decision.retryAfterMs)
     }
@@ -149,12 +153,12 @@
   /** Updates the incarnation, the load and the demands of the target from the head of an answer. */
   private updateFromAnswer (head: AnswerHead): void {
     const { clock, logger, onChange } = this.options
-    this.updateDemands(head)
     if (head.targetId !== '' && head.targetId !== this.instanceId) {
       logger.info('target-changed', { from: this.instanceId, to: head.targetId })
       if (this.instanceId !== '') this.freshUntil = clock.now() + freshDurationMs
       this.instanceId = head.targetId
     }
+    this.updateDemands(head)
     if (head.load !== undefined) {
       this.loadReceivedAt = clock.now()
       this.reportedSlots = head.load.slots
@@ -173,10 +177,6 @@
     if (head.rateLimit === 'unreadable') metrics.count('rate_limits_unreadable_total')
     const change = this.rateLimit.update(head.rateLimit)
     if (change !== undefined) logger.info('rate-limit-changed', { target: this.instanceId, from: change.from, to: change.to, ageMs: Math.round(change.ageMs), sentInWindow: this.rateLimit.sentInWindow })
-    if (head.draining !== this.announcedDraining) {
-      this.announcedDraining = head.draining
-      logger.info('draining-announced', { target: this.instanceId, draining: head.draining })
-    }
   }
 
   /** The outcome of a request that can't run in the present state of the target; undefined if it can. */
@@ -200,7 +200,6 @@
     const { slowness } = this
     const timeoutMs = job.deadlineAt - startedAt
     if (timeoutMs <= 0) return notRun('expired')
-    this.rateLimit.countSent()
     if (!job.idempotent) this.connections.closeIdleLongerThan(maxNonIdempotentIdleMs)
     const result = await (this.options.exchange ?? exchange)({
       connections: this.connections,
@@ -228,7 +227,7 @@
     const { running, waiting, limit } = this.slots
     const remainingMs = Math.round(job.deadlineAt - this.options.clock.now())
     const loadAgeMs = Math.round(this.loadAgeMs)
-    this.options.logger.info('refused', { request: job.id, cause, retryAfterMs, leftMs: remainingMs, running, waiting, limit, slowness: this.slowness, loadMsAgo: loadAgeMs, target: this.instanceId })
+    this.options.logger.info('refused', { request: job.id, cause, retryAfterMs, leftMs: remainingMs, running, waiting, limit, slowness: this.slowness, rateLimit: this.rateLimit.perSecond, rateLimitAgeMs: Math.round(this.rateLimit.ageMs), loadMsAgo: loadAgeMs, target: this.instanceId })
   }
 
   /** Decides whether a request ran, and updates the state of the target. */
--- a/packages/sidecar/src/core/own-target/types.ts
+++ b/packages/sidecar/src/core/own-target/types.ts
@@ -19,7 +19,7 @@
   readonly objectiveMs: number
   /** Lower numbers are more urgent; 0 is served first. */
   readonly priority: number
-  /** Whether the request may wait until the target works at its usual speed; otherwise a slow target refuses it. */
+  /** Whether the request may wait for the target's usual speed or its rate limit; otherwise it is refused. */
   readonly mayWait: boolean
   /** When the latency objective of the request ends; an answer after this has less value. */
   readonly objectiveAt: number
@@ -31,6 +31,7 @@
 export type NotRunCause =
   | 'closed' // the target or its node is shutting down
   | 'overloaded' // the queue is full, or the expected wait in it is too long
+  | 'rate-limited' // the rate limit of the target lets it through too late, or later than another target may run it
   | 'slow' // the target is slow at present
   | 'expired' // its deadline has passed, or it was queued for too long
   | 'left' // the caller has disconnected
--- a/packages/sidecar/src/core/rate-limit/rate-limit.ts
+++ b/packages/sidecar/src/core/rate-limit/rate-limit.ts
@@ -1,24 +1,23 @@
 import type { Clock } from 'auburnturn/core/clock'
 import type { NamedRateLimit } from '../forwarding/types.js'
-import { sentWindowMs } from './constants.js'
+import { computeRateWaitMs } from './compute-rate-wait.js'
+import { burstMs, sentWindowMs, unlimited } from './constants.js'
+import type { RateLimitChange } from './types.js'
 
-/** Requests per second while a target names no limit. */
-const unlimited = Infinity
-
-/** A change of the limit that a target names; rates are in requests per second, Infinity without a limit. */
-export interface RateLimitChange {
-  readonly from: number
-  readonly to: number
-  /** Milliseconds for which the target has named a limit without a break; 0 when it has just begun to. */
-  readonly ageMs: number
-}
-
-/** The rate limit that one target names, and the requests that were sent to it. Its node sends all of them. */
+/**
+ * The rate limit that one target names, as a token bucket. The node beside the target sends all requests of all nodes to it, so
+ * its bucket alone holds for all of them. The bucket is empty when a limit begins, since earlier requests, those of a previous
+ * process of this node included, were not counted.
+ */
 export class RateLimit {
   private readonly clock: Clock
   private limitPerSecond = unlimited
   /** When the target began to name a limit, in clock milliseconds. */
   private namedSince = 0
+  /** Requests that could be sent at `filledAt`. */
+  private tokens = 0
+  /** Clock milliseconds of the last refill. */
+  private filledAt = 0
   /** Clock milliseconds of the requests sent in the last window, oldest first. */
   private readonly sentAt: number[] = []
 
@@ -30,7 +29,7 @@
     return new RateLimit(clock)
   }
 
-  /** Requests per second that the target takes; Infinity without a limit. */
+  /** Requests per second that the target takes; `unlimited` without a limit. */
   get perSecond (): number {
     return this.limitPerSecond
   }
@@ -40,6 +39,13 @@
     return this.limitPerSecond === unlimited ? 0 : this.clock.now() - this.namedSince
   }
 
+  /** Requests that may be sent now; `unlimited` without a limit. */
+  get allowance (): number {
+    if (this.limitPerSecond === unlimited) return unlimited
+    this.refill()
+    return this.tokens
+  }
+
   /** Number of requests sent in the last `sentWindowMs`. */
   get sentInWindow (): number {
     this.prune()
@@ -48,20 +54,39 @@
 
   /** Applies what the target's newest answer names. Returns the change, if there is one; an unreadable value changes nothing. */
   update (named: NamedRateLimit): RateLimitChange | undefined {
-    if (named === 'unreadable') return undefined
     const from = this.limitPerSecond
     const to = named === 'none' ? unlimited : named
-    if (from === to) return undefined
+    if (to === 'unreadable' || from === to) return undefined
     const { ageMs } = this
-    if (from === unlimited) this.namedSince = this.clock.now()
+    if (from === unlimited) this.begin()
+    else this.refill()
     this.limitPerSecond = to
     return { from, to, ageMs }
   }
 
+  /** Milliseconds until a request can be sent that comes after `ahead` others; Infinity if the target takes none. */
+  computeWaitMs (ahead: number): number {
+    return computeRateWaitMs({ rateLimit: this.limitPerSecond, rateAllowance: this.allowance - ahead })
+  }
+
   /** Counts a request that is sent to the target. */
-  countSent (): void {
+  take (): void {
     this.prune()
     this.sentAt.push(this.clock.now())
+    if (this.limitPerSecond !== unlimited) this.tokens = this.allowance - 1
+  }
+
+  private begin (): void {
+    this.namedSince = this.clock.now()
+    this.filledAt = this.namedSince
+    this.tokens = 0
+  }
+
+  private refill (): void {
+    const now = this.clock.now()
+    const burst = this.limitPerSecond === 0 ? 0 : Math.max(1, this.limitPerSecond * burstMs / 1_000)
+    this.tokens = Math.min(burst, this.tokens + (now - this.filledAt) * this.limitPerSecond / 1_000)
+    this.filledAt = now
   }
 
   private prune (): void {
--- a/packages/sidecar/src/core/reports/codec.ts
+++ b/packages/sidecar/src/core/reports/codec.ts
@@ -1,4 +1,5 @@
 import { crc32 } from 'node:zlib'
+import { unlimited } from '../rate-limit/index.js'
 import type { TargetReport, TargetState } from '../targets/index.js'
 
 /** The complete state of a node's target, with the version of the node's active configuration. */
@@ -9,7 +10,7 @@
 }
 
 /** The fields of a report that change many times a second. */
-export type Figures = Pick<TargetReport, 'state' | 'fresh' | 'running' | 'waiting' | 'limit' | 'slowness' | 'failures'>
+export type Figures = Pick<TargetReport, 'state' | 'fresh' | 'running' | 'waiting' | 'limit' | 'slowness' | 'failures' | 'rateLimit' | 'rateAllowance'>
 
 /** The figures of a target whose full report was sent before. It is short because traffic between failure domains is expensive. */
 export interface ShortReport {
@@ -26,13 +27,14 @@
 
 /** Message type in the first byte of each datagram. Higher values are notices of store readers, see `readers/codec.ts`. */
 const messageTypes = { full: 1, short: 2, subscription: 3 } as const
-const figuresBytes = 10
+const figuresBytes = 14
 const shortReportBytes = figuresBytes + 4
 /** Length of the part of a full report that precedes its text fields. */
 const fullReportHeaderBytes = figuresBytes + 6
 const states: readonly TargetState[] = ['up', 'down', 'closing']
 const freshBit = 4
 const maxUint16 = 0xffff
+const maxInt16 = 0x7fff
 
 /** Encodes a full report: figures, configuration version, then id, service and failure domain, each prefixed by its length. */
 export function encodeReport ({ target, configurationVersion }: Report): Buffer {
@@ -91,7 +93,7 @@
   return figures === undefined ? undefined : { kind: 'short', idChecksum: bytes.readUInt32LE(figuresBytes), figures }
 }
 
-function writeFigures (bytes: Buffer, messageType: number, { state, fresh, running, waiting, limit, slowness, failures }: Figures): void {
+function writeFigures (bytes: Buffer, messageType: number, { state, fresh, running, waiting, limit, slowness, failures, rateLimit, rateAllowance }: Figures): void {
   bytes.writeUInt8(messageType, 0)
   bytes.writeUInt8(states.indexOf(state) | (fresh ? freshBit : 0), 1)
   bytes.writeUInt16LE(clampToUint16(running), 2)
@@ -100,12 +102,17 @@
   // Tenths are precise enough for choosing a target, and one byte holds a slowness of up to 25.
   bytes.writeUInt8(Math.min(255, Math.round(slowness * 10)), 8)
   bytes.writeUInt8(Math.min(255, Math.round(failures * 255)), 9)
+  // The largest values stand for a target without a limit.
+  bytes.writeUInt16LE(clampToUint16(rateLimit * 10), 10)
+  bytes.writeInt16LE(Math.max(-maxInt16, Math.min(maxInt16, Math.floor(rateAllowance * 10))), 12)
 }
 
 function readFigures (bytes: Buffer): Figures | undefined {
   const flags = bytes.readUInt8(1)
   const state = states[flags & 3]
   if (state === undefined) return undefined
+  const rateLimit = bytes.readUInt16LE(10)
+  const rateAllowance = bytes.readInt16LE(12)
   return {
     state,
     fresh: (flags & freshBit) !== 0,
@@ -113,7 +120,9 @@
     waiting: bytes.readUInt16LE(4),
     limit: bytes.readUInt16LE(6),
     slowness: bytes.readUInt8(8) / 10,
-    failures: bytes.readUInt8(9) / 255
+    failures: bytes.readUInt8(9) / 255,
+    rateLimit: rateLimit === maxUint16 ? unlimited : rateLimit / 10,
+    rateAllowance: rateAllowance === maxInt16 ? unlimited : rateAllowance / 10
   }
 }
 
--- a/packages/sidecar/src/core/reports/reporter.ts
+++ b/packages/sidecar/src/core/reports/reporter.ts
@@ -77,7 +77,7 @@
     const now = this.options.clock.now()
     const kind = now - group.fullSentAt >= fullReportIntervalMs ? 'full' : 'short'
     if (group.report === undefined || report.configurationVersion !== group.report.configurationVersion) return 'full'
-    if (now - group.sentAt >= heartbeatIntervalMs || hasSlownessChanged(report.target, group.report.target)) return kind
+    if (now - group.sentAt >= heartbeatIntervalMs || hasSlownessChanged(report.target, group.report.target) || hasRateLimitChanged(report.target, group.report.target)) return kind
     const changed = now - group.sentAt >= minLoadReportIntervalMs && hasLoadChanged(report.target, group.report.target, group.loadStep)
     return changed ? kind : 'none'
   }
@@ -112,6 +112,12 @@
   return ratio > slownessChangeFactor || ratio < 1 / slownessChangeFactor
 }
 
+/** Whether the target names another limit, or its limit has begun or ceased to hold requests back. */
+function hasRateLimitChanged (current: TargetReport, previous: TargetReport): boolean {
+  const isHeldBack = ({ rateAllowance }: TargetReport): boolean => rateAllowance < 1
+  return current.rateLimit !== previous.rateLimit || isHeldBack(current) !== isHeldBack(previous)
+}
+
 function hasLoadChanged (current: TargetReport, previous: TargetReport, step: number): boolean {
   return Math.abs(current.running + current.waiting - previous.running - previous.waiting) >= step
 }
--- a/packages/sidecar/src/core/targets/choose-target.ts
+++ b/packages/sidecar/src/core/targets/choose-target.ts
@@ -9,17 +9,19 @@
   readonly failureDomain: string
   /** Ids of the targets that this request has already been sent to. */
   readonly tried: ReadonlySet<string>
+  /** Expected work of the request at usual speed, in milliseconds. */
+  readonly workMs: number
   readonly random: Random
 }
 
 /** Returns the target at which a request is expected to complete first, or undefined if no untried target is up. */
-export function chooseTarget ({ candidates, failureDomain, tried, random }: TargetChoice): Candidate | undefined {
+export function chooseTarget ({ candidates, failureDomain, tried, workMs, random }: TargetChoice): Candidate | undefined {
   let best: Candidate | undefined
   let lowestCost = Infinity
   for (const candidate of candidates) {
     if (candidate.state !== 'up' || tried.has(candidate.id)) continue
     // Random noise of 5% keeps nodes that received the same reports from all choosing the same target.
-    const cost = estimateCost(candidate, failureDomain) * (0.95 + 0.1 * random.fraction())
+    const cost = estimateCost(candidate, failureDomain, workMs) * (0.95 + 0.1 * random.fraction())
     if (cost < lowestCost) {
       best = candidate
       lowestCost = cost
@@ -28,8 +30,8 @@
   return best
 }
 
-/** Estimates the time to complete one more request at a target, in service times of an idle target. */
-export function estimateCost (candidate: Candidate, failureDomain: string): number {
+/** Estimates the time to complete one more request at a target, in service times (`workMs`) of an idle target. */
+export function estimateCost (candidate: Candidate, failureDomain: string, workMs: number): number {
   const slow = candidate.slowness >= slowFactor
   const slowdown = slow ? 1 + slowTargetCost + slownessCostShare * candidate.slowness : Math.max(candidate.slowness, candidate.cold ? coldStartSlowness : 1)
   const requestsAhead = candidate.running + candidate.waiting
@@ -38,5 +40,6 @@
   const queueTimes = Math.max(0, requestsAhead + 1 - limit) / limit
   const domainPenalty = candidate.failureDomain === failureDomain ? 0 : crossDomainCost
   const unresponsivePenalty = candidate.reportAgeMs > unresponsiveAfterMs ? unresponsiveCost : 0
-  return slowdown * (serviceTimes + queueTimes) + domainPenalty + unresponsivePenalty + failureCost * candidate.failures
+  const rateTimes = candidate.rateWaitMs / Math.max(1, workMs)
+  return slowdown * (serviceTimes + queueTimes) + rateTimes + domainPenalty + unresponsivePenalty + failureCost * candidate.failures
 }
--- a/packages/sidecar/src/core/targets/directory.ts
+++ b/packages/sidecar/src/core/targets/directory.ts
@@ -1,4 +1,5 @@
 import type { Clock } from 'auburnturn/core/clock'
+import { computeRateWaitMs } from '../rate-limit/index.js'
 import { listOutageMs, maxRemovedIds, missingEntryGraceMs, reportRetentionMs, slowFactor, unlistedUseMs, unresponsiveAfterMs, usableSlotShare } from './constants.js'
 import { LocationIndex } from './location-index.js'
 import { OutstandingRequests } from './outstanding-requests.js'
@@ -104,11 +105,13 @@
     if (previous !== undefined && isSameTarget(previous.report.id)) this.recordReport(ip, { ...previous.report, ...figures })
   }
 
-  /** Marks a target as slow until its next report, since it has refused a request for that reason. */
-  markSlow (id: string): void {
+  /** Marks a target as slow or at its rate limit until its next report, since it has refused a request for that reason. */
+  markRefusing (id: string, cause: 'slow' | 'rate-limited'): void {
     for (const [ip, received] of this.reports) {
-      if (received.report.id !== id || received.report.slowness >= slowFactor) continue
-      this.reports.set(ip, { ...received, report: { ...received.report, slowness: slowFactor } })
+      const { report } = received
+      if (report.id !== id) continue
+      const marked = cause === 'slow' ? { slowness: Math.max(report.slowness, slowFactor) } : { rateAllowance: Math.min(report.rateAllowance, 0) }
+      this.reports.set(ip, { ...received, report: { ...report, ...marked } })
     }
   }
 
@@ -227,7 +230,7 @@
     if (received !== undefined) return { ...this.createReportedCandidate(ip, received, now), failureDomain, cold }
     const { underWay } = this.outstanding.read(id)
     const limit = Math.max(1, Math.floor(target.slots * usableSlotShare))
-    return { id, service, ip, failureDomain, state: 'up', running: underWay, waiting: 0, limit, slowness: 1.5, cold, failures: 0, reportAgeMs: this.getReportAgeMs(ip) }
+    return { id, service, ip, failureDomain, state: 'up', running: underWay, waiting: 0, limit, slowness: 1.5, cold, failures: 0, rateWaitMs: 0, reportAgeMs: this.getReportAgeMs(ip) }
   }
 
   private createUnlistedCandidate (ip: string, received: ReceivedReport, now: number): Candidate {
@@ -238,7 +241,8 @@
   private createReportedCandidate (ip: string, { report, at }: ReceivedReport, now: number): Candidate {
     const { id, service, failureDomain, state, running, waiting, limit, slowness, failures } = report
     const { underWay, unreported } = this.outstanding.read(id)
-    return { id, service, ip, failureDomain, state, running: Math.max(running + unreported, underWay), waiting, limit, slowness, failures, cold: false, reportAgeMs: now - at }
+    const rateWaitMs = computeRateWaitMs({ rateLimit: report.rateLimit, rateAllowance: report.rateAllowance - unreported })
+    return { id, service, ip, failureDomain, state, running: Math.max(running + unreported, underWay), waiting, limit, slowness, failures, rateWaitMs, cold: false, reportAgeMs: now - at }
   }
 }
 
--- a/packages/sidecar/src/core/targets/types.ts
+++ b/packages/sidecar/src/core/targets/types.ts
@@ -1,3 +1,5 @@
+import type { RateAllowance } from '../rate-limit/index.js'
+
 /** A target as listed in the platform's store. */
 export interface ListedTarget {
   /** Identifies one incarnation of the target. */
@@ -18,7 +20,7 @@
 export type TargetState = 'up' | 'down' | 'closing'
 
 /** The state of a target as reported by the node on the same VM. */
-export interface TargetReport {
+export interface TargetReport extends RateAllowance {
   readonly id: string
   readonly service: string
   readonly failureDomain: string
@@ -51,6 +53,8 @@
   /** Whether the target has just started and is still slow. */
   readonly cold: boolean
   readonly failures: number
+  /** Milliseconds until the rate limit of the target lets a request through; 0 without a limit, Infinity if it takes none. */
+  readonly rateWaitMs: number
   /** Milliseconds since the last report of its node; Infinity if there is none. */
   readonly reportAgeMs: number
 }
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -406,7 +406,7 @@
   /** Refuses the waiting requests after a pause of the process, since it is not known how long they have waited. */
   private handlePause (pausedMs: number): void {
     this.logger.warn('paused', { pausedMs: Math.round(pausedMs) })
-    this.target.slots.refuseQueued()
+    this.target.slots.refuseQueued('expired')
   }
 }
 
--- a/packages/sidecar/test/reporter.test.ts
+++ b/packages/sidecar/test/reporter.test.ts
@@ -1,6 +1,7 @@
 import { ManualClock } from 'auburnturn/core/clock'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { unlimited } from '../src/core/rate-limit/index.js'
 import { decodeReport, Reporter } from '../src/core/reports/index.js'
 import type { Report } from '../src/core/reports/index.js'
 import type { TargetReport } from '../src/core/targets/index.js'
@@ -13,7 +14,7 @@
 /** A reporter with its target, and a record of the reports sent to each node. */
 class ReporterFixture {
   readonly clock = ManualClock.create()
-  target: TargetReport = { id: 'i-1', service: 'shop', failureDomain: 'a', state: 'up', fresh: false, running: 0, waiting: 0, limit: 8, slowness: 1, failures: 0 }
+  target: TargetReport = { id: 'i-1', service: 'shop', failureDomain: 'a', state: 'up', fresh: false, running: 0, waiting: 0, limit: 8, slowness: 1, failures: 0, rateLimit: unlimited, rateAllowance: unlimited }
   version = 1
   readonly reporter: Reporter
   private readonly sent: Array<{ readonly ip: string, readonly kind: string }> = []
--- a/packages/sidecar/test/selection.test.ts
+++ b/packages/sidecar/test/selection.test.ts
@@ -2,6 +2,7 @@
 import { ManualClock } from 'auburnturn/core/clock'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { unlimited } from '../src/core/rate-limit/index.js'
 import { Subscriber, SubscriberList } from '../src/core/reports/index.js'
 import { LocationIndex, PeerSelection } from '../src/core/targets/index.js'
 import type { ListedTarget, TargetLocation } from '../src/core/targets/index.js'
@@ -86,7 +87,7 @@
       const target: ListedTarget = { id: `i-${id}`, service, ip, address: `${ip}:80`, failureDomain, slots: 8, state: 'ready', coldMs: 0 }
       const previous = listed.get(target.id)
       if (action === 'report') {
-        index.recordReport(ip, { id: '', service, failureDomain, state: 'up', fresh: false, running: 0, waiting: 0, limit: 1, slowness: 1, failures: 0 })
+        index.recordReport(ip, { id: '', service, failureDomain, state: 'up', fresh: false, running: 0, waiting: 0, limit: 1, slowness: 1, failures: 0, rateLimit: unlimited, rateAllowance: unlimited })
         reported.set(ip, service)
       } else if (action === 'expire') {
         index.removeReport(ip)
--- a/packages/sidecar/test/slots.test.ts
+++ b/packages/sidecar/test/slots.test.ts
@@ -186,7 +186,7 @@
         }
         case 'pass': await harness.clock.advance(event.ms); break
         case 'resize': limit = event.limit; harness.setCapacity(event.limit, event.slowness, 100); break
-        case 'pause': harness.slots.refuseQueued()
+        case 'pause': harness.slots.refuseQueued('expired')
       }
     }
     harness.setCapacity(3, 1, 0)
--- a/packages/sidecar/test/small-parts.test.ts
+++ b/packages/sidecar/test/small-parts.test.ts
@@ -11,6 +11,7 @@
 import { LineWriter } from '../src/core/logging/index.js'
 import { PauseDetector } from '../src/core/pauses/index.js'
 import { decodeReport, encodeReport, encodeShortReport, computeIdChecksum } from '../src/core/reports/index.js'
+import { unlimited } from '../src/core/rate-limit/index.js'
 import { RetryWindow } from '../src/core/retries/index.js'
 
 const test = suite('small parts')
@@ -28,7 +29,9 @@
     waiting: fc.integer({ min: 0, max: 60_000 }),
     limit: fc.integer({ min: 1, max: 60_000 }),
     slowness: fc.integer({ min: 1, max: 255 }).map(tenths => tenths / 10),
-    failures: fc.integer({ min: 0, max: 255 }).map(parts => parts / 255)
+    failures: fc.integer({ min: 0, max: 255 }).map(parts => parts / 255),
+    rateLimit: fc.oneof(fc.constant(unlimited), fc.integer({ min: 0, max: 65_534 }).map(tenths => tenths / 10)),
+    rateAllowance: fc.oneof(fc.constant(unlimited), fc.integer({ min: -32_767, max: 32_766 }).map(tenths => tenths / 10))
   }, { noNullPrototype: true })
 }, { noNullPrototype: true })
 
@@ -42,7 +45,7 @@
 
 test('bytes that are not a report are rejected without an error', () => {
   fc.assert(fc.property(fc.uint8Array({ maxLength: 80 }), bytes => { decodeReport(Buffer.from(bytes)) }), { seed: 3 })
-  const complete = encodeReport({ kind: 'full', configurationVersion: 1, target: { id: 'i', service: 's', failureDomain: 'z', state: 'up', fresh: false, running: 1, waiting: 0, limit: 1, slowness: 1, failures: 0 } })
+  const complete = encodeReport({ kind: 'full', configurationVersion: 1, target: { id: 'i', service: 's', failureDomain: 'z', state: 'up', fresh: false, running: 1, waiting: 0, limit: 1, slowness: 1, failures: 0, rateLimit: unlimited, rateAllowance: unlimited } })
   for (let length = 0; length < complete.length; length++) assert.is(decodeReport(complete.subarray(0, length)), undefined)
 })
 
--- a/packages/sidecar/test/targets.test.ts
+++ b/packages/sidecar/test/targets.test.ts
@@ -2,17 +2,18 @@
 import { Random } from 'auburnturn/core/random'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { unlimited } from '../src/core/rate-limit/index.js'
 import { chooseTarget, Directory, FailureRate } from '../src/core/targets/index.js'
 import type { Candidate, ListedTarget, TargetReport } from '../src/core/targets/index.js'
 
 const test = suite('targets')
 
 function createCandidate (id: string, changes: Partial<Candidate> = {}): Candidate {
-  return { id, service: 'shop', ip: `ip-${id}`, failureDomain: 'a', state: 'up', running: 0, waiting: 0, limit: 8, slowness: 1, cold: false, failures: 0, reportAgeMs: 0, ...changes }
+  return { id, service: 'shop', ip: `ip-${id}`, failureDomain: 'a', state: 'up', running: 0, waiting: 0, limit: 8, slowness: 1, cold: false, failures: 0, rateWaitMs: 0, reportAgeMs: 0, ...changes }
 }
 
 function choose (...candidates: Candidate[]): string | undefined {
-  return chooseTarget({ candidates, failureDomain: 'a', tried: new Set(), random: Random.create(1) })?.id
+  return chooseTarget({ candidates, failureDomain: 'a', tried: new Set(), workMs: 100, random: Random.create(1) })?.id
 }
 
 const inferiorCandidates: ReadonlyArray<readonly [string, Partial<Candidate>]> = [
@@ -22,6 +23,8 @@
   ['has just started', { cold: true }],
   ['fails half of its requests', { failures: 0.5 }],
   ['is on an unresponsive node', { reportAgeMs: 3_000 }],
+  ['is at its rate limit', { rateWaitMs: 500 }],
+  ['takes no requests', { rateWaitMs: Infinity }],
   ['is down', { state: 'down' }],
   ['is closing', { state: 'closing' }]
 ]
@@ -52,7 +55,7 @@
 }
 
 function createReport (id: string, changes: Partial<TargetReport> = {}): TargetReport {
-  return { id, service: 'shop', failureDomain: 'a', state: 'up', fresh: false, running: 0, waiting: 0, limit: 8, slowness: 1, failures: 0, ...changes }
+  return { id, service: 'shop', failureDomain: 'a', state: 'up', fresh: false, running: 0, waiting: 0, limit: 8, slowness: 1, failures: 0, rateLimit: unlimited, rateAllowance: unlimited, ...changes }
 }
 
 function findCandidateIds (directory: Directory): string[] {
