Send nothing more to a target that announces in an answer that it drains

Cause: the same as for the rate limit: a demand in an answer was read by nobody. Change: from the first such answer, health checks included, the node beside the target admits nothing, refuses what is queued, and reports the target as closing to all nodes. It stays so until another incarnation answers or the target comes back. Test: 'a target that announces in an answer that it drains gets nothing more, also after a restart of its node', new; without the change the target is 'up' and gets all requests.

--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -35,6 +35,8 @@
   private freshUntil = -Infinity
   private loadReceivedAt = -Infinity
   private closing = false
+  /** Whether the present incarnation of the target has announced that it drains. */
+  private draining = false
 
   private constructor (options: OwnTargetOptions) {
     this.options = options
@@ -129,7 +131,7 @@
   }
 
   private getState (): TargetState {
-    if (this.closing || this.options.directory.isLeaving(this.instanceId)) return 'closing'
+    if (this.closing || this.draining || this.options.directory.isLeaving(this.instanceId)) return 'closing'
     return this.reachable && this.instanceId !== '' ? 'up' : 'down'
   }
 
@@ -146,6 +148,7 @@
   private markReachable (): void {
     if (this.reachable) return
     this.reachable = true
+    this.draining = false
     this.freshUntil = this.options.clock.now() + freshDurationMs
     this.options.logger.info('target-up', { id: this.instanceId })
   }
@@ -157,6 +160,7 @@
       logger.info('target-changed', { from: this.instanceId, to: head.targetId })
       if (this.instanceId !== '') this.freshUntil = clock.now() + freshDurationMs
       this.instanceId = head.targetId
+      this.draining = false
     }
     this.updateDemands(head)
     if (head.load !== undefined) {
@@ -177,6 +181,10 @@
     if (head.rateLimit === 'unreadable') metrics.count('rate_limits_unreadable_total')
     const change = this.rateLimit.update(head.rateLimit)
     if (change !== undefined) logger.info('rate-limit-changed', { target: this.instanceId, from: change.from, to: change.to, ageMs: Math.round(change.ageMs), sentInWindow: this.rateLimit.sentInWindow })
+    if (!head.draining || this.draining) return
+    this.draining = true
+    logger.info('target-draining', { target: this.instanceId })
+    this.slots.refuseQueued('closed')
   }
 
   /** The outcome of a request that can't run in the present state of the target; undefined if it can. */
--- a/packages/sidecar/test/rate-limit.test.ts
+++ b/packages/sidecar/test/rate-limit.test.ts
@@ -146,6 +146,31 @@
   assert.match(line ?? '', /target.*i-1.*perSecond.*4.*ageMs.*1000.*redirected.*1/)
 })
 
+// Guards against requests to a target that has announced in an answer that it drains (DRAIN, issue 26).
+test('a target that announces in an answer that it drains gets nothing more, also after a restart of its node', async () => {
+  const clock = ManualClock.create()
+  const target = LimitedTarget.create(clock)
+  target.demands = ['Server-Leaving', '1']
+  target.checkHealth()
+  assert.is(target.ownTarget.describe().state, 'closing')
+  target.restartNode()
+  assert.is(describe(await target.send()), 'closed')
+  // An answer that it made earlier may arrive later.
+  target.demands = []
+  target.checkHealth()
+  assert.is(describe(await target.send()), 'closed')
+  assert.is(target.arrivedAt.length, 0)
+})
+
+for (const value of ['', '0', 'yes', '1, 1']) {
+  test(`Server-Leaving: ${value} does not announce that a target drains`, () => {
+    const target = LimitedTarget.create(ManualClock.create())
+    target.demands = ['Server-Leaving', value]
+    target.checkHealth()
+    assert.is(target.ownTarget.describe().state, 'up')
+  })
+}
+
 test('any sequence of limits and requests: in each window at most what the highest limit allows, and one second more', async () => {
   const steps = fc.array(fc.record({ ms: fc.integer({ min: 1, max: 900 }), limit: fc.option(fc.double({ min: 0, max: 50, noNaN: true }), { nil: undefined }), requests: fc.integer({ min: 0, max: 30 }) }), { maxLength: 60 })
   await fc.assert(fc.asyncProperty(steps, async sequence => {
