Accept a refusal of a target only for the request whose id it bears

Cause: an answer marked as not executed was taken for the request in flight whatever id it bore; only other answers had to match. Evidence: the new test failed before ('order-2: 503, ran,ran'). Change: every answer has to bear the id; another one closes the connection, and the request may have run. Looked for elsewhere: the library accepts refusals only of its own nodes, and frames between nodes carry no answers of others.

--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -220,10 +220,7 @@
       timeoutMs,
       // A request that isn't idempotent runs to its end, even if its caller disconnects.
       signal: job.idempotent ? signal : undefined,
-      matchesRequest: (status, headers) => {
-        const head = protocol.readAnswer(status, headers)
-        return head.notRun || head.id === job.id
-      }
+      matchesRequest: (status, headers) => protocol.readAnswer(status, headers).id === job.id
     })
     const outcome = this.processResult(result)
     if (outcome.kind === 'answer') this.workEstimate.record(job.route, clock.now() - startedAt, slowness)
--- a/packages/sidecar/test/path.test.ts
+++ b/packages/sidecar/test/path.test.ts
@@ -82,10 +82,10 @@
   await withCluster(['shop', 'shop', 'stock'], async cluster => {
     let refusals = 0
     for (const target of cluster.targets) {
-      target.overrideResponse = (_request, response) => {
+      target.overrideResponse = ({ id }, response) => {
         if (refusals > 0) return undefined
         refusals++
-        response.writeHead(503, { 'x-not-executed': '1' }).end()
+        response.writeHead(503, { 'x-attempt-id': id, 'x-not-executed': '1' }).end()
         return 'answered'
       }
     }
@@ -147,6 +147,32 @@
   })
 })
 
+// Guards against 'not run' for a request that a target runs, when it writes an earlier refusal once more (REFUSED, TWICE; issue 26).
+test('an earlier refusal, written once more on a kept connection, refuses no other request', async () => {
+  await withCluster(['shop', 'shop', 'stock'], async cluster => {
+    /** What the targets did with each request, in order. */
+    const fates = new Map<string, Array<'refused' | 'ran'>>()
+    const refusedOn = new Map<unknown, string>()
+    for (const target of cluster.targets) {
+      target.overrideResponse = ({ id }, response) => {
+        const earlier = refusedOn.get(response.socket)
+        if (earlier === undefined) refusedOn.set(response.socket, id)
+        fates.set(id, [...fates.get(id) ?? [], earlier === undefined ? 'refused' : 'ran'])
+        response.writeHead(503, { 'x-attempt-id': earlier ?? id, 'x-not-executed': '1' }).end()
+        return 'answered'
+      }
+    }
+    for (let round = 1; round <= 4; round++) {
+      const id = `order-${round}`
+      const { status } = await cluster.send(2, '/orders/1', { method: 'POST', body: 'x', id })
+      const fate = fates.get(id) ?? []
+      assert.is(status === 503, !fate.includes('ran'), `${id}: ${status}, ${fate.join()}`)
+      assert.not(fate.slice(0, -1).includes('ran'), `${id} went on to another target after it had run`)
+    }
+    assert.ok([...fates.values()].flat().includes('ran'))
+  })
+})
+
 test('an answer sent before a long body was read does not affect the next requests', async () => {
   await withCluster(['shop'], async cluster => {
     const target = cluster.targets[0]
