Show that an answer whose head breaks off reaches no caller

Result: this can't happen here. New tests end the head after each of its bytes, closed and reset, also after an interim answer, for the node of the platform (Node's http) and for the library (undici): each time the request may have run, and no byte of the head is taken for an answer. Bodies shorter than their length, and reset ones without a length, were tested before.

--- a/packages/auburnturn/test/http/exchange.test.ts
+++ b/packages/auburnturn/test/http/exchange.test.ts
@@ -70,6 +70,21 @@
   })
 }
 
+// Guards against an answer with an empty or short body, made of a head that an upstream began and never ended (MIXED; issue 26).
+for (const interim of ['', 'HTTP/1.1 103 Early Hints\r\nconnection: close\r\n\r\n']) {
+  exchanges(`an answer whose head ends anywhere before its last byte is no answer${interim === '' ? '' : ', also after an interim one'}`, async () => {
+    const head = `${interim}HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-type: text/plain\r\ncontent-length: 12\r\n\r\n`
+    for (let length = 0; length < head.length; length++) {
+      await withServer(socket => { socket.end(head.slice(0, length)) }, async ({ exchange }) => {
+        const answer = new RecordingAnswer()
+        const { verdict } = await exchange.send(createCall(), createBody(), answer)
+        assert.is(verdict.kind, 'may-have-run', `${length} bytes`)
+        assert.not(answer.started, `${length} bytes`)
+      })
+    }
+  })
+}
+
 exchanges('a call that gets no connection before its deadline is reported as not run', async () => {
   const heldSockets: Socket[] = []
   await withServer(socket => { heldSockets.push(socket) }, async ({ clock, server, exchange }) => {
--- a/packages/sidecar/test/exchange.test.ts
+++ b/packages/sidecar/test/exchange.test.ts
@@ -48,6 +48,20 @@
   assert.equal(result, { kind: 'lost', cause: 'cut' })
 })
 
+// Guards against an answer with an empty or short body, made of a head that a target began and never ended (MIXED; issue 26).
+for (const ending of ['closed', 'reset'] as const) {
+  test(`an answer whose head ends anywhere before its last byte, its connection ${ending}, is lost`, async () => {
+    const head = 'HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nx-attempt-id: r-1\r\nx-response-seal: s\r\nconnection: close\r\ncontent-length: 12\r\n\r\n'
+    for (let length = 0; length < head.length; length++) {
+      const result = await send(socket => {
+        if (ending === 'closed') socket.end(head.slice(0, length))
+        else socket.write(head.slice(0, length), () => { setImmediate(() => { socket.resetAndDestroy() }) })
+      })
+      assert.is(result.kind, 'lost', `${length} bytes: ${JSON.stringify(result)}`)
+    }
+  })
+}
+
 test('bytes that are not an HTTP answer are invalid', async () => {
   const result = await send(socket => { socket.end('rubbish\r\n\r\n') })
   assert.equal(result, { kind: 'lost', cause: 'invalid' })
