Take requests in a planned stop only if they end before the process does

What came within 3 s of SIGTERM was taken whatever its deadline, and the check was made before the body was read, so a slow body was passed on seconds later. A request that is not idempotent, at the upstream beside the node, ignores cancellation, so its caller got no answer when the process ended. Evidence: the new test failed before (the late request reached a target and got a 502 at the end of the grace). Change: core/draining holds the stop, taken out of node.ts. Once callers can use other nodes, a request is refused at once unless its deadline passes before the process ends; the check is made when the request is whole. Requests that do not end when they are cancelled are answered with 'may have run' before the process exits. The time in which connections are accepted is at most half of the grace period, for deployments with a short one. Test: 'a node that is shut down refuses at once what it can not complete, and cuts no request without an answer', draining.test.ts.

--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -1,24 +1,3 @@
-/** Number of consecutive refused readiness checks after which callers use other nodes. */
-export const refusedChecksUntilRemoval = 2
-
-/** Maximum time after SIGTERM for which a draining node waits until callers use other nodes, in milliseconds. */
-export const callerRemovalTimeoutMs = 2_300
-
-/** Interval at which a draining node checks whether callers use other nodes, in milliseconds. */
-export const drainCheckIntervalMs = 10
-
-/** The process exits this long before it would be killed, in milliseconds, even with requests in flight. */
-export const exitMarginMs = 300
-
-/** A draining node cancels and answers the requests still in flight this long before it exits, in milliseconds. */
-export const cancelMarginMs = 300
-
-/** Requests are accepted for this long after SIGTERM, in milliseconds; later ones might not end before the kill. */
-export const drainAcceptMs = 3_000
-
-/** A draining node that no longer listens counts as idle after this long without requests, in milliseconds. */
-export const drainIdleMs = 60
-
 /** Port and path of the metrics; deploy/system.toml has the same values. */
 export const metricsPort = 9_464
 export const metricsPath = '/metrics'
--- a/packages/sidecar/src/core/forwarding/ingress.ts
+++ b/packages/sidecar/src/core/forwarding/ingress.ts
@@ -5,7 +5,7 @@
 import type { Metrics } from 'auburnturn/core/metrics'
 import type { CurrentConfiguration, Route } from '../configuration/index.js'
 import type { BodyMemory } from '../exchange/index.js'
-import { notRun } from '../own-target/index.js'
+import { mayHaveRun, notRun } from '../own-target/index.js'
 import type { Job, Outcome } from '../own-target/index.js'
 import { maxRetryAfterShare, defaultRetryAfterMs } from './constants.js'
 import type { Forwarder } from './forwarder.js'
@@ -16,12 +16,19 @@
 
 const emptyBody = Buffer.alloc(0)
 
+/** A request in flight. */
+interface ForwardedRequest {
+  readonly cancellation: Cancellation
+  /** Answers the request; has no effect when it was answered. */
+  readonly resolve: (outcome: Outcome) => void
+}
+
 /** Serves the requests of the callers on this VM. */
 export class Ingress {
   private readonly options: IngressOptions
   /** Longest timeout in the requests for each route, in milliseconds. A shorter one indicates a retry by the caller. */
   private readonly longestTimeouts = new Map<string, number>()
-  private readonly inFlight = new Set<Cancellation>()
+  private readonly inFlight = new Set<ForwardedRequest>()
 
   private constructor (options: IngressOptions) {
     this.options = options
@@ -36,7 +43,6 @@
     const { clock, configuration, protocol } = this.options
     const arrivedAt = clock.now()
     const head = protocol.readRequest(request.rawHeaders)
-    if (this.options.isClosed()) return this.finish(response, head, undefined, arrivedAt, notRun('closed', defaultRetryAfterMs))
     if (!configuration.isLoaded) return this.finish(response, head, undefined, arrivedAt, notRun('no-configuration', defaultRetryAfterMs))
     if (countHeaderBytes(request.rawHeaders) > (configuration.limits?.maxHeaderBytes ?? Infinity)) return this.reject(response, head, 431, 'head-too-large')
     const route = configuration.findRoute(request.headers.host ?? '', request.url ?? '/')
@@ -51,15 +57,26 @@
       return this.finish(response, head, undefined, arrivedAt, notRun('no-memory', defaultRetryAfterMs))
     }
     const job = this.createJob(request, head, route, arrivedAt, read.body)
-    this.inFlight.add(cancellation)
-    const outcome = await this.options.forwarder.run(job, route, cancellation)
-    this.inFlight.delete(cancellation)
-    this.finish(response, head, job, arrivedAt, outcome)
+    if (!this.options.admits(job.deadlineAt)) return this.finish(response, head, job, arrivedAt, notRun('closed', defaultRetryAfterMs))
+    this.finish(response, head, job, arrivedAt, await this.forward(job, route, cancellation))
   }
 
   /** Cancels all requests in flight; each is answered with its outcome so far. */
   cancelAll (): void {
-    for (const cancellation of this.inFlight) cancellation.abort()
+    for (const { cancellation } of this.inFlight) cancellation.abort()
+  }
+
+  /** Answers all requests in flight now. Those that are not idempotent continue at the target on this VM when they are cancelled. */
+  answerAll (): void {
+    for (const { resolve } of this.inFlight) resolve(mayHaveRun('left'))
+  }
+
+  private async forward (job: Job, route: Route, cancellation: Cancellation): Promise<Outcome> {
+    return await new Promise((resolve, reject) => {
+      const request = { cancellation, resolve }
+      this.inFlight.add(request)
+      this.options.forwarder.run(job, route, cancellation).then(resolve, reject).finally(() => { this.inFlight.delete(request) })
+    })
   }
 
   private createJob (request: IncomingMessage, head: RequestHead, route: Route, arrivedAt: number, body: Buffer): Job {
@@ -134,6 +151,6 @@
   readonly service: string
   /** Whether the node is leaving: callers are then asked to close their connections. */
   readonly isLeaving: () => boolean
-  /** Whether the node has stopped accepting requests. */
-  readonly isClosed: () => boolean
+  /** Whether a request is taken whose caller waits until `deadlineAt`, in clock milliseconds. */
+  readonly admits: (deadlineAt: number) => boolean
 }
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -8,6 +8,7 @@
 import { CurrentConfiguration } from './core/configuration/index.js'
 import { applyChanges, ConfigurationFetcher, watchDeliveryMs, crossDomainFetchJitterMs, Follower, fetchJitterMs } from './core/following/index.js'
 import type { Change, SharedState } from './core/following/index.js'
+import { Drain } from './core/draining/index.js'
 import { BodyMemory } from './core/exchange/index.js'
 import { createRequestHandler, Forwarder, Ingress, peerIdleTimeoutMs, Peers, serveState } from './core/forwarding/index.js'
 import { parseHost, openServer, parsePort, stopListening, InFlightRequests } from './core/listening/index.js'
@@ -23,7 +24,7 @@
 import type { Settings } from './core/settings.js'
 import { Directory, PeerSelection } from './core/targets/index.js'
 import type { TargetReport } from './core/targets/index.js'
-import { cancelMarginMs, bodyMemoryShare, bytesPerMegabyte, callerRemovalTimeoutMs, refusedChecksUntilRemoval, drainCheckIntervalMs, exitMarginMs, defaultCallerIdleTimeoutMs, drainAcceptMs, metricsPath, metricsPort, drainIdleMs } from './constants.js'
+import { bodyMemoryShare, bytesPerMegabyte, defaultCallerIdleTimeoutMs, metricsPath, metricsPort } from './constants.js'
 import { protocol, ReadinessServer, HttpStoreClient } from './platform/index.js'
 
 /** One node of the platform: forwards the requests of callers on its VM, and those of other nodes to the upstream on its VM. */
@@ -33,6 +34,7 @@
   private readonly logger: Logger
   private readonly metrics: Metrics
   private readonly inFlightRequests: InFlightRequests
+  private readonly drainState: Drain
   private readonly configuration: CurrentConfiguration
   private readonly directory: Directory
   private readonly selection: PeerSelection
@@ -54,12 +56,6 @@
   private callerServer: Server | undefined
   /** Whether the full list of targets was received, from the store or from another node. */
   private hasTargetList = false
-  /** Whether the node drains: callers should use other nodes. */
-  private leaving = false
-  /** Whether requests of callers are refused, since the node is about to exit. */
-  private closedToCallers = false
-  /** Number of readiness checks answered with "not ready" since SIGTERM. */
-  private refusedReadinessChecks = 0
 
   private constructor ({ settings, clock, random, logger }: NodeOptions) {
     const { ip, failureDomain, service, upstream, listen } = settings
@@ -92,7 +88,16 @@
       onShortage: serviceName => { if (this.selection.widen(serviceName)) this.selectPeers() },
       retryBudget: () => this.getRetryBudget()
     })
-    this.ingress = Ingress.create({ clock, logger, metrics, protocol, configuration, forwarder, memory, service, isLeaving: () => this.leaving, isClosed: () => this.closedToCallers })
+    this.ingress = Ingress.create({ clock, logger, metrics, protocol, configuration, forwarder, memory, service, isLeaving: () => this.drainState.leaving, admits: deadlineAt => this.drainState.admits(deadlineAt) })
+    this.drainState = Drain.create({
+      clock,
+      logger,
+      inFlightRequests: this.inFlightRequests,
+      closeTarget: () => { this.target.close() },
+      stopListening: async () => { if (this.callerServer !== undefined) await stopListening(this.callerServer) },
+      cancelRequests: () => { this.ingress.cancelAll() },
+      answerRequests: () => { this.ingress.answerAll() }
+    })
     this.store = HttpStoreClient.create({ address: settings.store, clock, memory, onCall: kind => { metrics.count('platform_reads_total', { kind }) } })
     this.election = ReaderElection.create({ clock, random, logger, ip, failureDomain, domainCount: () => this.directory.locations.domainCount, isDiscovered: () => this.directory.findListedAt(upstream) !== undefined, domainPeers: () => this.listOtherAddresses().filter(address => this.isSameDomain(address)), onStateChange: () => { this.announceState() } })
     this.configurationFetcher = ConfigurationFetcher.create({
@@ -119,7 +124,7 @@
 
   /** Whether callers may send requests to this node. */
   get ready (): boolean {
-    return !this.leaving && this.configuration.isLoaded && this.hasTargetList
+    return !this.drainState.leaving && this.configuration.isLoaded && this.hasTargetList
   }
 
   /** Version of the active configuration, 0 before the first. */
@@ -153,29 +158,13 @@
 
   /** Waits until callers use other nodes, completes the requests in flight, and closes. Resolves when the process can exit. */
   async drain (): Promise<void> {
-    const { clock, target } = this
-    const startedAt = clock.now()
-    this.leaving = true
     this.election.stop()
-    while (this.refusedReadinessChecks < refusedChecksUntilRemoval && clock.now() < startedAt + callerRemovalTimeoutMs) await clock.sleep(drainCheckIntervalMs)
-    target.close()
-    // Callers that find no other node are still served for a limited time, and so are requests of the target on this
-    // VM, which it may need to complete its work.
-    await this.inFlightRequests.waitUntilEmpty(startedAt + drainAcceptMs)
-    if (this.callerServer !== undefined) await stopListening(this.callerServer)
-    // Connections that were accepted earlier may still deliver a request.
-    await this.inFlightRequests.waitUntilIdle(drainIdleMs, startedAt + drainAcceptMs)
-    this.closedToCallers = true
-    const deadlineAt = startedAt + this.settings.bounds.graceMs - exitMarginMs
-    await this.inFlightRequests.waitUntilEmpty(deadlineAt - cancelMarginMs)
-    this.ingress.cancelAll()
-    await this.inFlightRequests.waitUntilIdle(drainIdleMs, deadlineAt)
-    this.logger.info('node-ended', { inFlight: this.inFlightRequests.count, tookMs: Math.round(clock.now() - startedAt) })
-  }
-
-  /** Returns whether the node is ready. While it drains, counts the checks: callers use other nodes after some refusals. */
+    await this.drainState.run(this.settings.bounds.graceMs)
+  }
+
+  /** Returns whether the node is ready. */
   private handleReadinessCheck (): boolean {
-    if (this.leaving) this.refusedReadinessChecks++
+    if (this.drainState.leaving) this.drainState.recordRefusedCheck()
     return this.ready
   }
 
@@ -362,7 +351,7 @@
   /** Returns the state of this node, without bodies or header values of requests. */
   dump (): unknown {
     const { settings, configuration, target, directory, supervisor } = this
-    return { name: settings.name, ready: this.ready, leaving: this.leaving, version: configuration.version, target: target.describe(), directory: directory.dump(), parts: supervisor.dump() }
+    return { name: settings.name, ready: this.ready, leaving: this.drainState.leaving, version: configuration.version, target: target.describe(), directory: directory.dump(), parts: supervisor.dump() }
   }
 
   private registerMetrics (): void {
--- /dev/null
+++ b/packages/sidecar/test/draining.test.ts
@@ -0,0 +1,81 @@
+import { ManualClock } from 'auburnturn/core/clock'
+import { Logger } from 'auburnturn/core/logger'
+import { suite } from 'uvu'
+import * as assert from 'uvu/assert'
+import { Drain } from '../src/core/draining/index.js'
+import { InFlightRequests } from '../src/core/listening/index.js'
+
+const test = suite('draining')
+
+/** A drain with a manual clock, and what it did at which clock millisecond. */
+class Harness {
+  readonly clock = ManualClock.create()
+  readonly inFlightRequests = InFlightRequests.create({ clock: this.clock })
+  readonly steps: Array<readonly [string, number]> = []
+  readonly drain = Drain.create({
+    clock: this.clock,
+    logger: Logger.createSilent(),
+    inFlightRequests: this.inFlightRequests,
+    closeTarget: () => { this.record('target closed') },
+    stopListening: async () => { this.record('stopped listening') },
+    cancelRequests: () => { this.record('cancelled') },
+    answerRequests: () => { this.record('answered') }
+  })
+
+  async run (graceMs: number): Promise<void> {
+    await this.drain.run(graceMs)
+    this.record('ended')
+  }
+
+  findTime (step: string): number {
+    return this.steps.find(([name]) => name === step)?.[1] ?? NaN
+  }
+
+  private record (step: string): void {
+    this.steps.push([step, Math.round(this.clock.now())])
+  }
+}
+
+test('an idle node ends soon after callers use other nodes', async () => {
+  const harness = new Harness()
+  const ended = harness.run(6_000)
+  await harness.clock.advance(1_000)
+  harness.drain.recordRefusedCheck()
+  harness.drain.recordRefusedCheck()
+  await harness.clock.advance(200)
+  await ended
+  assert.equal(harness.steps.map(([name]) => name), ['target closed', 'stopped listening', 'cancelled', 'answered', 'ended'])
+  assert.ok(harness.findTime('ended') < 1_300)
+})
+
+// Guards against requests that a stopping node takes late and cuts at the end of its grace period (LOST; issue 26).
+test('once callers can use other nodes, a request is taken only if its deadline passes before the process ends', async () => {
+  const harness = new Harness()
+  harness.inFlightRequests.track(harness.clock.sleep(60_000)).catch(assert.unreachable)
+  const ended = harness.run(6_000)
+  await harness.clock.advance(1_000)
+  assert.ok(harness.drain.leaving && harness.drain.admits(9_000))
+  harness.drain.recordRefusedCheck()
+  harness.drain.recordRefusedCheck()
+  await harness.clock.advance(100)
+  assert.not(harness.drain.admits(5_500))
+  assert.ok(harness.drain.admits(5_300))
+  await harness.clock.advance(4_900)
+  await ended
+  assert.ok(harness.findTime('cancelled') >= 5_300 && harness.findTime('answered') > harness.findTime('cancelled'))
+  assert.ok(harness.findTime('ended') < 6_000)
+})
+
+for (const graceMs of [1_500, 2_000, 4_000, 10_000]) {
+  test(`a grace period of ${graceMs} ms: requests in flight are answered before the process is killed`, async () => {
+    const harness = new Harness()
+    harness.inFlightRequests.track(harness.clock.sleep(60_000)).catch(assert.unreachable)
+    const ended = harness.run(graceMs)
+    await harness.clock.advance(graceMs)
+    await ended
+    assert.ok(harness.findTime('stopped listening') <= graceMs / 2 + 20)
+    assert.ok(harness.findTime('answered') < graceMs - 200 && harness.findTime('ended') < graceMs)
+  })
+}
+
+test.run()
--- a/packages/sidecar/test/path.test.ts
+++ b/packages/sidecar/test/path.test.ts
@@ -335,4 +335,28 @@
   })
 })
 
+// Guards against requests that a stopping node takes late and cuts at the end of its grace period (LOST; issue 26).
+test('a node that is shut down refuses at once what it can not complete, and cuts no request without an answer', async () => {
+  await withCluster(['shop', 'shop'], async cluster => {
+    cluster.configure({ timeoutMs: 20_000 })
+    await cluster.waitUntil(() => cluster.nodes.every(({ version }) => version === 2))
+    for (const target of cluster.targets) target.overrideResponse = () => 'answered'
+    // Some of these are sent to the upstream beside the node that stops, some to the other one; none of them ends.
+    const names = Array.from({ length: 6 }, (_, index) => `running-${index}`)
+    const running = names.map(async id => await cluster.send(0, '/orders/running', { method: 'POST', body: 'x', id, timeoutMs: 20_000 }))
+    await cluster.waitUntil(() => names.every(id => cluster.countReceivedRequests(id) === 1))
+    let drained = false
+    const draining = cluster.nodes[0]?.drain().then(() => { drained = true })
+    const slow = cluster.sendSlowly(0, '/orders/slow', 'y', 4_000)
+    await new Promise(resolve => setTimeout(resolve, 2_500))
+    const late = await cluster.send(0, '/orders/late', { method: 'POST', body: 'x', id: 'late' })
+    assert.equal([late.status, cluster.countReceivedRequests('late')], [503, 0])
+    const slowAnswer = await slow
+    assert.equal([slowAnswer.status, cluster.countReceivedRequests('slow')], [503, 0])
+    for (const answer of await Promise.all(running)) assert.is(answer.status, 502)
+    assert.not(drained)
+    await draining
+  })
+})
+
 test.run()
