Do not check a target more often while requests wait for its rate limit alone

Cause: any queued request sets the shortest interval of health checks, which serves to see a free slot or the end of a slow moment at once; the rate limit is known without them, and the target is in need. Change: only requests that wait for a slot or for the usual speed set the short interval. Test: 'a target in need is not checked more often because requests wait for its rate limit'. Its run on the code before did not end and was stopped by hand; why is not known, so it is not shown to fail there.

--- a/packages/sidecar/src/core/admission/slots.ts
+++ b/packages/sidecar/src/core/admission/slots.ts
@@ -56,6 +56,11 @@
     return this.queue.length
   }
 
+  /** Whether queued requests wait for a slot or for the usual speed, which answers of the target report; not for the rate limit alone. */
+  get waitsForTarget (): boolean {
+    return this.queue.length > 0 && (this.runningCount >= this.slotLimit || this.slow)
+  }
+
   /** Maximum number of requests that run at the same time. */
   get limit (): number {
     return this.slotLimit
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -86,7 +86,7 @@
     if (immediateOutcome !== undefined) return immediateOutcome
     const request = this.createSlotRequest(job)
     const acquisition = this.slots.acquire(request)
-    if (this.slots.waiting > 0) this.options.loadMonitor.useShortInterval()
+    if (this.slots.waitsForTarget) this.options.loadMonitor.useShortInterval()
     if (acquisition.waitsForRate) this.effectLog.record('queued', target)
     this.options.onChange()
     signal.addEventListener('abort', acquisition.cancel, { once: true })
--- a/packages/sidecar/src/core/own-target/prober.ts
+++ b/packages/sidecar/src/core/own-target/prober.ts
@@ -72,7 +72,7 @@
   private computeIntervalMs (): number {
     const { target } = this.options
     const minIntervalMs = this.computeMinIntervalMs()
-    if (this.unansweredProbes > 0 || target.id === '' || target.unreachable || target.slots.waiting > 0) return minIntervalMs
+    if (this.unansweredProbes > 0 || target.id === '' || target.unreachable || target.slots.waitsForTarget) return minIntervalMs
     return Math.max(minIntervalMs, target.slots.slow ? slowTargetProbeIntervalMs : idleProbeIntervalMs)
   }
 
--- a/packages/sidecar/test/prober.test.ts
+++ b/packages/sidecar/test/prober.test.ts
@@ -23,6 +23,8 @@
   requests = 0
   /** Slowness that the target reports, in hundredths. */
   slowness = 100
+  /** Header lines of the answers to health checks besides the usual ones. */
+  demands = ''
   /** Whether the target leaves health checks unanswered. */
   unresponsive = false
   private readonly memory = BodyMemory.create({ maxBytes: 1024 * 1024 })
@@ -84,7 +86,7 @@
       const isCheck = text.startsWith('GET /health')
       if (isCheck) this.checks++
       else this.requests++
-      if (isCheck && !this.unresponsive) socket.write(`HTTP/1.1 200 OK\r\nx-instance-id: i-1\r\nx-server-load: 0,0,10,${this.slowness}\r\ncontent-length: 0\r\n\r\n`)
+      if (isCheck && !this.unresponsive) socket.write(`HTTP/1.1 200 OK\r\nx-instance-id: i-1\r\nx-server-load: 0,0,10,${this.slowness}\r\n${this.demands}content-length: 0\r\n\r\n`)
     })
     const loadMonitor = {
       refresh: async (): Promise<void> => { await this.prober?.refresh() },
@@ -178,6 +180,17 @@
   harness.close()
 })
 
+test('a target in need is not checked more often because requests wait for its rate limit', async () => {
+  const harness = await Harness.create()
+  harness.demands = 'server-limit: 2\r\n'
+  await harness.advance(600)
+  const before = harness.checks
+  for (let count = 0; count < 2; count++) harness.run({ id: `r-${count}`, objectiveAt: harness.clock.now() + 5_000, deadlineAt: harness.clock.now() + 5_000 })
+  await harness.advance(1_000)
+  assert.ok(harness.checks - before <= 5, `${harness.checks - before}`)
+  harness.close()
+})
+
 test('requests that arrive at the same time share one check', async () => {
   const harness = await Harness.create()
   await harness.advance(300)
