Let targets name rate limits in the soak, while nodes restart, are killed and pause

Change: fault limit-target, in a series of its own in each plan, so that the plans of earlier seeds keep their faults; check 'rate-limit' (one and a half times the limit and five requests in any 4 s), broken on purpose in soak.test.ts.

--- a/packages/bench/src/soak/checks/checks.ts
+++ b/packages/bench/src/soak/checks/checks.ts
@@ -1,5 +1,5 @@
 import { checkHistory } from 'auburnturn'
-import { applyDeadlineMs, callerTimeoutMs, drainDeadlineMs, maxAttempts, recoveryMs, retryAllowance, retryRatio, retryWindowMs, routeTimeoutMs, reportDelayMs } from '../constants.js'
+import { applyDeadlineMs, callerTimeoutMs, drainDeadlineMs, maxAttempts, rateLimitAllowance, rateLimitDelayMs, rateLimitFactor, rateLimitWindowMs, recoveryMs, retryAllowance, retryRatio, retryWindowMs, routeTimeoutMs, reportDelayMs } from '../constants.js'
 import type { PublishedConfiguration, Check, Observation, CallerOutcome, Execution } from '../types.js'
 import { hasNoFault, hasNoUnplannedFault } from './fault-periods.js'
 
@@ -75,6 +75,14 @@
   return [...excessAttempts, ...overBudget.slice(0, 1), ...(executions.length === 0 ? [{ rule: 'served', detail: 'no request ran' }] : [])]
 }
 
+/** A target that names a rate limit gets at most one and a half times that, and a few requests, in any window, whatever happens to nodes. */
+const checkRateLimits: Check = ({ rateLimits, executions }) => rateLimits.flatMap(({ target, perSecond, from, to }) => {
+  const limited = executions.filter(({ target: other, startedAt }) => other === target && startedAt > from + rateLimitDelayMs && startedAt <= to)
+  const allowed = perSecond * rateLimitWindowMs / 1_000 * rateLimitFactor + rateLimitAllowance
+  const most = Math.max(0, ...limited.map(({ startedAt }) => limited.filter(other => other.startedAt >= startedAt && other.startedAt < startedAt + rateLimitWindowMs).length))
+  return most > allowed ? [{ rule: 'rate-limit', detail: `${most} requests in ${rateLimitWindowMs} ms at ${target}, which takes ${perSecond} a second` }] : []
+})
+
 /** Valid requests are not rejected as invalid. */
 const checkFalseRejections: Check = ({ outcomes, configurations }) => outcomes.flatMap(({ requestId, path, result, sentAt, endedAt }) => {
   if (typeof result !== 'number' || result < 400 || result >= 500 || result === 429) return []
@@ -96,7 +104,7 @@
 
 /** All checks that a run must pass, by name. */
 export const checks: Readonly<Record<string, Check>> = {
-  checkLibraryRules, checkDrain, checkConfiguration, checkRoute, checkLostAnswers, checkTimeout, checkRetries, checkFalseRejections, checkRecovery, checkProcessExits
+  checkLibraryRules, checkDrain, checkConfiguration, checkRoute, checkLostAnswers, checkTimeout, checkRetries, checkRateLimits, checkFalseRejections, checkRecovery, checkProcessExits
 }
 
 const outcomeCache = new WeakMap<Observation, Map<string, CallerOutcome>>()
--- a/packages/bench/src/soak/constants.ts
+++ b/packages/bench/src/soak/constants.ts
@@ -20,6 +20,16 @@
 export const retryAllowance = 60
 export const retryWindowMs = 10_000
 
+/** Window in which the requests at a target with a rate limit are counted, in milliseconds. */
+export const rateLimitWindowMs = 4_000
+
+/** How far a window may exceed a rate limit: by this factor, and by this number of requests. */
+export const rateLimitFactor = 1.5
+export const rateLimitAllowance = 5
+
+/** Time from the start of a rate limit until it must hold, in milliseconds: one idle health check and two half seconds. */
+export const rateLimitDelayMs = 1_500
+
 /** Maximum number of targets that a request may be sent to. */
 export const maxAttempts = 2
 
--- a/packages/bench/src/soak/inject-fault.ts
+++ b/packages/bench/src/soak/inject-fault.ts
@@ -5,7 +5,7 @@
 import type { StoreWriter } from './store-writer.js'
 import { plannedFaults } from './plan.js'
 import { now } from './processes/messages.js'
-import type { FaultPeriod, Fault } from './types.js'
+import type { FaultPeriod, Fault, RateLimitPeriod } from './types.js'
 import type { Vm } from './vm.js'
 
 /** Everything that faults act on, and the list in which their periods are recorded. */
@@ -15,6 +15,7 @@
   readonly storeWriter: StoreWriter
   readonly datagramRelay: DatagramRelay
   readonly faultPeriods: FaultPeriod[]
+  readonly rateLimits: RateLimitPeriod[]
 }
 
 /** Injects a fault and records its period; resolves when the fault has ended. */
@@ -38,7 +39,7 @@
   }
 }
 
-async function applyFault ({ name, vm: index, forMs }: Fault, { vms, store, storeWriter, datagramRelay }: FaultContext): Promise<void> {
+async function applyFault ({ name, vm: index, forMs }: Fault, { vms, store, storeWriter, datagramRelay, rateLimits }: FaultContext): Promise<void> {
   const vm = vms[index]
   if (vm === undefined) throw new Error(`VM ${index} does not exist`)
   const proxies = Object.values(vm.proxies)
@@ -50,6 +51,9 @@
     case 'crash-target': return await vm.crashTarget(forMs)
     case 'pause-target': return await vm.pauseTarget(forMs)
     case 'drain-target': return await vm.drainTarget()
+    case 'limit-target':
+      rateLimits.push(await vm.limitTarget(targetLimitPerSecond, forMs))
+      return
     case 'delay-link': return await delayTraffic(proxies, forMs)
     case 'reset-link': return resetAllConnections(proxies)
     case 'swallow-requests': return await dropTraffic([vm.proxies.nodes, vm.proxies.peerCalls, vm.proxies.upstream], 'swallow-requests', forMs)
@@ -76,6 +80,9 @@
   }
 }
 
+/** Rate limit that a target names during the fault `limit-target`, in requests per second. */
+const targetLimitPerSecond = 2
+
 /** Delay that a proxy adds during the fault `delay-link`, in milliseconds. */
 const addedDelayMs = 120
 
--- a/packages/bench/src/soak/plan.ts
+++ b/packages/bench/src/soak/plan.ts
@@ -18,6 +18,7 @@
   'crash-target': [100, 2_500],
   'pause-target': [300, 2_500],
   'drain-target': [2_500, 4_000],
+  'limit-target': [5_000, 9_000],
   'delay-link': [500, 4_000],
   'reset-link': [0, 0],
   'swallow-requests': [500, 3_000],
@@ -32,19 +33,26 @@
 }
 
 /** Faults that are part of a normal deployment; no response may be lost because of them. */
-export const plannedFaults: readonly FaultName[] = ['terminate-node', 'reload-node', 'drain-target', 'configure']
+export const plannedFaults: readonly FaultName[] = ['terminate-node', 'reload-node', 'drain-target', 'limit-target', 'configure']
+
+/** Faults of which each plan has a series of its own, so that they overlap with all others. */
+const separateFaults: readonly FaultName[] = ['limit-target']
 
 const allFaults = Object.keys(durationRangesMs) as FaultName[]
 
+/** Added to the seed for the faults with a series of their own. */
+const separateSeedOffset = 1_000_000
+
 /**
  * Generates overlapping series of faults, sorted by their start. Every third seed uses planned faults only.
  * The same options always give the same plan.
  */
 export function createPlan ({ seed, vms, faultWindowMs }: PlanOptions): Fault[] {
   const random = Random.create(seed)
-  const names = seed % 3 === 0 ? plannedFaults : allFaults
+  const names = (seed % 3 === 0 ? plannedFaults : allFaults).filter(name => !separateFaults.includes(name))
   const seriesCount = 3 + random.integerBelow(4)
   const faults = Array.from({ length: seriesCount }, () => createSeries(random, names, vms, faultWindowMs)).flat()
+  faults.push(...createSeries(Random.create(seed + separateSeedOffset), separateFaults, vms, faultWindowMs / 2))
   return faults.filter(({ at }) => at < faultWindowMs).sort((one, other) => one.at - other.at)
 }
 
--- a/packages/bench/src/soak/processes/messages.ts
+++ b/packages/bench/src/soak/processes/messages.ts
@@ -19,6 +19,12 @@
   | { readonly kind: 'refuse', readonly status: number | undefined }
   | { readonly kind: 'forget' }
 
+/** Command to a target process: the rate limit that it names from now on, in requests per second; undefined for none. */
+export interface TargetCommand {
+  readonly kind: 'limit'
+  readonly perSecond: number | undefined
+}
+
 /** Command to a process of callers: the VMs at which it sends requests, and the rate at each of them. */
 export interface CallersCommand {
   readonly vms: ReadonlyArray<{ readonly index: number, readonly ip: string }>
--- a/packages/bench/src/soak/run.ts
+++ b/packages/bench/src/soak/run.ts
@@ -11,7 +11,7 @@
 import type { HelperMessage, CallersCommand } from './processes/messages.js'
 import { now } from './processes/messages.js'
 import { injectFault } from './inject-fault.js'
-import type { FaultPeriod, Fault, Observation, UnexpectedExit, CallerOutcome, Execution } from './types.js'
+import type { FaultPeriod, Fault, Observation, RateLimitPeriod, UnexpectedExit, CallerOutcome, Execution } from './types.js'
 import { Vm } from './vm.js'
 
 /** Options of one run. */
@@ -67,7 +67,7 @@
     return helper
   }))
   const plan = createPlan(options)
-  await injectFaults(plan, { vms, store, storeWriter, datagramRelay, faultPeriods: recorder.faultPeriods })
+  await injectFaults(plan, { vms, store, storeWriter, datagramRelay, faultPeriods: recorder.faultPeriods, rateLimits: recorder.rateLimits })
   const faultsEndedAt = now()
   await sleep(recoveryMs + recoveredLoadMs)
   await Promise.all([...callers, store].map(async helper => { await helper.kill() }))
@@ -87,6 +87,7 @@
 /** Collects the messages of all processes of a run. */
 class ObservationRecorder {
   readonly faultPeriods: FaultPeriod[] = []
+  readonly rateLimits: RateLimitPeriod[] = []
   readonly unexpectedExits: UnexpectedExit[] = []
   storeWriter: StoreWriter | undefined
   private readonly events: HistoryEvent[] = []
@@ -127,6 +128,7 @@
       executions: this.executions,
       configurations: this.storeWriter?.configurations ?? [],
       departures: this.storeWriter?.departures ?? [],
+      rateLimits: this.rateLimits,
       faultPeriods: this.faultPeriods,
       unexpectedExits: this.unexpectedExits,
       faultsEndedAt
--- a/packages/bench/src/soak/types.ts
+++ b/packages/bench/src/soak/types.ts
@@ -6,7 +6,7 @@
  */
 export type FaultName =
   | 'terminate-node' | 'kill-node' | 'pause-node' | 'reload-node'
-  | 'crash-target' | 'pause-target' | 'drain-target'
+  | 'crash-target' | 'pause-target' | 'drain-target' | 'limit-target'
   | 'delay-link' | 'reset-link' | 'swallow-requests' | 'swallow-answers' | 'silence-connections' | 'lose-datagrams'
   | 'cut-store' | 'refuse-store' | 'pause-store' | 'forget-history'
   | 'configure'
@@ -64,6 +64,14 @@
   readonly acknowledgedAt: number
 }
 
+/** A period in which a target named a rate limit. */
+export interface RateLimitPeriod {
+  readonly target: string
+  readonly perSecond: number
+  readonly from: number
+  readonly to: number
+}
+
 /** A period in which a fault affected a VM, given by its index, or the store. */
 export interface FaultPeriod {
   readonly component: number | 'store'
@@ -87,6 +95,7 @@
   readonly executions: readonly Execution[]
   readonly configurations: readonly PublishedConfiguration[]
   readonly departures: readonly Departure[]
+  readonly rateLimits: readonly RateLimitPeriod[]
   readonly faultPeriods: readonly FaultPeriod[]
   readonly unexpectedExits: readonly UnexpectedExit[]
   /** When the last fault ended; requests sent more than `recoveryMs` later must be served. */
--- a/packages/bench/src/soak/vm.ts
+++ b/packages/bench/src/soak/vm.ts
@@ -9,7 +9,7 @@
 import { now } from './processes/messages.js'
 import type { HelperMessage } from './processes/messages.js'
 import type { StoreWriter } from './store-writer.js'
-import type { UnexpectedExit } from './types.js'
+import type { RateLimitPeriod, UnexpectedExit } from './types.js'
 
 const sidecarFile = join(dirname(createRequire(import.meta.url).resolve('auburnturn-sidecar/package.json')), 'dist/src/main.js')
 
@@ -116,6 +116,17 @@
     await this.runInSequence(async () => { await pauseProcess(this.target, durationMs) })
   }
 
+  /** Makes the target name a rate limit for a time, while other faults affect this VM; returns the period. */
+  async limitTarget (perSecond: number, durationMs: number): Promise<RateLimitPeriod> {
+    const { target, targetId } = this
+    target?.send({ kind: 'limit', perSecond })
+    const from = now()
+    await sleep(durationMs)
+    const to = now()
+    target?.send({ kind: 'limit', perSecond: undefined })
+    return { target: targetId, perSecond, from, to }
+  }
+
   /** Drains the target, then replaces it with a new incarnation. */
   async drainTarget (): Promise<void> {
     await this.runInSequence(async () => {
--- a/packages/bench/test/soak.test.ts
+++ b/packages/bench/test/soak.test.ts
@@ -25,7 +25,7 @@
 
 soak('every fault occurs in some plan', () => {
   const names = new Set(Array.from({ length: 200 }, (_, seed) => createPlan({ seed, vms: 9, faultWindowMs: 12_000 })).flat().map(({ name }) => name))
-  assert.is(names.size, 18)
+  assert.is(names.size, 19)
 })
 
 const routes = new Map([['/pages/', 'shop'], ['/orders/', 'ledger']])
@@ -38,6 +38,7 @@
     executions: [createExecution({ startedAt: 90_010 })],
     configurations: [{ version: 1, publishedAt: 0, acknowledgedAt: 1, routes }],
     departures: [],
+    rateLimits: [],
     faultPeriods: [],
     unexpectedExits: [],
     faultsEndedAt: 50_000,
@@ -75,6 +76,7 @@
   ['ends-in-time', 'no response by the route\'s timeout', { outcomes: [createOutcome({ requestId: 'late', endedAt: 13_700, result: 504 }), servedOutcome] }],
   ['attempts', 'execution at three targets', { outcomes: [createOutcome(), servedOutcome], executions: [createExecution(), createExecution(), createExecution()] }],
   ['retry-budget', 'too many retries', { outcomes: [servedOutcome], executions: Array.from({ length: 80 }, (_, index) => [createExecution({ requestId: `s${index}` }), createExecution({ requestId: `s${index}` })]).flat() }],
+  ['rate-limit', 'requests far above the limit of a target', { rateLimits: [{ target: 'i-1', perSecond: 2, from: 0, to: 9_000 }], executions: Array.from({ length: 20 }, (_, index) => createExecution({ requestId: `s${index}`, startedAt: 2_000 + index * 100 })) }],
   ['denied', 'a valid request rejected as invalid', { outcomes: [createOutcome({ requestId: 'proper', result: 400 }), servedOutcome] }],
   ['recovery', 'no request served after the recovery', { outcomes: [createOutcome({ requestId: 'refused', sentAt: 90_000, endedAt: 90_010, result: 503 })] }],
   ['ends', 'a node that exited unexpectedly', { unexpectedExits: [{ process: 'node of vm-1', exitedAt: 1, reason: 'code 1' }] }],
@@ -91,6 +93,7 @@
   ['a request executed soon after the removal of its target', { departures: [{ target: 'i-1', acknowledgedAt: 9_000 }], outcomes: [createOutcome(), servedOutcome], executions: [createExecution()] }],
   ['a request executed after a removal that a disconnected node could not receive', { departures: [{ target: 'i-1', acknowledgedAt: 7_000 }], faultPeriods: [{ component: 0, from: 6_000, to: 9_500, planned: false }], outcomes: [createOutcome(), servedOutcome], executions: [createExecution()] }],
   ['an older version soon after the acknowledgement of the next one', { configurations: [{ version: 1, publishedAt: 0, acknowledgedAt: 1, routes }, { ...movedConfiguration, acknowledgedAt: 9_000 }], outcomes: [createOutcome(), servedOutcome], executions: [createExecution()] }],
+  ['requests within the limit of a target, and more after its end', { rateLimits: [{ target: 'i-1', perSecond: 2, from: 0, to: 9_000 }], executions: Array.from({ length: 60 }, (_, index) => createExecution({ requestId: `s${index}`, startedAt: index < 17 ? 2_000 + index * 240 : 9_100 })) }],
   ['a response lost while a node is killed', { faultPeriods: [{ component: 3, from: 9_900, to: 10_020, planned: false }], outcomes: [createOutcome({ requestId: 'cut', result: 'cut' }), servedOutcome] }],
   ['a reused connection that was closed before its request was read', { outcomes: [createOutcome({ requestId: 'unread', result: 'cut-on-kept' }), servedOutcome] }]
 ]
