Move what a target demands in its answers out of OwnTarget

Readability: rate limit, announced drain and the log of effects are one matter of their own (own-target/demands.ts).

--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -6,11 +6,12 @@
 import { ConnectionPool, exchange } from '../exchange/index.js'
 import type { BodyMemory, Exchange, ExchangeResult } from '../exchange/index.js'
 import type { AnswerHead, Protocol } from '../forwarding/types.js'
-import { EffectLog, RateLimit } from '../rate-limit/index.js'
+import type { RateLimit } from '../rate-limit/index.js'
 import { FailureRate, usableSlotShare } from '../targets/index.js'
 import type { Directory, TargetReport, TargetState } from '../targets/index.js'
 import { classifyAnswer, isTargetFailure } from './classify-answer.js'
 import { connectTimeoutMs, defaultSlots, freshDurationMs, initialWorkShare, maxConnections, maxLoadAgeMs, maxNonIdempotentIdleMs, unhealthyFailureShare } from './constants.js'
+import { Demands } from './demands.js'
 import { SpeedEstimate } from './speed-estimate.js'
 import { mayHaveRun, notRun } from './types.js'
 import type { Job, Outcome } from './types.js'
@@ -19,10 +20,8 @@
 /** The target on this VM: its slots and its state. All requests to it go through this class. */
 export class OwnTarget {
   readonly slots: Slots
-  /** The limit that the target names in its answers. */
-  readonly rateLimit: RateLimit
+  private readonly demands: Demands
   private readonly options: OwnTargetOptions
-  private readonly effectLog: EffectLog
   private readonly connections: ConnectionPool
   private readonly failures = FailureRate.create()
   private readonly workEstimate = WorkEstimate.create()
@@ -35,15 +34,12 @@
   private freshUntil = -Infinity
   private loadReceivedAt = -Infinity
   private closing = false
-  /** Whether the present incarnation of the target has announced that it drains. */
-  private draining = false
 
   private constructor (options: OwnTargetOptions) {
     this.options = options
     const { clock, logger, metrics } = options
-    this.rateLimit = RateLimit.create({ clock })
-    this.slots = Slots.create({ clock, rateLimit: this.rateLimit })
-    this.effectLog = EffectLog.create({ clock, logger, metrics, rateLimit: this.rateLimit })
+    this.demands = Demands.create({ clock, logger, metrics, onDraining: () => { this.slots.refuseQueued('closed') } })
+    this.slots = Slots.create({ clock, rateLimit: this.demands.rateLimit })
     this.connections = ConnectionPool.create({ address: options.address, limit: maxConnections, clock: options.clock, memory: options.memory })
   }
 
@@ -56,6 +52,11 @@
     return this.instanceId
   }
 
+  /** The limit that the target names in its answers. */
+  get rateLimit (): RateLimit {
+    return this.demands.rateLimit
+  }
+
   /** Milliseconds since the target last reported its load. */
   get loadAgeMs (): number {
     return this.options.clock.now() - this.loadReceivedAt
@@ -87,13 +88,13 @@
     const request = this.createSlotRequest(job)
     const acquisition = this.slots.acquire(request)
     if (this.slots.waitsForTarget) this.options.loadMonitor.useShortInterval()
-    if (acquisition.waitsForRate) this.effectLog.record('queued', target)
+    if (acquisition.waitsForRate) this.demands.recordEffect('queued', target)
     this.options.onChange()
     signal.addEventListener('abort', acquisition.cancel, { once: true })
     const decision = await acquisition.decision
     signal.removeEventListener('abort', acquisition.cancel)
     if (decision.kind === 'refused') {
-      if (decision.cause === 'rate-limited') this.effectLog.record(job.mayWait ? 'refused' : 'redirected', target)
+      if (decision.cause === 'rate-limited') this.demands.recordEffect(job.mayWait ? 'refused' : 'redirected', target)
       this.logRefusal(job, decision)
       return notRun(decision.cause, decision.retryAfterMs)
     }
@@ -131,7 +132,7 @@
   }
 
   private getState (): TargetState {
-    if (this.closing || this.draining || this.options.directory.isLeaving(this.instanceId)) return 'closing'
+    if (this.closing || this.demands.draining || this.options.directory.isLeaving(this.instanceId)) return 'closing'
     return this.reachable && this.instanceId !== '' ? 'up' : 'down'
   }
 
@@ -148,7 +149,7 @@
   private markReachable (): void {
     if (this.reachable) return
     this.reachable = true
-    this.draining = false
+    this.demands.forgetDraining()
     this.freshUntil = this.options.clock.now() + freshDurationMs
     this.options.logger.info('target-up', { id: this.instanceId })
   }
@@ -160,9 +161,9 @@
       logger.info('target-changed', { from: this.instanceId, to: head.targetId })
       if (this.instanceId !== '') this.freshUntil = clock.now() + freshDurationMs
       this.instanceId = head.targetId
-      this.draining = false
+      this.demands.forgetDraining()
     }
-    this.updateDemands(head)
+    this.demands.update(head, this.instanceId)
     if (head.load !== undefined) {
       this.loadReceivedAt = clock.now()
       this.reportedSlots = head.load.slots
@@ -175,18 +176,6 @@
     onChange()
   }
 
-  /** Applies what the target demands of the nodes: a rate limit, and an end of new requests when it drains. */
-  private updateDemands (head: AnswerHead): void {
-    const { logger, metrics } = this.options
-    if (head.rateLimit === 'unreadable') metrics.count('rate_limits_unreadable_total')
-    const change = this.rateLimit.update(head.rateLimit)
-    if (change !== undefined) logger.info('rate-limit-changed', { target: this.instanceId, from: change.from, to: change.to, ageMs: Math.round(change.ageMs), sentInWindow: this.rateLimit.sentInWindow })
-    if (!head.draining || this.draining) return
-    this.draining = true
-    logger.info('target-draining', { target: this.instanceId })
-    this.slots.refuseQueued('closed')
-  }
-
   /** The outcome of a request that can't run in the present state of the target; undefined if it can. */
   private findNotRunOutcome (target: string): Outcome | undefined {
     if (target !== this.instanceId) return notRun('moved')
