Refuse a queued request at once when others make it too late for the rate limit

Callers waited up to the last moment and were refused then when more urgent requests, or those that came back, went first. Cause: the forecast was made on arrival only; with a rate limit the time of each queued request is known whenever the queue changes. Change: when a request is queued at a limited target, those that it makes too late are refused at once. Test: 'a queued request that a more urgent one makes too late is refused at once' fails without the change.

--- a/packages/sidecar/src/core/admission/slots.ts
+++ b/packages/sidecar/src/core/admission/slots.ts
@@ -1,5 +1,5 @@
 import type { Clock, Timeout } from 'auburnturn/core/clock'
-import { RateLimit } from '../rate-limit/index.js'
+import { RateLimit, unlimited } from '../rate-limit/index.js'
 import { maxQueuedPerSlot, maxRetryAfterMs, meanWorkWeight } from './constants.js'
 import { computeMaxWaitMs, createOrderingContext, estimateWaitMs, isHeld, isSlow } from './forecast.js'
 import type { TargetWork } from './forecast.js'
@@ -160,9 +160,26 @@
     })
     // This request can start immediately if a slot is free and all requests ahead of it are held back.
     this.startNext()
+    this.refusePassed(now)
     return { decision, waitsForRate, cancel: () => { cancel() } }
   }
 
+  /** Refuses the queued requests that the rate limit now lets through too late, since others go first. */
+  private refusePassed (now: number): void {
+    if (this.rateLimit.perSecond === unlimited) return
+    const context = createOrderingContext(this.work, now)
+    const ordered = [...this.queue].sort((one, other) => compareSlotRequests(one.request, other.request, context))
+    let ahead = 0
+    for (const queued of ordered) {
+      if (this.rateLimit.computeWaitMs(ahead) <= computeMaxWaitMs(queued.request, context)) {
+        ahead++
+        continue
+      }
+      this.queue.splice(this.queue.indexOf(queued), 1)
+      this.refuse(queued, 'rate-limited')
+    }
+  }
+
   private startNext (): void {
     const now = this.clock.now()
     this.rateTimer?.cancel()
--- a/packages/sidecar/test/rate-limit.test.ts
+++ b/packages/sidecar/test/rate-limit.test.ts
@@ -117,6 +117,22 @@
   assert.is(describe(await waiting), 'answer')
 })
 
+// Guards against requests that wait for a rate limit in vain, and learn only after their wait that others went first (issue 26).
+test('a queued request that a more urgent one makes too late is refused at once', async () => {
+  const clock = ManualClock.create()
+  const target = LimitedTarget.create(clock)
+  target.demands = ['Server-Limit', '4']
+  target.checkHealth()
+  let passed: string | undefined
+  target.send({ priority: 2 }).then(outcome => { passed = describe(outcome) }, assert.unreachable)
+  await clock.advance(50)
+  const urgent = target.send({ priority: 0 })
+  await clock.advance(1)
+  assert.is(passed, 'rate-limited')
+  await clock.advance(400)
+  assert.is(describe(await urgent), 'answer')
+})
+
 test('Retry-After of a refusal is when the limit lets the request through', async () => {
   const clock = ManualClock.create()
   const target = LimitedTarget.create(clock)
