--- a/packages/bench/src/soak/plan.ts
+++ b/packages/bench/src/soak/plan.ts
@@ -1,4 +1,5 @@
 import { Random } from 'auburnturn/core/random'
+import { services } from './constants.js'
 import type { Fault, FaultName } from './types.js'
 
 /** Inputs from which a fault plan is generated. */
@@ -35,13 +36,10 @@
 /** Faults that are part of a normal deployment; no response may be lost because of them. */
 export const plannedFaults: readonly FaultName[] = ['terminate-node', 'reload-node', 'drain-target', 'limit-target', 'configure']
 
-/** Faults of which each plan has a series of its own, so that they overlap with all others. */
-const separateFaults: readonly FaultName[] = ['limit-target']
-
 const allFaults = Object.keys(durationRangesMs) as FaultName[]
 
-/** Added to the seed for the faults with a series of their own. */
-const separateSeedOffset = 1_000_000
+/** Added to the seed for the rate limits, which each plan has besides its series, so that they overlap with all other faults. */
+const limitSeedOffset = 1_000_000
 
 /**
  * Generates overlapping series of faults, sorted by their start. Every third seed uses planned faults only.
@@ -49,10 +47,10 @@
  */
 export function createPlan ({ seed, vms, faultWindowMs }: PlanOptions): Fault[] {
   const random = Random.create(seed)
-  const names = (seed % 3 === 0 ? plannedFaults : allFaults).filter(name => !separateFaults.includes(name))
+  const names = (seed % 3 === 0 ? plannedFaults : allFaults).filter(name => name !== 'limit-target')
   const seriesCount = 3 + random.integerBelow(4)
   const faults = Array.from({ length: seriesCount }, () => createSeries(random, names, vms, faultWindowMs)).flat()
-  faults.push(...createSeries(Random.create(seed + separateSeedOffset), separateFaults, vms, faultWindowMs / 2))
+  faults.push(...createLimits(Random.create(seed + limitSeedOffset), vms, faultWindowMs))
   return faults.filter(({ at }) => at < faultWindowMs).sort((one, other) => one.at - other.at)
 }
 
@@ -70,3 +68,15 @@
     forMs: minMs + random.integerBelow(maxMs - minMs + 1)
   }))
 }
+
+/** One target of each service names a rate limit, at different times. */
+function createLimits (random: Random, vms: number, faultWindowMs: number): Fault[] {
+  const [minMs, maxMs] = durationRangesMs['limit-target']
+  const firstVm = random.integerBelow(vms)
+  return services.map((_, index) => ({
+    at: random.integerBelow(faultWindowMs / 2),
+    name: 'limit-target',
+    vm: (firstVm + index) % vms,
+    forMs: minMs + random.integerBelow(maxMs - minMs + 1)
+  }))
+}
