Log and count the requests that rate limits move to other targets

Hedge checks are not counted. No decision changes. Test: 'a target that is avoided because of its rate limit is found, and only then'.

--- a/packages/sidecar/src/core/forwarding/forwarder.ts
+++ b/packages/sidecar/src/core/forwarding/forwarder.ts
@@ -5,11 +5,11 @@
 import type { Route } from '../configuration/index.js'
 import { notRun, WorkEstimate } from '../own-target/index.js'
 import type { Job, Outcome, OwnTarget } from '../own-target/index.js'
-import { computeRateWaitMs } from '../rate-limit/index.js'
+import { computeRateWaitMs, MoveLog } from '../rate-limit/index.js'
 import { RetryWindow } from '../retries/index.js'
 import type { RetryBudget } from '../retries/index.js'
-import { chooseTarget, estimateCost, slowFactor, widenAboveCost } from '../targets/index.js'
-import type { Candidate, Directory } from '../targets/index.js'
+import { chooseTarget, estimateCost, findAvoidedTarget, slowFactor, widenAboveCost } from '../targets/index.js'
+import type { Candidate, Directory, TargetChoice } from '../targets/index.js'
 import { initialWorkShare, maxTargetAttempts, defaultRetryAfterMs } from './constants.js'
 import { awaitHedgeTarget, createLinkedCancellation, awaitFirstSuccess, computeFirstCheckAt, shouldHedge } from './hedge.js'
 import type { RequestSender } from './types.js'
@@ -29,9 +29,12 @@
   private readonly options: ForwarderOptions
   private readonly retryWindows = new Map<string, RetryWindow>()
   private readonly workEstimate = WorkEstimate.create()
+  private readonly moveLog: MoveLog
 
   private constructor (options: ForwarderOptions) {
+    const { clock, logger, metrics } = options
     this.options = options
+    this.moveLog = MoveLog.create({ clock, logger, metrics })
   }
 
   static create (options: ForwarderOptions): Forwarder {
@@ -44,7 +47,7 @@
     const progress: Progress = { tried: new Set(), reachedTargets: 0, outcome: notRun('no-target', defaultRetryAfterMs) }
     this.getRetryWindow(job.service).countFirstAttempt(clock.now())
     for (let attempts = 0; attempts < maxTargetAttempts; attempts++) {
-      const target = this.chooseCandidate(job, progress.tried)
+      const target = this.chooseCandidate(job, progress.tried, 'attempt')
       if (target === undefined || !this.mayAttempt(job, route, progress)) break
       if (attempts > 0) this.options.metrics.count('retries_total')
       progress.tried.add(target.id)
@@ -63,16 +66,24 @@
     return progress.outcome
   }
 
-  private chooseCandidate (job: Job, tried: ReadonlySet<string>): Candidate | undefined {
+  /** Chooses the target of an attempt, or one on which a request may be hedged. */
+  private chooseCandidate (job: Job, tried: ReadonlySet<string>, purpose: 'attempt' | 'hedge'): Candidate | undefined {
     const { directory, failureDomain, random, onShortage } = this.options
     const workMs = this.readWorkMs(job)
     const candidates = this.withOwnTarget(directory.findCandidates(job.service), job.service)
-    const best = chooseTarget({ candidates, failureDomain, tried, workMs, random })
+    const choice = { candidates, failureDomain, tried, workMs, random }
+    const best = chooseTarget(choice)
+    if (best !== undefined && purpose === 'attempt') this.recordMove(choice, best)
     if (best !== undefined && estimateCost(best, failureDomain, workMs) < widenAboveCost) return best
     onShortage(job.service)
     return best ?? chooseTarget({ candidates: directory.findCandidates(job.service, 'any'), failureDomain, tried, workMs, random })
   }
 
+  private recordMove (choice: TargetChoice, chosen: Candidate): void {
+    const avoided = findAvoidedTarget(choice, chosen)
+    if (avoided !== undefined) this.moveLog.record(avoided, chosen.id)
+  }
+
   /** Replaces the reported state of the target on this VM by its current state. */
   private withOwnTarget (candidates: readonly Candidate[], service: string): Candidate[] {
     const { ownTarget, ip } = this.options
@@ -109,7 +120,7 @@
   private findHedgeTarget (job: Job, route: Route, target: Candidate, progress: Progress, workMs: number): Candidate | undefined {
     const candidates = this.withOwnTarget(this.options.directory.findCandidates(job.service), job.service)
     const current = candidates.find(({ id }) => id === target.id)
-    const alternative = this.chooseCandidate(job, progress.tried)
+    const alternative = this.chooseCandidate(job, progress.tried, 'hedge')
     if (alternative === undefined || !shouldHedge({ job, workMs, current, alternative, now: this.options.clock.now() })) return undefined
     return this.mayAttempt(job, route, { ...progress, reachedTargets: 1 }) ? alternative : undefined
   }
--- a/packages/sidecar/src/core/targets/choose-target.ts
+++ b/packages/sidecar/src/core/targets/choose-target.ts
@@ -30,6 +30,13 @@
   return best
 }
 
+/** Returns the limited target that would be chosen but for its rate limit; undefined if the limits change nothing. */
+export function findAvoidedTarget ({ candidates, failureDomain, tried, workMs }: TargetChoice, chosen: Candidate): Candidate | undefined {
+  const chosenCost = estimateCost(chosen, failureDomain, workMs)
+  const limited = candidates.filter(({ id, state, rateWaitMs }) => rateWaitMs > 0 && state === 'up' && !tried.has(id) && id !== chosen.id)
+  return limited.find(candidate => estimateCost({ ...candidate, rateWaitMs: 0 }, failureDomain, workMs) < chosenCost)
+}
+
 /** Estimates the time to complete one more request at a target, in service times (`workMs`) of an idle target. */
 export function estimateCost (candidate: Candidate, failureDomain: string, workMs: number): number {
   const slow = candidate.slowness >= slowFactor
--- a/packages/sidecar/test/targets.test.ts
+++ b/packages/sidecar/test/targets.test.ts
@@ -3,7 +3,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { unlimited } from '../src/core/rate-limit/index.js'
-import { chooseTarget, Directory, FailureRate } from '../src/core/targets/index.js'
+import { chooseTarget, findAvoidedTarget, Directory, FailureRate } from '../src/core/targets/index.js'
 import type { Candidate, ListedTarget, TargetReport } from '../src/core/targets/index.js'
 
 const test = suite('targets')
@@ -35,6 +35,15 @@
   })
 }
 
+test('a target that is avoided because of its rate limit is found, and only then', () => {
+  const find = (chosen: Candidate, ...others: Candidate[]): string | undefined =>
+    findAvoidedTarget({ candidates: [chosen, ...others], failureDomain: 'a', tried: new Set(), workMs: 100, random: Random.create(1) }, chosen)?.id
+  const chosen = createCandidate('chosen', { running: 4 })
+  assert.is(find(chosen, createCandidate('limited', { rateWaitMs: 500 })), 'limited')
+  assert.is(find(chosen, createCandidate('limited and full', { rateWaitMs: 500, running: 8, waiting: 4 })), undefined)
+  assert.is(find(chosen, createCandidate('unlimited', { running: 5 })), undefined)
+})
+
 test('a fast target in another failure domain is preferred to a slow one in the own domain', () => {
   assert.is(choose(createCandidate('slow', { slowness: 4 }), createCandidate('fast', { failureDomain: 'b' })), 'fast')
 })
