--- a/packages/sidecar/test/prober.test.ts
+++ b/packages/sidecar/test/prober.test.ts
@@ -8,6 +8,7 @@
 import type { Job, Outcome } from '../src/core/own-target/index.js'
 import { Directory } from '../src/core/targets/index.js'
 import { protocol } from '../src/platform/index.js'
+import { createJob } from './fixtures/create-job.js'
 import { startRawServer } from './fixtures/raw-server.js'
 import type { RawServer } from './fixtures/raw-server.js'
 
@@ -53,25 +54,7 @@
   }
 
   run (changes: Partial<Job> = {}): Promise<Outcome> {
-    const now = this.clock.now()
-    const job: Job = {
-      id: 'r-1',
-      method: 'GET',
-      path: '/pages/',
-      headers: [],
-      body: Buffer.alloc(0),
-      route: 'pages',
-      service: 's',
-      caller: 's',
-      idempotent: true,
-      objectiveMs: 600,
-      priority: 1,
-      mayWait: true,
-      objectiveAt: now + 600,
-      deadlineAt: now + 2_000,
-      ...changes
-    }
-    return this.target.run(job, 'i-1', Cancellation.create())
+    return this.target.run(createJob(this.clock.now(), changes), 'i-1', Cancellation.create())
   }
 
   close (): void {
