Give each test process a loopback network of its own

Test clusters used fixed addresses and ports, so two checkouts could not run their tests at the same time. Change: the addresses follow from the id of the process. No decision of the code under test depends on them.

--- a/packages/sidecar/test/path.test.ts
+++ b/packages/sidecar/test/path.test.ts
@@ -40,10 +40,10 @@
 test('the metrics and the dump of a node can be read', async () => {
   await withCluster(['shop'], async cluster => {
     await cluster.send(0, '/pages/a')
-    const metrics = await (await fetch('http://127.0.0.11:9464/metrics')).text()
+    const metrics = await (await fetch(`http://${cluster.getIp(0)}:9464/metrics`)).text()
     assert.match(metrics, 'calls_total{')
     assert.match(metrics, 'call_seconds_count 1')
-    const state = await (await fetch('http://127.0.0.11:9464/dump')).json() as { version: number, ready: boolean, target: { id: string } }
+    const state = await (await fetch(`http://${cluster.getIp(0)}:9464/dump`)).json() as { version: number, ready: boolean, target: { id: string } }
     assert.equal([state.version, state.ready, state.target.id], [1, true, 'i-0'])
   })
 })
