Move the types that the parts of a sidecar share into folders of their own

Cause: in packages/sidecar/src/core seven folders imported one another in a circle: admission, following, forwarding, own-target, rate-limit, readers and targets. Types that all parts use stood beside the classes that are built on them, so rate-limit imported forwarding for the type of a named rate limit, and readers imported following for the type of a change.

Change: core/requests holds Job, Outcome with its causes, notRun and mayHaveRun, the heads of requests and answers, and Protocol, one subject a module; it imports exchange only, for Headers. core/store holds Change, StoreAnswer and StoreClient; it imports configuration and targets. Importers in src, test and packages/bench name the new folders, and nothing is exported twice. own-target/types.ts is gone.

Seen: a script that lists circles of folders over import and import type: 18 folders, 1 circle of 7 folders before; 20 folders, no circle after. Other packages' tests were not run.

Conclusion: behaviour is unchanged; only declarations moved.

--- a/packages/bench/src/scene/play-scene.ts
+++ b/packages/bench/src/scene/play-scene.ts
@@ -1,7 +1,7 @@
 import { Cancellation } from 'auburnturn/core/clock'
 import { Random } from 'auburnturn/core/random'
 import { maxRetryAfterShare } from 'auburnturn-sidecar/core/forwarding'
-import type { Outcome } from 'auburnturn-sidecar/core/own-target'
+import type { Outcome } from 'auburnturn-sidecar/core/requests'
 import type { ListedTarget } from 'auburnturn-sidecar/core/targets'
 import { VirtualTime } from '../routing/virtual-time.js'
 import { SceneNode } from './scene-node.js'
--- a/packages/sidecar/src/core/following/announcement-filter.ts
+++ b/packages/sidecar/src/core/following/announcement-filter.ts
@@ -1,4 +1,4 @@
-import type { Change } from './types.js'
+import type { Change } from '../store/index.js'
 
 /** Changes to announce: all that other nodes need after revision `from`. */
 export interface Announcement {
--- a/packages/sidecar/src/core/following/apply-changes.ts
+++ b/packages/sidecar/src/core/following/apply-changes.ts
@@ -1,7 +1,7 @@
 import type { Logger } from 'auburnturn/core/logger'
 import type { CurrentConfiguration } from '../configuration/index.js'
+import type { Change } from '../store/index.js'
 import type { Directory, ListedTarget } from '../targets/index.js'
-import type { Change } from './types.js'
 
 /** The local state that changes of the store are applied to. */
 export interface ApplyContext {
--- a/packages/sidecar/src/core/following/configuration-fetcher.ts
+++ b/packages/sidecar/src/core/following/configuration-fetcher.ts
@@ -2,7 +2,8 @@
 import type { Clock } from 'auburnturn/core/clock'
 import type { Logger } from 'auburnturn/core/logger'
 import type { Configuration } from '../configuration/index.js'
-import type { SharedState, StoreClient } from './types.js'
+import type { StoreClient } from '../store/index.js'
+import type { SharedState } from './types.js'
 
 /** Fetches a configuration that another node already has: from that node, or from the store if it is too large for that. */
 export class ConfigurationFetcher {
--- a/packages/sidecar/src/core/following/follower.ts
+++ b/packages/sidecar/src/core/following/follower.ts
@@ -2,9 +2,10 @@
 import type { Logger } from 'auburnturn/core/logger'
 import type { Random } from 'auburnturn/core/random'
 import type { ChangesNotice, ReaderElection } from '../readers/index.js'
+import type { Change, StoreAnswer, StoreClient } from '../store/index.js'
 import { baseBackoffMs, batchDelayMs, electionIntervalMs, crossDomainGapDelayMs, gapDelayMs, maxBackoffMs, probeWatchMs, relistIntervalMs, watchMs } from './constants.js'
 import { AnnouncementFilter } from './announcement-filter.js'
-import type { Change, SharedState, StoreAnswer, StoreClient } from './types.js'
+import type { SharedState } from './types.js'
 
 /**
  * Keeps this node up to date with the store. Lists it once, then watches it while this node is a reader, and applies
--- a/packages/sidecar/src/core/forwarding/hedge.ts
+++ b/packages/sidecar/src/core/forwarding/hedge.ts
@@ -1,6 +1,6 @@
 import { Cancellation } from 'auburnturn/core/clock'
 import type { CancelSignal, Clock } from 'auburnturn/core/clock'
-import type { Job, Outcome } from '../own-target/index.js'
+import type { Job, Outcome } from '../requests/index.js'
 import type { Candidate } from '../targets/index.js'
 import { unresponsiveAfterMs } from '../targets/index.js'
 import { hedgeCheckIntervalMs, hedgeWorkFactor } from './constants.js'
--- a/packages/sidecar/src/core/forwarding/hop-message.ts
+++ b/packages/sidecar/src/core/forwarding/hop-message.ts
@@ -1,6 +1,6 @@
-import { mayHaveRun, notRun } from '../own-target/index.js'
-import type { Job, MayHaveRunCause, NotRunCause, Outcome } from '../own-target/index.js'
 import type { Frame } from '../peer-calls/index.js'
+import { mayHaveRun, notRun } from '../requests/index.js'
+import type { Job, MayHaveRunCause, NotRunCause, Outcome } from '../requests/index.js'
 
 const emptyBody = Buffer.alloc(0)
 
--- a/packages/sidecar/src/core/forwarding/ingress.ts
+++ b/packages/sidecar/src/core/forwarding/ingress.ts
@@ -5,14 +5,13 @@
 import type { Metrics } from 'auburnturn/core/metrics'
 import type { CurrentConfiguration, Route } from '../configuration/index.js'
 import type { BodyMemory } from '../exchange/index.js'
-import { mayHaveRun, notRun } from '../own-target/index.js'
-import type { Job, Outcome } from '../own-target/index.js'
+import { mayHaveRun, notRun } from '../requests/index.js'
+import type { Job, Outcome, Protocol, RequestHead } from '../requests/index.js'
 import { maxRetryAfterShare, defaultRetryAfterMs } from './constants.js'
 import type { Forwarder } from './forwarder.js'
 import { formatRetryAfter } from './retry-after.js'
 import { readBody } from './request-body.js'
 import { respond, chooseStatus } from './respond.js'
-import type { Protocol, RequestHead } from './types.js'
 
 const emptyBody = Buffer.alloc(0)
 
--- a/packages/sidecar/src/core/forwarding/respond.ts
+++ b/packages/sidecar/src/core/forwarding/respond.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http'
-import type { Outcome } from '../own-target/index.js'
 import type { Headers } from '../exchange/index.js'
+import type { Outcome } from '../requests/index.js'
 
 /** Sends a whole answer, unless the response has ended or its connection is closed. */
 export function respond (response: ServerResponse, status: number, headers: Headers, body: Buffer): void {
--- a/packages/sidecar/src/core/own-target/classify-answer.ts
+++ b/packages/sidecar/src/core/own-target/classify-answer.ts
@@ -1,7 +1,6 @@
 import type { Headers } from '../exchange/index.js'
-import type { AnswerHead } from '../forwarding/types.js'
-import { mayHaveRun } from './types.js'
-import type { Outcome } from './types.js'
+import { mayHaveRun } from '../requests/index.js'
+import type { AnswerHead, Outcome } from '../requests/index.js'
 
 /** Statuses that claim that the request did not run. The claim is unproven unless `AnswerHead.notRun` is set. */
 const notRunStatuses = new Set([408, 421, 429, 503])
--- a/packages/sidecar/src/core/own-target/demands.ts
+++ b/packages/sidecar/src/core/own-target/demands.ts
@@ -1,9 +1,9 @@
 import type { Clock } from 'auburnturn/core/clock'
 import type { Logger } from 'auburnturn/core/logger'
 import type { Metrics } from 'auburnturn/core/metrics'
-import type { AnswerHead } from '../forwarding/types.js'
 import { EffectLog, RateLimit } from '../rate-limit/index.js'
 import type { RateLimitEffect } from '../rate-limit/index.js'
+import type { AnswerHead } from '../requests/index.js'
 
 /** What the target on this VM demands of all nodes in its answers: a rate limit, and no new requests while it drains. */
 export class Demands {
--- a/packages/sidecar/src/core/own-target/prober.ts
+++ b/packages/sidecar/src/core/own-target/prober.ts
@@ -2,7 +2,7 @@
 import type { Clock } from 'auburnturn/core/clock'
 import { ConnectionPool, exchange } from '../exchange/index.js'
 import type { BodyMemory, Exchange } from '../exchange/index.js'
-import type { Protocol } from '../forwarding/types.js'
+import type { Protocol } from '../requests/index.js'
 import { connectTimeoutMs, idleProbeIntervalMs, minProbeIntervalMs, probeTimeoutMs, refreshTimeoutMs, slowTargetProbeIntervalMs, unansweredProbesUntilDown, usableProbeShare } from './constants.js'
 import type { OwnTarget } from './own-target.js'
 
--- a/packages/sidecar/src/core/rate-limit/rate-limit.ts
+++ b/packages/sidecar/src/core/rate-limit/rate-limit.ts
@@ -1,5 +1,5 @@
 import type { Clock } from 'auburnturn/core/clock'
-import type { NamedRateLimit } from '../forwarding/types.js'
+import type { NamedRateLimit } from '../requests/index.js'
 import { computeRateWaitMs } from './compute-rate-wait.js'
 import { burstMs, sentWindowMs, unlimited } from './constants.js'
 import type { RateLimitChange } from './types.js'
--- a/packages/sidecar/src/core/readers/announcer.ts
+++ b/packages/sidecar/src/core/readers/announcer.ts
@@ -1,5 +1,5 @@
 import type { Cancel, Clock } from 'auburnturn/core/clock'
-import type { Change } from '../following/types.js'
+import type { Change } from '../store/index.js'
 import { encodeChangesNotice, encodeReaderNotice } from './codec.js'
 import { noticeIntervalMs } from './constants.js'
 import type { ReaderElection } from './reader-election.js'
--- a/packages/sidecar/src/core/readers/types.ts
+++ b/packages/sidecar/src/core/readers/types.ts
@@ -1,4 +1,4 @@
-import type { Change } from '../following/types.js'
+import type { Change } from '../store/index.js'
 
 /** Whether a node is a reader of the store, and whether the store answers it. */
 export type ReaderState =
--- a/packages/sidecar/src/platform/protocol.ts
+++ b/packages/sidecar/src/platform/protocol.ts
@@ -1,6 +1,6 @@
 import { findHeader, filterEndToEndHeaders } from 'auburnturn/core/http'
 import type { Headers } from '../core/exchange/index.js'
-import type { AnswerHead, NamedRateLimit, Protocol, RequestHead, TargetLoad, TargetRequestHead } from '../core/forwarding/index.js'
+import type { AnswerHead, NamedRateLimit, Protocol, RequestHead, TargetLoad, TargetRequestHead } from '../core/requests/index.js'
 
 /** Names of headers of requests and answers on the platform. */
 const headerNames = {
--- a/packages/sidecar/test/following.test.ts
+++ b/packages/sidecar/test/following.test.ts
@@ -4,10 +4,11 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { ConfigurationFetcher, Follower } from '../src/core/following/index.js'
-import type { Change, SharedState, StoreAnswer } from '../src/core/following/index.js'
+import type { SharedState } from '../src/core/following/index.js'
 import { AnnouncementFilter } from '../src/core/following/announcement-filter.js'
 import type { Configuration } from '../src/core/configuration/index.js'
 import { ReaderElection } from '../src/core/readers/index.js'
+import type { Change, StoreAnswer } from '../src/core/store/index.js'
 import type { ListedTarget } from '../src/core/targets/index.js'
 
 const test = suite('following')
--- a/packages/sidecar/test/forwarder.test.ts
+++ b/packages/sidecar/test/forwarder.test.ts
@@ -6,8 +6,9 @@
 import * as assert from 'uvu/assert'
 import type { Route } from '../src/core/configuration/index.js'
 import { Forwarder } from '../src/core/forwarding/index.js'
-import { notRun } from '../src/core/own-target/index.js'
-import type { Job, Outcome, OwnTarget } from '../src/core/own-target/index.js'
+import type { OwnTarget } from '../src/core/own-target/index.js'
+import { notRun } from '../src/core/requests/index.js'
+import type { Job, Outcome } from '../src/core/requests/index.js'
 import { Directory } from '../src/core/targets/index.js'
 
 const test = suite('forwarder')
--- a/packages/sidecar/test/peer-calls.test.ts
+++ b/packages/sidecar/test/peer-calls.test.ts
@@ -8,11 +8,11 @@
 import { BodyMemory } from '../src/core/exchange/index.js'
 import { formatOutcome, formatRequest, parseOutcome, parseRequest } from '../src/core/forwarding/hop-message.js'
 import { InFlightRequests } from '../src/core/listening/index.js'
-import type { Job, Outcome } from '../src/core/own-target/index.js'
 import { encodeFrame } from '../src/core/peer-calls/frame.js'
 import { FrameReader } from '../src/core/peer-calls/frame-reader.js'
 import { callPeer, PeerCallServer, PeerConnectionPool } from '../src/core/peer-calls/index.js'
 import type { Frame, PeerCallHandler, PeerCallResult } from '../src/core/peer-calls/index.js'
+import type { Job, Outcome } from '../src/core/requests/index.js'
 import { startRawServer } from './fixtures/raw-server.js'
 
 const test = suite('peer calls')
--- a/packages/sidecar/test/rate-limit.test.ts
+++ b/packages/sidecar/test/rate-limit.test.ts
@@ -2,8 +2,8 @@
 import { ManualClock } from 'auburnturn/core/clock'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import type { Outcome } from '../src/core/own-target/index.js'
 import { RateLimit } from '../src/core/rate-limit/index.js'
+import type { Outcome } from '../src/core/requests/index.js'
 import { LimitedTarget } from './fixtures/limited-target.js'
 
 const test = suite('rate limit')
