Log the evidence of each 'not run' that reaches a caller or a second target

The lines of the record name no evidence, so nobody could tell a refusal of the target from what a node decides. Change: the outcome 'not run' carries its evidence, also between nodes: no byte written, the same as the other node reports, or the refusal of a target with its status, the ids of attempt and target in it, and the use of its connection (earlier requests, age). offer-failed and request-failed show it; an attempt that a slow or limited target moves elsewhere now leaves such a line too. No decision changes. A damaged outcome without evidence now means 'may have run' rather than 'not run'.

--- a/packages/bench/src/scene/scene-node.ts
+++ b/packages/bench/src/scene/scene-node.ts
@@ -162,7 +162,7 @@
   private answer (status: number, id: string): ExchangeResult {
     const { id: targetId, running, queued, group, slowness, rateLimit } = this.target
     const named = rateLimit === undefined ? [] : [String(rateLimit)]
-    return { kind: 'answer', status, headers: [id, targetId, String(running), String(queued), String(group.slots), String(slowness), ...named], body: emptyBody }
+    return { kind: 'answer', status, headers: [id, targetId, String(running), String(queued), String(group.slots), String(slowness), ...named], body: emptyBody, connection: { earlierRequests: 0, ageMs: 0 } }
   }
 }
 
--- a/packages/sidecar/src/core/exchange/connection-pool.ts
+++ b/packages/sidecar/src/core/exchange/connection-pool.ts
@@ -6,6 +6,7 @@
 import type { Clock } from 'auburnturn/core/clock'
 import type { BodyMemory } from './body-memory.js'
 import { idleTimeoutMs, idleCloseMarginMs } from './constants.js'
+import type { ConnectionUse } from './types.js'
 
 /** Keep-alive connections to one address. Each carries one request at a time; the most recently used one is reused first. */
 export class ConnectionPool {
@@ -39,6 +40,14 @@
     for (const socket of this.listIdle()) if (now - (idleSince.get(socket) ?? now) >= milliseconds) socket.destroy()
   }
 
+  /** Counts a request on the connection of a socket; returns how the connection was used before. */
+  recordUse (socket: Duplex): ConnectionUse {
+    const now = this.clock.now()
+    const { openedAt, requests } = history.get(socket) ?? { openedAt: now, requests: 0 }
+    history.set(socket, { openedAt, requests: requests + 1 })
+    return { earlierRequests: requests, ageMs: now - openedAt }
+  }
+
   close (): void {
     this.agent.destroy()
   }
@@ -61,6 +70,9 @@
 /** Time at which each idle socket finished its last request, in clock milliseconds. */
 const idleSince = new WeakMap<Duplex, number>()
 
+/** When each socket began to connect, in clock milliseconds, and how many requests it has carried. */
+const history = new WeakMap<Duplex, { readonly openedAt: number, readonly requests: number }>()
+
 /** Sockets whose connection ended with a reset. */
 const resetSockets = new WeakSet<Duplex>()
 
@@ -83,6 +95,7 @@
 
   override createConnection (options: NetConnectOpts): Socket {
     const socket = connect(options)
+    history.set(socket, { openedAt: this.now(), requests: 0 })
     // These listeners are registered first, so that the HTTP client does not treat a reset as a regular end.
     socket.once('error', () => { resetSockets.add(socket) })
     // A reset that arrives together with data is reported as an end; the socket then has no remote address.
--- a/packages/sidecar/src/core/exchange/exchange.ts
+++ b/packages/sidecar/src/core/exchange/exchange.ts
@@ -6,7 +6,7 @@
 import type { BufferedBody } from './body-memory.js'
 import { wasReset } from './connection-pool.js'
 import { maxAnswerBytes, maxAnswerHeadBytes, maxInterimAnswers } from './constants.js'
-import type { ExchangeOptions, ExchangeResult } from './types.js'
+import type { ConnectionUse, ExchangeOptions, ExchangeResult } from './types.js'
 
 /** Sends one request and receives its whole answer. Never rejects. */
 export async function exchange (options: ExchangeOptions): Promise<ExchangeResult> {
@@ -26,6 +26,7 @@
   private stage: Stage = 'waiting'
   private timer: Timeout | undefined
   private socket: Socket | undefined
+  private connection: ConnectionUse = { earlierRequests: 0, ageMs: 0 }
   private bufferedBody: BufferedBody | undefined
   private interimAnswers = 0
 
@@ -52,6 +53,7 @@
   /** Handles the assignment of a socket, which may still be connecting. */
   private useSocket (socket: Socket): void {
     this.socket = socket
+    this.connection = this.options.connections.recordUse(socket)
     if (this.stage === 'ended') return
     if (!socket.connecting) return this.markSent()
     this.stage = 'connecting'
@@ -95,7 +97,7 @@
     const { socket, options } = this
     const truncated = socket !== undefined && wasReset(socket) && !isFramed(options.method, status, headers)
     if (truncated) return this.finish({ kind: 'lost', cause: 'cut' })
-    this.finish({ kind: 'answer', status, headers, body: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks) })
+    this.finish({ kind: 'answer', status, headers, body: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks), connection: this.connection })
   }
 
   private handleError (error: NodeJS.ErrnoException): void {
--- a/packages/sidecar/src/core/exchange/types.ts
+++ b/packages/sidecar/src/core/exchange/types.ts
@@ -12,9 +12,17 @@
   | 'timeout'
   | 'left' // the caller cancelled the request
 
+/** How a connection was used before a request. */
+export interface ConnectionUse {
+  /** Number of earlier requests; 0 on a new connection. */
+  readonly earlierRequests: number
+  /** Milliseconds since it was opened. */
+  readonly ageMs: number
+}
+
 /** Result of one request on one connection. */
 export type ExchangeResult =
-  | { readonly kind: 'answer', readonly status: number, readonly headers: Headers, readonly body: Buffer }
+  | { readonly kind: 'answer', readonly status: number, readonly headers: Headers, readonly body: Buffer, readonly connection: ConnectionUse }
   /** No part of the request was written. */
   | { readonly kind: 'unsent', readonly cause: 'connect-failed' | 'connect-timeout' | 'timeout' | 'left' }
   /** The server may have read the request. */
--- a/packages/sidecar/src/core/forwarding/forwarder.ts
+++ b/packages/sidecar/src/core/forwarding/forwarder.ts
@@ -6,7 +6,7 @@
 import { WorkEstimate } from '../own-target/index.js'
 import type { OwnTarget } from '../own-target/index.js'
 import { computeRateWaitMs, MoveLog } from '../rate-limit/index.js'
-import { notRun } from '../requests/index.js'
+import { describeEvidence, notRun } from '../requests/index.js'
 import type { Job, Outcome } from '../requests/index.js'
 import { RetryWindow } from '../retries/index.js'
 import type { RetryBudget } from '../retries/index.js'
@@ -59,6 +59,7 @@
       if (!mayWait && outcome.kind === 'not-run' && (outcome.cause === 'slow' || outcome.cause === 'rate-limited')) {
         progress.tried.delete(target.id)
         directory.markRefusing(target.id, outcome.cause)
+        this.logFailure(outcome, job, target, attempts)
         continue
       }
       this.logFailure(outcome, job, target, attempts)
@@ -177,7 +178,8 @@
       waiting: target.waiting,
       limit: target.limit,
       rateWaitMs: Math.round(target.rateWaitMs),
-      slowness: target.slowness
+      slowness: target.slowness,
+      ...outcome.kind === 'not-run' ? describeEvidence(outcome.evidence) : {}
     })
   }
 
--- a/packages/sidecar/src/core/forwarding/hop-message.ts
+++ b/packages/sidecar/src/core/forwarding/hop-message.ts
@@ -1,5 +1,5 @@
 import type { Frame } from '../peer-calls/index.js'
-import { mayHaveRun, notRun } from '../requests/index.js'
+import { formatEvidence, mayHaveRun, parseEvidence } from '../requests/index.js'
 import type { Job, MayHaveRunCause, NotRunCause, Outcome } from '../requests/index.js'
 
 const emptyBody = Buffer.alloc(0)
@@ -63,7 +63,7 @@
 export function formatOutcome (outcome: Outcome): Frame {
   switch (outcome.kind) {
     case 'answer': return { fields: ['answer', String(outcome.status), ...outcome.headers], body: outcome.body }
-    case 'not-run': return { fields: ['not-run', outcome.cause, String(Math.round(outcome.retryAfterMs))], body: emptyBody }
+    case 'not-run': return { fields: ['not-run', outcome.cause, String(Math.round(outcome.retryAfterMs)), ...formatEvidence(outcome.evidence)], body: emptyBody }
     case 'may-have-run': return { fields: ['may-have-run', outcome.cause], body: emptyBody }
   }
 }
@@ -73,7 +73,8 @@
   const [kind, detail = '', delay = ''] = fields
   const retryAfterMs = Number(delay)
   if (kind === 'answer' && Number.isInteger(Number(detail))) return { kind, status: Number(detail), headers: fields.slice(2), body }
-  if (kind === 'not-run' && Number.isFinite(retryAfterMs)) return notRun(detail as NotRunCause, retryAfterMs)
+  const evidence = parseEvidence(fields.slice(3))
+  if (kind === 'not-run' && Number.isFinite(retryAfterMs) && evidence !== undefined) return { kind, cause: detail as NotRunCause, retryAfterMs, evidence }
   if (kind === 'may-have-run') return mayHaveRun(detail as MayHaveRunCause)
   return mayHaveRun('invalid')
 }
--- a/packages/sidecar/src/core/forwarding/ingress.ts
+++ b/packages/sidecar/src/core/forwarding/ingress.ts
@@ -5,7 +5,7 @@
 import type { Metrics } from 'auburnturn/core/metrics'
 import type { CurrentConfiguration, Route } from '../configuration/index.js'
 import type { BodyMemory } from '../exchange/index.js'
-import { mayHaveRun, notRun } from '../requests/index.js'
+import { describeEvidence, mayHaveRun, notRun } from '../requests/index.js'
 import type { Job, Outcome, Protocol, RequestHead } from '../requests/index.js'
 import { maxRetryAfterShare, defaultRetryAfterMs } from './constants.js'
 import type { Forwarder } from './forwarder.js'
@@ -125,7 +125,8 @@
     }
     metrics.count('calls_total', { verdict: outcome.kind, cause: outcome.cause })
     const status = chooseStatus(outcome)
-    logger.info('request-failed', { request: head.id, status, cause: outcome.cause, route: job?.route, service: job?.service, tookMs: Math.round(now - arrivedAt), gone: response.destroyed, version: configuration.version })
+    const evidence = outcome.kind === 'not-run' ? describeEvidence(outcome.evidence) : {}
+    logger.info('request-failed', { request: head.id, status, cause: outcome.cause, route: job?.route, service: job?.service, tookMs: Math.round(now - arrivedAt), gone: response.destroyed, version: configuration.version, ...evidence })
     const remainingMs = (head.timeoutMs ?? 0) - (now - arrivedAt)
     const headers = outcome.kind === 'not-run' ? ['retry-after', formatRetryAfter(Math.min(outcome.retryAfterMs, remainingMs * maxRetryAfterShare))] : []
     respond(response, status, headers, emptyBody)
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -6,7 +6,7 @@
 import { ConnectionPool, exchange } from '../exchange/index.js'
 import type { BodyMemory, Exchange, ExchangeResult } from '../exchange/index.js'
 import type { RateLimit } from '../rate-limit/index.js'
-import { mayHaveRun, notRun } from '../requests/index.js'
+import { mayHaveRun, notRun, rejected } from '../requests/index.js'
 import type { AnswerHead, Job, Outcome, Protocol } from '../requests/index.js'
 import { FailureRate, usableSlotShare } from '../targets/index.js'
 import type { Directory, TargetReport, TargetState } from '../targets/index.js'
@@ -234,10 +234,10 @@
       if (result.cause === 'timeout') this.connections.closeIdle()
       return mayHaveRun(result.cause)
     }
-    const { status, headers, body } = result
+    const { status, headers, body, connection } = result
     const head = this.options.protocol.readAnswer(status, headers)
     this.updateFromAnswer(head)
-    if (head.notRun) return notRun('rejected', this.slots.estimateRetryAfterMs())
+    if (head.notRun) return rejected({ kind: 'refusal', status, attempt: head.id, target: head.targetId, connection }, this.slots.estimateRetryAfterMs())
     return classifyAnswer({ status, headers: this.options.protocol.filterAnswer(headers), body, head })
   }
 }
--- a/packages/sidecar/src/core/requests/outcome.ts
+++ b/packages/sidecar/src/core/requests/outcome.ts
@@ -1,4 +1,6 @@
 import type { Headers } from '../exchange/index.js'
+import { unsent } from './evidence.js'
+import type { Evidence, Refusal } from './evidence.js'
 
 /** Why a request did not run. */
 export type NotRunCause =
@@ -25,12 +27,17 @@
 /** Result of a request at one target. */
 export type Outcome =
   | { readonly kind: 'answer', readonly status: number, readonly headers: Headers, readonly body: Buffer }
-  | { readonly kind: 'not-run', readonly cause: NotRunCause, readonly retryAfterMs: number }
+  | { readonly kind: 'not-run', readonly cause: NotRunCause, readonly retryAfterMs: number, readonly evidence: Evidence }
   | { readonly kind: 'may-have-run', readonly cause: MayHaveRunCause }
 
-/** The outcome of a request that did not run, with the delay before a retry in milliseconds. */
+/** The outcome of a request of which this node has written no byte, with the delay before a retry in milliseconds. */
 export function notRun (cause: NotRunCause, retryAfterMs = 0): Extract<Outcome, { kind: 'not-run' }> {
-  return { kind: 'not-run', cause, retryAfterMs }
+  return { kind: 'not-run', cause, retryAfterMs, evidence: unsent }
+}
+
+/** The outcome of a request that a target refused, with the delay before a retry in milliseconds. */
+export function rejected (refusal: Refusal, retryAfterMs: number): Extract<Outcome, { kind: 'not-run' }> {
+  return { kind: 'not-run', cause: 'rejected', retryAfterMs, evidence: refusal }
 }
 
 /** The outcome of a request that may have run. */
--- a/packages/sidecar/test/peer-calls.test.ts
+++ b/packages/sidecar/test/peer-calls.test.ts
@@ -12,6 +12,7 @@
 import { FrameReader } from '../src/core/peer-calls/frame-reader.js'
 import { callPeer, PeerCallServer, PeerConnectionPool } from '../src/core/peer-calls/index.js'
 import type { Frame, PeerCallHandler, PeerCallResult } from '../src/core/peer-calls/index.js'
+import { notRun } from '../src/core/requests/index.js'
 import type { Job, Outcome } from '../src/core/requests/index.js'
 import { startRawServer } from './fixtures/raw-server.js'
 
@@ -166,16 +167,18 @@
   assert.equal(parseRequest(formatRequest(job, 'i-1', 1_000), 's', 1_000), { job, target: 'i-1' })
   const outcomes: Outcome[] = [
     { kind: 'answer', status: 201, headers: ['a', 'b'], body: Buffer.from('x') },
-    { kind: 'not-run', cause: 'overloaded', retryAfterMs: 120 },
+    { kind: 'not-run', cause: 'rejected', retryAfterMs: 120, evidence: { kind: 'refusal', status: 503, attempt: 'r-1', target: 'i-1', connection: { earlierRequests: 4, ageMs: 1_200 } } },
     { kind: 'may-have-run', cause: 'cut' }
   ]
   for (const outcome of outcomes) assert.equal(parseOutcome(formatOutcome(outcome)), outcome)
+  const unsentOutcome = notRun('overloaded', 120)
+  assert.equal(parseOutcome(formatOutcome(unsentOutcome)), { ...unsentOutcome, evidence: { kind: 'unsent-by-peer' } })
 })
 
 test('a damaged request is not run, and a damaged outcome proves nothing', () => {
   assert.is(parseRequest(createFrame(['run', 'GET']), 's', 0), undefined)
   assert.is(parseRequest(createFrame(['run', 'GET', '/', 'r', 'c', 't', 'route', 'x', '1', '1', '1', '1', '1']), 's', 0), undefined)
-  for (const fields of [[], ['answer', 'x'], ['not-run', 'slow', 'x']]) assert.equal(parseOutcome(createFrame(fields)), { kind: 'may-have-run', cause: 'invalid' })
+  for (const fields of [[], ['answer', 'x'], ['not-run', 'slow', 'x'], ['not-run', 'slow', '1'], ['not-run', 'rejected', '1', 'refusal', '503', 'r', 'i', 'x', '1']]) assert.equal(parseOutcome(createFrame(fields)), { kind: 'may-have-run', cause: 'invalid' })
 })
 
 test.run()
