--- /dev/null
+++ b/packages/stand-ins/src/repeating-target/repeating-target.ts
@@ -0,0 +1,115 @@
+import { createServer } from 'node:net'
+import type { Server } from 'node:net'
+import type { ReceivedRequest } from '../stand-in-target.js'
+import { TargetConnection } from './target-connection.js'
+import type { ConnectionHandler, RepetitionChoice } from './target-connection.js'
+import type { Header, IdPosition, Framing, WrittenMessage } from './written-message.js'
+import { insertIdHeader } from './written-message.js'
+
+/** What a request that ran is answered with. */
+export interface RunResult {
+  readonly status: number
+  readonly seal: string
+  readonly body: string
+}
+
+/** Layout of the next answer or refusal. */
+export interface MessageLayout {
+  readonly idPosition: IdPosition
+  readonly framing: Framing
+}
+
+/** Options of a `RepeatingTarget`. */
+export interface RepeatingTargetOptions {
+  readonly id: string
+  readonly ip: string
+  readonly port: number
+  /** Whether the target refuses a request, with the mark that it has not run. */
+  readonly refuses: (request: ReceivedRequest) => boolean
+  /** Runs a request; calls `reachMiddle` in the middle of the run. */
+  readonly run: (request: ReceivedRequest, reachMiddle: () => void, closed: AbortSignal) => Promise<RunResult>
+  /** Chooses the layout of the next message. */
+  readonly chooseLayout?: () => MessageLayout
+}
+
+/** Chooses what a connection writes once more around its next answer, from what it wrote before; undefined for nothing. */
+export type RepetitionSelector = (earlier: readonly WrittenMessage[]) => RepetitionChoice | undefined
+
+const commonLayout: MessageLayout = { idPosition: 'first', framing: 'length' }
+
+/**
+ * Substitute for an application target that writes raw bytes to its TCP connections. With a fault it writes a refusal or an
+ * answer once more that it wrote before on the same connection, whole or in part, at a moment that the test chooses.
+ */
+export class RepeatingTarget {
+  readonly id: string
+  /** Number of requests in progress that the load header reports. */
+  running = 0
+  /** Headers of all its answers with which it states demands, such as a rate limit. */
+  demands: Readonly<Record<string, string>> = {}
+  /** Requests that began to run. */
+  readonly receivedRequests: ReceivedRequest[] = []
+  /** The fault: nothing is written once more by default. */
+  selectRepetition: RepetitionSelector = () => undefined
+  private readonly options: RepeatingTargetOptions
+  private readonly server: Server
+  private readonly connections = new Set<TargetConnection>()
+
+  private constructor (options: RepeatingTargetOptions) {
+    this.options = options
+    this.id = options.id
+    const handler: ConnectionHandler = {
+      handle: async (request, reachMiddle, closed) => await this.handle(request, reachMiddle, closed),
+      isRepeatable: ({ path }) => path !== '/health',
+      chooseRepetition: earlier => this.selectRepetition(earlier)
+    }
+    this.server = createServer({ allowHalfOpen: false }, socket => {
+      const connection = TargetConnection.create(socket, handler)
+      this.connections.add(connection)
+      socket.on('close', () => { this.connections.delete(connection) })
+    })
+  }
+
+  static async create (options: RepeatingTargetOptions): Promise<RepeatingTarget> {
+    const target = new RepeatingTarget(options)
+    await new Promise<void>((resolve, reject) => { target.server.once('error', reject).listen(options.port, options.ip, resolve) })
+    return target
+  }
+
+  /** Value of the load header: running requests, queued requests, slots, service time as a percentage of the usual one. */
+  get load (): string {
+    return `${this.running},0,8,100`
+  }
+
+  close (): void {
+    this.server.close()
+    for (const connection of this.connections) connection.close()
+  }
+
+  private async handle (request: ReceivedRequest, reachMiddle: () => void, closed: AbortSignal): Promise<WrittenMessage> {
+    if (request.path === '/health') return { kind: 'answer', status: 200, headers: this.commonHeaders, body: '', framing: 'length' }
+    if (request.headers['x-expect-instance'] !== this.id) return this.createRefusal(request.id, 421)
+    if (this.options.refuses(request)) return this.createRefusal(request.id, 503)
+    this.receivedRequests.push(request)
+    this.running++
+    const { status, seal, body } = await this.options.run(request, reachMiddle, closed)
+    this.running--
+    const { idPosition, framing } = this.chooseLayout()
+    const headers = insertIdHeader([['X-Response-Seal', seal], ...this.commonHeaders], request.id, idPosition)
+    return { kind: 'answer', status, headers, body, framing }
+  }
+
+  private createRefusal (id: string, status: number): WrittenMessage {
+    const { idPosition } = this.chooseLayout()
+    const headers = insertIdHeader([['X-Not-Executed', '1'], ...this.commonHeaders], id, idPosition)
+    return { kind: 'refusal', status, headers, body: 'full', framing: 'length' }
+  }
+
+  private chooseLayout (): MessageLayout {
+    return this.options.chooseLayout?.() ?? commonLayout
+  }
+
+  private get commonHeaders (): Header[] {
+    return [['X-Instance-Id', this.id], ['X-Server-Load', this.load], ['Keep-Alive', 'timeout=5'], ...Object.entries(this.demands)]
+  }
+}
