--- a/packages/stand-ins/src/repeating-target/repeating-target.ts
+++ b/packages/stand-ins/src/repeating-target/repeating-target.ts
@@ -81,9 +81,14 @@
     return `${this.running},0,8,100`
   }
 
+  /** Closes the open connections, and with them what was to be written on them once more. */
+  closeConnections (): void {
+    for (const connection of this.connections) connection.close()
+  }
+
   close (): void {
     this.server.close()
-    for (const connection of this.connections) connection.close()
+    this.closeConnections()
   }
 
   private async handle (request: ReceivedRequest, reachMiddle: () => void, closed: AbortSignal): Promise<WrittenMessage> {
--- a/packages/stand-ins/src/repeating-target/repetition-placements.ts
+++ b/packages/stand-ins/src/repeating-target/repetition-placements.ts
@@ -36,15 +36,15 @@
   'half-during-run': (message, cut) => ({ duringRun: message.subarray(0, cut) }),
   'half-before-answer': (message, cut) => ({ answer: answer => [Buffer.concat([message.subarray(0, cut), answer])] }),
   'half-after-answer': (message, cut) => ({ answer: answer => [answer, message.subarray(0, cut)] }),
-  'inside-answer': (message, cut) => ({ answer: answer => [insert(answer, message, cut)] }),
+  'inside-answer': (message, cut) => ({ answer: answer => insert(answer, message, cut) }),
   'whole-in-bytes': message => ({ answer: answer => splitIntoBytes(Buffer.concat([message, answer])) }),
   'half-in-bytes': (message, cut) => ({ answer: answer => splitIntoBytes(Buffer.concat([message.subarray(0, cut), answer])) })
 }
 
-/** Inserts a message into the head of an answer. */
-function insert (answer: Buffer, message: Buffer, cut: number): Buffer {
+/** Inserts a message into the head of an answer; what is left of the answer follows apart. */
+function insert (answer: Buffer, message: Buffer, cut: number): Buffer[] {
   const offset = cut % answer.indexOf('\r\n\r\n')
-  return Buffer.concat([answer.subarray(0, offset), message, answer.subarray(offset)])
+  return [Buffer.concat([answer.subarray(0, offset), message]), answer.subarray(offset)]
 }
 
 function announceClose (answer: Buffer): Buffer {
