--- a/packages/sidecar/test/cut-repetitions.test.ts
+++ b/packages/sidecar/test/cut-repetitions.test.ts
@@ -3,7 +3,7 @@
 import type { Framing, IdPosition, WrittenMessage } from '@auburnturn/stand-ins'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import type { Outcome } from '../src/core/own-target/index.js'
+import type { Outcome } from '../src/core/requests/index.js'
 import { RawOwnTarget } from './fixtures/raw-own-target.js'
 
 const test = suite('cut repetitions')
