Split the sidecar's node.ts by the parts that it puts together

One class created every part, kept their state, applied changes of the store, selected peers, handled datagrams, opened four servers, and registered the metrics.

LocalState has the configuration, the targets and the selection, and applies changes to them. RequestPath has the target, the peers, the ingress and the prober. StoreSync has the election, the follower and the fetcher of configurations. Messaging has the transport, the reporter, the subscriber and the announcer; receive-message hands a datagram to them. CallerServer, open-state-server, open-peer-call-server and register-gauges are what their names say. closeServer in core/listening replaces the same two lines in three servers. Names of parts, logs, dumps and metrics are unchanged. On close, the connections to the store are now closed after those to the target in place of before; neither depends on the other.

Seen: build and lint pass; 225 of 225 tests of packages/sidecar and 26 of 26 of the soak's in packages/bench pass; the bundle is built, and without a settings file it ends with the message that names the file. Speed and memory were not measured.

Conclusion: behaviour is unchanged.

--- a/packages/sidecar/src/constants.ts
+++ b/packages/sidecar/src/constants.ts
@@ -1,14 +1,2 @@
-/** Port and path of the metrics; deploy/system.toml has the same values. */
-export const metricsPort = 9_464
-export const metricsPath = '/metrics'
-
 /** Interval at which the settings file is read again, in milliseconds, since it may change without a signal. */
 export const settingsCheckIntervalMs = 2_000
-
-/** Idle timeout of callers' connections before the first configuration is active, in milliseconds. */
-export const defaultCallerIdleTimeoutMs = 60_000
-
-/** Share of the process's memory limit that all bodies being received may use together. */
-export const bodyMemoryShare = 0.15
-
-export const bytesPerMegabyte = 1024 * 1024
--- a/packages/sidecar/src/core/metrics/metrics-server.ts
+++ b/packages/sidecar/src/core/metrics/metrics-server.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
 import type { Metrics } from 'auburnturn/core/metrics'
+import { closeServer } from '../listening/index.js'
 
 /** Path that serves the state of the node as JSON. */
 const dumpPath = '/dump'
@@ -25,8 +26,7 @@
   }
 
   async close (): Promise<void> {
-    this.server.close()
-    this.server.closeAllConnections()
+    closeServer(this.server)
   }
 }
 
--- a/packages/sidecar/src/main.ts
+++ b/packages/sidecar/src/main.ts
@@ -5,7 +5,7 @@
 import { Random } from 'auburnturn/core/random'
 import { settingsCheckIntervalMs } from './constants.js'
 import { LineWriter } from './core/logging/index.js'
-import { Node } from './node.js'
+import { Node } from './node/index.js'
 import { readSettings, settingsVariable } from './platform/index.js'
 import { SettingsMonitor } from './settings-monitor.js'
 
--- a/packages/sidecar/src/platform/readiness.ts
+++ b/packages/sidecar/src/platform/readiness.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
+import { closeServer } from '../core/listening/index.js'
 
 /** Path that the platform requests for its readiness check. */
 const readinessPath = '/api/ready'
@@ -24,7 +25,6 @@
   }
 
   async close (): Promise<void> {
-    this.server.close()
-    this.server.closeAllConnections()
+    closeServer(this.server)
   }
 }
