--- a/packages/sidecar/src/core/admission/index.ts
+++ b/packages/sidecar/src/core/admission/index.ts
@@ -1,5 +1,4 @@
 /** Admission to the target on this VM: which requests run now, which are queued, and which are refused. */
 export { compareSlotRequests, meetsObjective } from './order.js'
 export { Slots } from './slots.js'
-export type { SlotAcquisition } from './slots.js'
-export type { AdmissionDecision, RefusalCause, ServiceSpeed, SlotRequest } from './types.js'
+export type { AdmissionDecision, RefusalCause, ServiceSpeed, SlotAcquisition, SlotRequest } from './types.js'
--- a/packages/sidecar/src/core/admission/slots.ts
+++ b/packages/sidecar/src/core/admission/slots.ts
@@ -3,31 +3,15 @@
 import { maxQueuedPerSlot, maxRetryAfterMs, meanWorkWeight } from './constants.js'
 import { computeMaxWaitMs, createOrderingContext, estimateWaitMs, isHeld, isSlow } from './forecast.js'
 import type { TargetWork } from './forecast.js'
-import { compareSlotRequests, isShort } from './order.js'
-import type { AdmissionDecision, RefusalCause, ServiceSpeed, SlotRequest } from './types.js'
-
-/** A request in the queue for a slot; times are clock milliseconds. */
-interface QueuedRequest {
-  readonly request: SlotRequest
-  readonly queuedAt: number
-  readonly resolve: (decision: AdmissionDecision) => void
-  timer: Timeout | undefined
-}
-
-/** A slot that was requested, and may be granted later. */
-export interface SlotAcquisition {
-  readonly decision: Promise<AdmissionDecision>
-  /** Whether the request was queued because of the rate limit. */
-  readonly waitsForRate: boolean
-  /** Removes the request from the queue; does nothing once it is decided. */
-  cancel (): void
-}
+import { isShort } from './order.js'
+import { RequestQueue } from './request-queue.js'
+import type { AdmissionDecision, RefusalCause, ServiceSpeed, SlotAcquisition, SlotRequest } from './types.js'
 
 /** The slots of the target on this VM, and the queue of requests for them and for the rate limit that the target names. */
 export class Slots {
   private readonly clock: Clock
   private readonly rateLimit: RateLimit
-  private readonly queue: QueuedRequest[] = []
+  private readonly queue: RequestQueue
   private runningCount = 0
   private runningWorkMs = 0
   private slotLimit = 1
@@ -40,6 +24,7 @@
   private constructor ({ clock, rateLimit = RateLimit.create({ clock }) }: SlotsOptions) {
     this.clock = clock
     this.rateLimit = rateLimit
+    this.queue = RequestQueue.create({ clock, createRefusal: cause => this.createRefusal(cause) })
   }
 
   static create (options: SlotsOptions): Slots {
@@ -81,7 +66,7 @@
   /** Refuses all queued and all later requests; running requests continue. */
   close (): void {
     this.accepting = false
-    for (const queued of this.queue.splice(0)) this.refuse(queued, 'closed')
+    this.queue.refuseAll('closed')
   }
 
   /** Requests a slot; it is granted or refused immediately unless the request has to be queued. */
@@ -104,13 +89,12 @@
 
   /** Refuses all queued requests, while later ones are accepted. */
   refuseQueued (cause: RefusalCause): void {
-    for (const queued of this.queue.splice(0)) this.refuse(queued, cause)
+    this.queue.refuseAll(cause)
   }
 
   /** Expected milliseconds until a request that comes back can start, after all that are queued now. */
   estimateRetryAfterMs (): number {
-    const queuedMs = this.queue.reduce((sum, { request }) => sum + request.workMs, 0)
-    return Math.max(estimateWaitMs(queuedMs, this.work), Math.min(this.rateLimit.computeWaitMs(this.queue.length), maxRetryAfterMs))
+    return Math.max(estimateWaitMs(this.queue.workMs, this.work), Math.min(this.rateLimit.computeWaitMs(this.queue.length), maxRetryAfterMs))
   }
 
   /** Whether a request that arrives now can start: a slot is free, the rate limit lets it through, and none is queued. */
@@ -135,48 +119,31 @@
     if (this.canStart) return undefined
     const context = createOrderingContext(this.work, now)
     if (this.queue.length >= this.slotLimit * maxQueuedPerSlot && !isShort(request, context)) return 'overloaded'
-    const ahead = this.queue.filter(({ request: other }) => compareSlotRequests(other, request, context) <= 0)
-    const aheadMs = ahead.reduce((sum, { request: other }) => sum + other.workMs, 0)
+    const ahead = this.queue.listAhead(request, context)
+    const aheadMs = ahead.reduce((sum, { workMs }) => sum + workMs, 0)
     const maxWaitMs = computeMaxWaitMs(request, context)
     if (this.rateLimit.computeWaitMs(ahead.length) > maxWaitMs) return 'rate-limited'
     return estimateWaitMs(aheadMs, this.work) > maxWaitMs ? 'overloaded' : undefined
   }
 
   private enqueue (request: SlotRequest, now: number): SlotAcquisition {
-    let cancel = (): void => {}
     const waitsForRate = this.rateLimit.computeWaitMs(this.queue.length) > 0
-    const decision = new Promise<AdmissionDecision>(resolve => {
-      const queued: QueuedRequest = { request, queuedAt: now, resolve, timer: undefined }
-      const remove = (cause: RefusalCause): void => {
-        const index = this.queue.indexOf(queued)
-        if (index < 0) return
-        this.queue.splice(index, 1)
-        this.refuse(queued, cause)
-      }
-      // A request that can no longer finish in time is refused at that time, not at its deadline.
-      queued.timer = this.clock.timerWheel.after(computeMaxWaitMs(request, createOrderingContext(this.work, now)), () => { remove('expired') })
-      cancel = () => { remove('left') }
-      this.queue.push(queued)
-    })
+    // A request that can no longer finish in time is refused at that time, not at its deadline.
+    const { decision, cancel } = this.queue.add(request, now, computeMaxWaitMs(request, createOrderingContext(this.work, now)))
     // This request can start immediately if a slot is free and all requests ahead of it are held back.
     this.startNext()
     this.refusePassed(now)
-    return { decision, waitsForRate, cancel: () => { cancel() } }
+    return { decision, waitsForRate, cancel }
   }
 
   /** Refuses the queued requests that the rate limit now lets through too late, since others go first. */
   private refusePassed (now: number): void {
     if (this.rateLimit.perSecond === unlimited) return
     const context = createOrderingContext(this.work, now)
-    const ordered = [...this.queue].sort((one, other) => compareSlotRequests(one.request, other.request, context))
     let ahead = 0
-    for (const queued of ordered) {
-      if (this.rateLimit.computeWaitMs(ahead) <= computeMaxWaitMs(queued.request, context)) {
-        ahead++
-        continue
-      }
-      this.queue.splice(this.queue.indexOf(queued), 1)
-      this.refuse(queued, 'rate-limited')
+    for (const queued of this.queue.listInOrder(context)) {
+      if (this.rateLimit.computeWaitMs(ahead) <= computeMaxWaitMs(queued.request, context)) ahead++
+      else this.queue.refuse(queued, 'rate-limited')
     }
   }
 
@@ -185,9 +152,9 @@
     this.rateTimer?.cancel()
     while (this.accepting && this.runningCount < this.slotLimit && this.queue.length > 0) {
       if (this.rateLimit.allowance < 1) return this.awaitRateLimit()
-      const next = this.dequeueNext(now)
+      const { work } = this
+      const next = this.queue.takeFirst(createOrderingContext(work, now), ({ workMs }) => isHeld(workMs, work))
       if (next === undefined) return
-      next.timer?.cancel()
       this.occupy(next.request)
       next.resolve({ kind: 'admitted', waitedMs: now - next.queuedAt })
     }
@@ -199,30 +166,12 @@
     if (waitMs < Infinity) this.rateTimer = this.clock.timerWheel.after(waitMs, () => { this.startNext() })
   }
 
-  /** Removes the request to start next from the queue; undefined when all are held back for the usual speed. */
-  private dequeueNext (now: number): QueuedRequest | undefined {
-    const { work } = this
-    const context = createOrderingContext(work, now)
-    let first: QueuedRequest | undefined
-    for (const queued of this.queue) {
-      if (isHeld(queued.request.workMs, work)) continue
-      if (first === undefined || compareSlotRequests(queued.request, first.request, context) < 0) first = queued
-    }
-    if (first !== undefined) this.queue.splice(this.queue.indexOf(first), 1)
-    return first
-  }
-
   private occupy (request: SlotRequest): void {
     this.runningCount++
     this.runningWorkMs += request.workMs
     this.rateLimit.take()
   }
 
-  private refuse (queued: QueuedRequest, cause: RefusalCause): void {
-    queued.timer?.cancel()
-    queued.resolve(this.createRefusal(cause))
-  }
-
   private createRefusal (cause: RefusalCause): AdmissionDecision {
     return { kind: 'refused', cause, retryAfterMs: Math.round(Math.max(this.meanWorkMs, this.estimateRetryAfterMs())) }
   }
--- a/packages/sidecar/src/core/admission/types.ts
+++ b/packages/sidecar/src/core/admission/types.ts
@@ -29,3 +29,12 @@
   /** Milliseconds for which the target is expected to stay slower than usual. */
   readonly expectedSlowMs: number
 }
+
+/** A slot that was requested, and may be granted later. */
+export interface SlotAcquisition {
+  readonly decision: Promise<AdmissionDecision>
+  /** Whether the request was queued because of the rate limit. */
+  readonly waitsForRate: boolean
+  /** Removes the request from the queue; does nothing once it is decided. */
+  cancel (): void
+}
