Ignore datagrams of a node that a later one has overtaken

What callers would see: a request goes to an incarnation of a target that has ended, or waits for a node that refuses it, until the next heartbeat of at most 500 ms. Cause: a datagram was believed for its address alone. A report that came late, a repeated one, and one of the earlier process of a node replaced what a later one had told. Evidence: in a test cluster a report that a node had sent before its target changed was sent once more from the same address. Before: "a report that arrives after a later one changes nothing" failed, expected i-second, actual i-first; "a report of the earlier process of a node changes nothing" failed with the same. Both pass now; of 5 tests in the file one passed before (another VM at the same address). Ruled out: changes of the list, which bear the revisions of the store (one that is not above the known one is skipped, a gap is read again), and subscriptions, which may be repeated; neither is put in order, so that no change is lost. Versions and revisions in notices only ever raise what is known. Change: each datagram begins with a number of its process and one of the message, 4 bytes in all; copies of a message have one number. The folder core/attribution decides whether it is the newest of its address: reports and notices of readers are put in order each by itself; an earlier process is refused for the 5 s that a datagram may be under way at most. Cost: 4 bytes a datagram; processor time not measured.

--- a/packages/sidecar/src/core/reports/datagram-transport.ts
+++ b/packages/sidecar/src/core/reports/datagram-transport.ts
@@ -1,6 +1,9 @@
 import { createSocket } from 'node:dgram'
 import type { Socket } from 'node:dgram'
+import type { Clock } from 'auburnturn/core/clock'
 import type { Logger } from 'auburnturn/core/logger'
+import type { Random } from 'auburnturn/core/random'
+import { DatagramOrder, DatagramStamps, readStamp, stampBytes } from '../attribution/index.js'
 import { decodeMessage } from './messages.js'
 import type { Message } from './messages.js'
 
@@ -11,29 +14,35 @@
 export class DatagramTransport {
   private readonly socket: Socket
   private readonly port: number
+  private readonly stamps: DatagramStamps
 
-  private constructor (socket: Socket, port: number) {
+  private constructor (socket: Socket, port: number, stamps: DatagramStamps) {
     this.socket = socket
     this.port = port
+    this.stamps = stamps
   }
 
   /** Resolves when the socket is bound. */
-  static async create ({ ip, port, logger, onMessage }: DatagramTransportOptions): Promise<DatagramTransport> {
+  static async create ({ ip, port, clock, random, logger, onMessage }: DatagramTransportOptions): Promise<DatagramTransport> {
     // All addresses are IP addresses, so name resolution is bypassed.
     const socket = createSocket({ type: 'udp4', lookup: (address, _options, callback) => { callback(null, address, 4) } })
     socket.on('error', error => { logger.warn('datagram-failed', { error: error.message }) })
+    const order = DatagramOrder.create()
     socket.on('message', (bytes, { address }) => {
-      const message = decodeMessage(bytes)
-      if (message === undefined) logger.warn('datagram-unreadable', { from: address, bytes: bytes.length })
-      else onMessage(address, message)
+      const stamp = readStamp(bytes)
+      const message = decodeMessage(bytes.subarray(stampBytes))
+      if (stamp === undefined || message === undefined) return logger.warn('datagram-unreadable', { from: address, bytes: bytes.length })
+      const stream = findStream(message)
+      if (stream !== undefined && !order.accept(`${stream} ${address}`, stamp, clock.now())) return logger.info('datagram-outdated', { from: address, kind: message.kind })
+      onMessage(address, message)
     })
     await new Promise<void>(resolve => { socket.bind(port, ip, resolve) })
-    return new DatagramTransport(socket, port)
+    return new DatagramTransport(socket, port, DatagramStamps.create({ random }))
   }
 
   /** Sends a datagram without waiting for the result. A lost one is not repeated; the next heartbeat replaces it. */
   send (bytes: Buffer, ip: string): void {
-    this.socket.send(bytes, this.port, ip, ignoreSendError)
+    this.socket.send([this.stamps.stamp(bytes), bytes], this.port, ip, ignoreSendError)
   }
 
   close (): void {
@@ -41,12 +50,29 @@
   }
 }
 
+/**
+ * Messages of one stream replace each other, so that an outdated one changes nothing. A subscription may be repeated, and changes
+ * have their order in the revisions of the store.
+ */
+function findStream (message: Message): 'report' | 'notice' | undefined {
+  switch (message.kind) {
+    case 'full':
+    case 'short': return 'report'
+    case 'reader': return 'notice'
+    case 'subscription':
+    case 'changes': return undefined
+  }
+}
+
 /** Errors on sending are ignored: an unreachable node is detected by its missing reports. */
 function ignoreSendError (): void {}
 
 interface DatagramTransportOptions {
   readonly ip: string
   readonly port: number
+  readonly clock: Clock
+  /** Chooses the number of this process. */
+  readonly random: Random
   readonly logger: Logger
   readonly onMessage: MessageHandler
 }
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -221,8 +221,8 @@
   }
 
   private async startReporting (ip: string): Promise<Part> {
-    const { clock, logger, target, configuration, settings, election, directory } = this
-    const transport = await DatagramTransport.create({ ip, port: settings.internalPorts[0], logger, onMessage: (from, message) => { this.receiveMessage(from, message) } })
+    const { clock, random, logger, target, configuration, settings, election, directory } = this
+    const transport = await DatagramTransport.create({ ip, port: settings.internalPorts[0], clock, random, logger, onMessage: (from, message) => { this.receiveMessage(from, message) } })
     const send = (bytes: Buffer, to: string): void => { transport.send(bytes, to) }
     const reporter = Reporter.create({
       clock,
