Believe another node's outcome only for the call that it names

What callers would see: "not run" for a request that another node runs, or the answer of another request, after a node or what is between two nodes has written an outcome once more. Cause: a frame had no id. The outcome that came next on a connection was taken for that of the call in flight. Evidence: a proxy between two nodes repeats an earlier answer when the next call arrives, before it passes the call on. Ruled out: bytes on an idle connection, which close it (test in peer-calls.test); a call that was cancelled, whose connection is closed; a second call before the answer, for which the called node closes the connection. Not shown: that a node of ours ever writes an outcome twice; by its code it writes one frame a call. Change: the first field of a call is its number (random start of the process and a count), and an answer begins with that number and the id of the request. Any other answer is `invalid`: the request may have run, and the connection is closed. Tests changed: handlers and raw servers of peer-calls.test answer with the mark of their call; what they check is the same. Cost: about 11 bytes a call, and 12 and the id an answer; processor time not measured.

--- a/packages/sidecar/src/core/forwarding/peers.ts
+++ b/packages/sidecar/src/core/forwarding/peers.ts
@@ -1,4 +1,6 @@
 import type { CancelSignal, Clock } from 'auburnturn/core/clock'
+import type { Random } from 'auburnturn/core/random'
+import { CallNumbers } from '../attribution/index.js'
 import { ConnectionPool, exchange } from '../exchange/index.js'
 import type { BodyMemory, ExchangeResult } from '../exchange/index.js'
 import { mayHaveRun, notRun } from '../own-target/index.js'
@@ -15,11 +17,13 @@
 /** Sends requests to other nodes, with one connection pool for each. */
 export class Peers {
   private readonly options: PeersOptions
+  private readonly callNumbers: CallNumbers
   private readonly callPools = new Map<string, PeerConnectionPool>()
   private readonly statePools = new Map<string, ConnectionPool>()
 
   private constructor (options: PeersOptions) {
     this.options = options
+    this.callNumbers = CallNumbers.create(options)
   }
 
   static create (options: PeersOptions): Peers {
@@ -33,7 +37,8 @@
     const timeoutMs = job.deadlineAt - now
     if (timeoutMs <= 0) return notRun('expired')
     const connections = this.getCallPool(target.ip)
-    const result = await callPeer(connections, { frame: formatRequest(job, target.id, now), clock, memory, connectMs: peerConnectTimeoutMs, timeoutMs, signal })
+    const mark = { number: this.callNumbers.next(), request: job.id }
+    const result = await callPeer(connections, { frame: formatRequest(job, target.id, now), mark, clock, memory, connectMs: peerConnectTimeoutMs, timeoutMs, signal })
     // The idle connections may have become unresponsive together with this one.
     if (result.kind === 'lost' && result.cause === 'timeout') connections.closeIdle()
     return toOutcome(result)
@@ -95,6 +100,8 @@
   /** Port on which every node serves its state to other nodes. */
   readonly statePort: number
   readonly clock: Clock
+  /** Chooses the first number of the calls. */
+  readonly random: Random
   /** Limits the answer bodies that are being received, together with the other bodies of the process. */
   readonly memory: BodyMemory
 }
--- a/packages/sidecar/src/core/forwarding/serve-request.ts
+++ b/packages/sidecar/src/core/forwarding/serve-request.ts
@@ -8,7 +8,7 @@
   return async (call, signal) => {
     const request = parseRequest(call, service, clock.now())
     if (request === undefined) return undefined
-    return formatOutcome(await target.run(request.job, request.target, signal))
+    return { request: request.job.id, ...formatOutcome(await target.run(request.job, request.target, signal)) }
   }
 }
 
--- a/packages/sidecar/src/core/peer-calls/peer-call-server.ts
+++ b/packages/sidecar/src/core/peer-calls/peer-call-server.ts
@@ -3,18 +3,19 @@
 import { Cancellation } from 'auburnturn/core/clock'
 import type { CancelSignal } from 'auburnturn/core/clock'
 import type { Logger } from 'auburnturn/core/logger'
+import { markAnswer, readCall } from '../attribution/index.js'
 import type { BodyMemory } from '../exchange/index.js'
 import type { InFlightRequests } from '../listening/index.js'
 import { serverIdleTimeoutMs } from './constants.js'
 import { encodeFrame } from './frame.js'
 import { FrameReader } from './frame-reader.js'
-import type { Frame } from './types.js'
+import type { Frame, PeerCallAnswer } from './types.js'
 
 /**
  * Serves one call of another node. Resolves with the answer, or with undefined for a call that can't be understood, whose
  * connection is then closed. The signal is aborted when the calling node closes the connection.
  */
-export type PeerCallHandler = (call: Frame, signal: CancelSignal) => Promise<Frame | undefined>
+export type PeerCallHandler = (call: Frame, signal: CancelSignal) => Promise<PeerCallAnswer | undefined>
 
 /** Serves the calls of other nodes, one at a time on each connection. */
 export class PeerCallServer {
@@ -74,10 +75,12 @@
     })
   }
 
-  private async serve (call: Frame, socket: Socket, signal: CancelSignal): Promise<void> {
-    const answer = await this.options.handle(call, signal)
-    if (answer === undefined) socket.destroy()
-    else if (!socket.destroyed) socket.write(encodeFrame(answer))
+  /** Closes the connection of a call that can't be understood. Its sender then takes it as one that may have run. */
+  private async serve (frame: Frame, socket: Socket, signal: CancelSignal): Promise<void> {
+    const call = readCall(frame.fields)
+    const answer = call === undefined ? undefined : await this.options.handle({ fields: call.fields, body: frame.body }, signal)
+    if (call === undefined || answer === undefined) socket.destroy()
+    else if (!socket.destroyed) socket.write(encodeFrame({ fields: markAnswer({ number: call.number, request: answer.request }, answer.fields), body: answer.body }))
   }
 }
 
--- a/packages/sidecar/src/core/peer-calls/peer-call.ts
+++ b/packages/sidecar/src/core/peer-calls/peer-call.ts
@@ -1,5 +1,6 @@
 import type { Socket } from 'node:net'
 import type { Timeout } from 'auburnturn/core/clock'
+import { attributeAnswer, numberCall } from '../attribution/index.js'
 import { maxAnswerBodyBytes } from './constants.js'
 import { encodeFrame } from './frame.js'
 import { FrameReader } from './frame-reader.js'
@@ -61,14 +62,16 @@
     this.timer?.cancel()
     const remainingMs = this.deadlineAt - this.options.clock.now()
     this.timer = this.options.clock.timerWheel.after(remainingMs, () => { this.abort('timeout') })
-    this.socket.write(encodeFrame(this.options.frame))
+    const { frame, mark } = this.options
+    this.socket.write(encodeFrame({ fields: numberCall(mark.number, frame.fields), body: frame.body }))
   }
 
   private receive (chunk: Buffer): void {
     const result = this.reader.read(chunk)
     if (result === 'partial') return
-    if (result === 'invalid') return this.abort('invalid')
-    this.finish({ kind: 'answer', frame: result })
+    const fields = result === 'invalid' ? undefined : attributeAnswer(this.options.mark, result.fields)
+    if (result === 'invalid' || fields === undefined) return this.abort('invalid')
+    this.finish({ kind: 'answer', frame: { fields, body: result.body } })
     this.connections.release(this.socket)
   }
 
--- a/packages/sidecar/src/core/peer-calls/types.ts
+++ b/packages/sidecar/src/core/peer-calls/types.ts
@@ -1,4 +1,5 @@
 import type { CancelSignal, Clock } from 'auburnturn/core/clock'
+import type { CallMark } from '../attribution/index.js'
 import type { BodyMemory, LossCause } from '../exchange/index.js'
 
 /** One message between two nodes: text fields, none of which contains a line feed, and the bytes of a body. */
@@ -7,6 +8,11 @@
   readonly body: Buffer
 }
 
+/** The answer of a node to a call, with the id of the request that it answers. */
+export interface PeerCallAnswer extends Frame {
+  readonly request: string
+}
+
 /** Result of one call on one connection. */
 export type PeerCallResult =
   | { readonly kind: 'answer', readonly frame: Frame }
@@ -18,6 +24,8 @@
 /** A call to another node, and how it is sent. */
 export interface PeerCallOptions {
   readonly frame: Frame
+  /** What the answer must repeat; one that does not belongs to another call, and is invalid. */
+  readonly mark: CallMark
   readonly clock: Clock
   readonly memory: BodyMemory
   /** Maximum time to open a new connection, in milliseconds. */
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -74,7 +74,7 @@
     const memory = BodyMemory.create({ maxBytes: settings.memoryMb * bytesPerMegabyte * bodyMemoryShare })
     this.memory = memory
     this.target = OwnTarget.create({ address: upstream, service, failureDomain, clock, memory, logger, metrics, protocol, directory, loadMonitor: this.createLoadMonitor(), onChange: () => { this.reporter?.reportChanges() } })
-    this.peers = Peers.create({ callPort: settings.internalPorts[0], statePort: parsePort(listen.nodes), clock, memory })
+    this.peers = Peers.create({ callPort: settings.internalPorts[0], statePort: parsePort(listen.nodes), clock, random, memory })
     const forwarder = Forwarder.create({
       clock,
       random,
--- a/packages/sidecar/test/peer-calls.test.ts
+++ b/packages/sidecar/test/peer-calls.test.ts
@@ -3,12 +3,15 @@
 import { Cancellation, Clock } from 'auburnturn/core/clock'
 import type { CancelSignal } from 'auburnturn/core/clock'
 import { Logger } from 'auburnturn/core/logger'
+import { Random } from 'auburnturn/core/random'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { CallNumbers } from '../src/core/attribution/index.js'
 import { BodyMemory } from '../src/core/exchange/index.js'
 import { formatOutcome, formatRequest, parseOutcome, parseRequest } from '../src/core/forwarding/hop-message.js'
 import { InFlightRequests } from '../src/core/listening/index.js'
 import type { Job, Outcome } from '../src/core/own-target/index.js'
+import { framePrefixBytes } from '../src/core/peer-calls/constants.js'
 import { encodeFrame } from '../src/core/peer-calls/frame.js'
 import { FrameReader } from '../src/core/peer-calls/frame-reader.js'
 import { callPeer, PeerCallServer, PeerConnectionPool } from '../src/core/peer-calls/index.js'
@@ -21,14 +24,21 @@
 const maxBodyBytes = 1_000
 const memory = BodyMemory.create({ maxBytes: 1024 * 1024 })
 const clock = Clock.create()
+const callNumbers = CallNumbers.create({ random: Random.create(1) })
 
 function createFrame (fields: readonly string[], body = ''): Frame {
   return { fields, body: Buffer.from(body) }
 }
 
+/** Returns the answer to a call that a raw server received, with the number of the call. */
+function encodeAnswer (call: string): Buffer {
+  const [number = ''] = call.slice(framePrefixBytes).split('\n')
+  return encodeFrame(createFrame([number, 'r-1', 'a']))
+}
+
 /** Sends one call on a pool. */
 async function call (pool: PeerConnectionPool, frame: Frame, { timeoutMs = 2_000, signal = Cancellation.create() as CancelSignal } = {}): Promise<PeerCallResult> {
-  return await callPeer(pool, { frame, clock, memory, connectMs: 500, timeoutMs, signal })
+  return await callPeer(pool, { frame, mark: { number: callNumbers.next(), request: 'r-1' }, clock, memory, connectMs: 500, timeoutMs, signal })
 }
 
 /** Runs `check` with a pool of connections to a server that handles its calls with `handle`. */
@@ -45,7 +55,7 @@
 }
 
 /** Runs `check` with a pool of connections to a raw server. */
-async function withRawServer (answer: (socket: Socket) => void, check: (pool: PeerConnectionPool) => Promise<void>): Promise<void> {
+async function withRawServer (answer: (socket: Socket, call: string) => void, check: (pool: PeerConnectionPool) => Promise<void>): Promise<void> {
   const server = await startRawServer(answer)
   const pool = PeerConnectionPool.create({ host, port: server.port, limit: 4 })
   try {
@@ -57,7 +67,7 @@
 }
 
 test('a call is answered, and the next one uses the same connection', async () => {
-  await withServer(async ({ fields, body }) => ({ fields: [...fields, 'answered'], body }), async pool => {
+  await withServer(async ({ fields, body }) => ({ request: 'r-1', fields: [...fields, 'answered'], body }), async pool => {
     for (const body of ['one', 'two']) {
       const result = await call(pool, createFrame(['a', 'b\u00e9'], body))
       assert.equal(result, { kind: 'answer', frame: createFrame(['a', 'b\u00e9', 'answered'], body) })
@@ -70,7 +80,7 @@
   await withServer(async frame => {
     ports++
     await clock.sleep(30)
-    return frame
+    return { request: 'r-1', ...frame }
   }, async pool => {
     const results = await Promise.all(Array.from({ length: 5 }, async () => await call(pool, createFrame(['a']))))
     assert.equal(results.map(({ kind }) => kind).sort(), ['answer', 'answer', 'answer', 'answer', 'unsent'])
@@ -83,7 +93,7 @@
   await withServer(async (frame, signal) => {
     signal.addEventListener('abort', () => { aborted = true })
     await clock.sleep(100)
-    return frame
+    return { request: 'r-1', ...frame }
   }, async pool => {
     const cancellation = Cancellation.create()
     const result = call(pool, createFrame(['a']), { signal: cancellation })
@@ -113,14 +123,13 @@
 })
 
 test('an answer with bytes after its end is invalid, and bytes on an idle connection close it', async () => {
-  const answer = encodeFrame(createFrame(['a']))
-  await withRawServer(socket => { socket.write(Buffer.concat([answer, Buffer.from('x')])) }, async pool => {
+  await withRawServer((socket, text) => { socket.write(Buffer.concat([encodeAnswer(text), Buffer.from('x')])) }, async pool => {
     assert.equal(await call(pool, createFrame(['a'])), { kind: 'lost', cause: 'invalid' })
   })
   let connections = 0
-  await withRawServer(socket => {
+  await withRawServer((socket, text) => {
     connections++
-    socket.write(answer)
+    socket.write(encodeAnswer(text))
     setTimeout(() => { socket.write('late') }, 20)
   }, async pool => {
     await call(pool, createFrame(['a']))
@@ -133,14 +142,14 @@
 test('a server closes a connection with a frame that is too large, and one with a call before its answer', async () => {
   await withServer(async frame => {
     await clock.sleep(50)
-    return frame
+    return { request: 'r-1', ...frame }
   }, async (pool, port) => {
     assert.equal(await call(pool, createFrame(['a'], 'x'.repeat(maxBodyBytes + 1))), { kind: 'lost', cause: 'reset' })
     const closed = new Promise<void>(resolve => {
       const socket = connect(port, host)
       socket.on('error', () => {}).once('close', () => { resolve() })
-      socket.write(encodeFrame(createFrame(['a'])))
-      setTimeout(() => { socket.write(encodeFrame(createFrame(['a']))) }, 10)
+      socket.write(encodeFrame(createFrame(['1-1', 'a'])))
+      setTimeout(() => { socket.write(encodeFrame(createFrame(['1-2', 'a']))) }, 10)
     })
     await closed
   })
