Believe a state of another node only for the read that it names

What callers would see: a node that routes by an old configuration or list of targets, or by what another process answered. Cause: the answer that came next on a connection was taken for that of the read in flight, whatever its path; whatever answers 200 at the address and port of a node was taken for that node, such as a target that has got the address of a VM that ended. Evidence: a proxy repeats an earlier answer when the next read arrives. Before, all three tests failed: the state was returned as the configuration, the state of an earlier read as the present one, and any compressed JSON of a process that is no node was returned (version 99). They pass now, and so does a fourth: a request without a number gets 404. Ruled out: the state of another node that uses the address now. Change: a read carries a number, and the answer repeats it with the path in the same header. An answer without it closes the connection, and the read has failed: the configuration then comes from the store, as after a timeout. Cost: about 30 bytes a read and 50 an answer; reads happen on new versions and missed changes only. Times not measured.

--- a/packages/sidecar/src/core/attribution/frame.ts
+++ b/packages/sidecar/src/core/attribution/frame.ts
@@ -1,10 +1,4 @@
-import type { Random } from 'auburnturn/core/random'
-
-/** Text of a call's number: the start of its process and the count, in base 36. */
-const numberPattern = /^[0-9a-z]{1,8}-[0-9a-z]{1,11}$/
-
-/** Bound of the random start of a process. */
-const startBound = 0x8000_0000
+import { isCallNumber } from './call-numbers.js'
 
 /** What an answer frame must repeat: the number of the call that it answers, and the id of the request in it. */
 export interface CallMark {
@@ -12,24 +6,6 @@
   readonly request: string
 }
 
-/** Numbers the calls of this process to other nodes. The random start sets them apart from those of its earlier process. */
-export class CallNumbers {
-  private readonly start: string
-  private count = 0
-
-  private constructor (start: number) {
-    this.start = start.toString(36)
-  }
-
-  static create ({ random }: { random: Random }): CallNumbers {
-    return new CallNumbers(random.integerBelow(startBound))
-  }
-
-  next (): string {
-    return `${this.start}-${(this.count++).toString(36)}`
-  }
-}
-
 /** Returns the fields of a call with its number. */
 export function numberCall (number: string, fields: readonly string[]): string[] {
   return [number, ...fields]
@@ -37,7 +13,7 @@
 
 /** Reads the number of a call and its other fields; undefined if they are in another format. */
 export function readCall ([number, ...fields]: readonly string[]): NumberedFields | undefined {
-  return number !== undefined && numberPattern.test(number) ? { number, fields } : undefined
+  return number !== undefined && isCallNumber(number) ? { number, fields } : undefined
 }
 
 /** Returns the fields of an answer with the mark of the call that it answers. */
--- a/packages/sidecar/src/core/forwarding/peers.ts
+++ b/packages/sidecar/src/core/forwarding/peers.ts
@@ -1,6 +1,6 @@
 import type { CancelSignal, Clock } from 'auburnturn/core/clock'
 import type { Random } from 'auburnturn/core/random'
-import { CallNumbers } from '../attribution/index.js'
+import { CallNumbers, formatRead, isReadAnswer } from '../attribution/index.js'
 import { ConnectionPool, exchange } from '../exchange/index.js'
 import type { BodyMemory, ExchangeResult } from '../exchange/index.js'
 import { mayHaveRun, notRun } from '../own-target/index.js'
@@ -65,7 +65,18 @@
 
   private async get (ip: string, path: string, timeoutMs: number): Promise<ExchangeResult> {
     const { clock } = this.options
-    return await exchange({ connections: this.getStatePool(ip), clock, method: 'GET', path, headers: ['host', ip], body: Buffer.alloc(0), connectMs: peerConnectTimeoutMs, timeoutMs })
+    const mark = { number: this.callNumbers.next(), path }
+    return await exchange({
+      connections: this.getStatePool(ip),
+      clock,
+      method: 'GET',
+      path,
+      headers: ['host', ip, ...formatRead(mark)],
+      body: Buffer.alloc(0),
+      connectMs: peerConnectTimeoutMs,
+      timeoutMs,
+      matchesRequest: (_status, headers) => isReadAnswer(mark, headers)
+    })
   }
 
   private getCallPool (ip: string): PeerConnectionPool {
--- a/packages/sidecar/src/core/forwarding/state-server.ts
+++ b/packages/sidecar/src/core/forwarding/state-server.ts
@@ -1,5 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { formatReadAnswer, parseRead } from '../attribution/index.js'
 import type { Configuration } from '../configuration/index.js'
+import type { Headers } from '../exchange/index.js'
 import type { SharedState } from '../following/index.js'
 import { configurationPath, maxSharedConfigurationBytes, statePath } from './constants.js'
 import { compressJson } from './compression.js'
@@ -11,28 +13,31 @@
 const emptyBody = Buffer.alloc(0)
 
 /**
- * Serves the state or the configuration of this node to another one.
+ * Serves the state or the configuration of this node to another one. Each answer names the read that it belongs to; a request
+ * that is not a read gets 404.
  * @param readState returns the state that this node serves to others; undefined before it has a configuration
  */
 export async function serveState (request: IncomingMessage, response: ServerResponse, readState: () => SharedState | undefined): Promise<void> {
   request.resume()
-  if (request.url === statePath) respondState(response, readState())
-  else if (request.url === configurationPath) respondConfiguration(response, readState()?.configuration)
-  else respond(response, 404, ['connection', 'close'], emptyBody)
+  const mark = parseRead(request.url ?? '', request.rawHeaders)
+  const headers = mark === undefined ? [] : formatReadAnswer(mark)
+  if (mark?.path === statePath) respondState(response, headers, readState())
+  else if (mark?.path === configurationPath) respondConfiguration(response, headers, readState()?.configuration)
+  else respond(response, 404, ['connection', 'close', ...headers], emptyBody)
 }
 
-function respondState (response: ServerResponse, state: SharedState | undefined): void {
-  if (state === undefined) respond(response, 503, [], emptyBody)
-  else respond(response, 200, compressedHeaders, compressJson(state))
+function respondState (response: ServerResponse, headers: Headers, state: SharedState | undefined): void {
+  if (state === undefined) respond(response, 503, headers, emptyBody)
+  else respond(response, 200, [...headers, ...compressedHeaders], compressJson(state))
 }
 
 /**
  * Responds without a body when the configuration is too large to serve: many nodes can read it from the store at the
  * same time.
  */
-function respondConfiguration (response: ServerResponse, configuration: Configuration | undefined): void {
-  if (configuration === undefined) return respond(response, 503, [], emptyBody)
+function respondConfiguration (response: ServerResponse, headers: Headers, configuration: Configuration | undefined): void {
+  if (configuration === undefined) return respond(response, 503, headers, emptyBody)
   const body = compressJson(configuration)
-  if (body.length > maxSharedConfigurationBytes) respond(response, 204, [], emptyBody)
-  else respond(response, 200, compressedHeaders, body)
+  if (body.length > maxSharedConfigurationBytes) respond(response, 204, headers, emptyBody)
+  else respond(response, 200, [...headers, ...compressedHeaders], body)
 }
