Believe an answer of the store only if its content can be that of the call

What callers would see: targets that vanish or come back, or a configuration that is in force late, after the store or what is before it has written an answer once more. Cause: the store names no call in its answers, and the one that came next on a connection was taken for that of the call in flight; an answer of another kind failed the call, but its connection was used again, one answer behind. Evidence: a proxy before a store of two pages repeats an earlier answer when the next call arrives. Ruled out: a stale list that is older than what is known, which PROTOCOL.md allows and the follower skips; a repeated "history gone", after which the content is listed again; an earlier version of the configuration, which is never activated. Not detected: a refusal (429, 503) of another call, which fails this one. Change: core/attribution/store-answer.ts decides. A page begins after the key that was asked for and is sorted; events are later than the revision that was asked from, which is not above that of the answer; an item has the key that was read; the newest list is not older than what this client has seen, and no list lacks the configuration that an older one had. An empty answer to a watch before its time is believed, but its connection is closed. A list ends with an entry without a key no more: the last key of the page is asked from. What content alone makes unlikely is refused once: the next list comes on a new connection, which has no earlier answers. Cost: one new connection after an answer that is refused or early; none otherwise. Processor time not measured.

--- a/packages/sidecar/src/core/attribution/index.ts
+++ b/packages/sidecar/src/core/attribution/index.ts
@@ -6,3 +6,5 @@
 export type { DatagramStamp } from './datagram.js'
 export type { CallMark } from './frame.js'
 export type { ReadMark } from './state-answer.js'
+export { isEarly, isItemOf, isListPage, isWatchPage, SeenContent } from './store-answer.js'
+export type { ListPage, WatchCall, WatchPage } from './store-answer.js'
--- a/packages/sidecar/src/core/exchange/connection-pool.ts
+++ b/packages/sidecar/src/core/exchange/connection-pool.ts
@@ -43,6 +43,12 @@
     this.agent.destroy()
   }
 
+  /** Closes each connection as soon as no request uses it. */
+  retire (): void {
+    this.agent.maxFreeSockets = 0
+    this.closeIdle()
+  }
+
   private listIdle (): Socket[] {
     return Object.values(this.agent.freeSockets).flatMap(sockets => sockets ?? [])
   }
--- a/packages/sidecar/src/platform/http-store-client.ts
+++ b/packages/sidecar/src/platform/http-store-client.ts
@@ -1,11 +1,14 @@
 import type { Clock } from 'auburnturn/core/clock'
+import { isEarly, isItemOf, isListPage, isWatchPage, SeenContent } from '../core/attribution/index.js'
 import type { Configuration } from '../core/configuration/index.js'
 import { ConnectionPool, exchange } from '../core/exchange/index.js'
 import type { BodyMemory, ExchangeResult } from '../core/exchange/index.js'
 import type { Change, StoreClient, StoreAnswer } from '../core/following/index.js'
 import { configurationKey, decodeConfiguration } from './configuration.js'
-import { asNonNegativeNumber, asJsonObject, parseJson, asNonEmptyString } from './json-values.js'
+import { asJsonObject, parseJson, asNonEmptyString } from './json-values.js'
 import type { JsonObject } from './json-values.js'
+import { parsePage } from './store-page.js'
+import type { Page } from './store-page.js'
 import { decodeTarget, targetKeyPrefix } from './targets.js'
 
 /** Timeout for opening a connection to the store, in milliseconds. */
@@ -28,7 +31,7 @@
 
 /** Result of a call for a page of items or changes. */
 type PageResult =
-  | { readonly kind: 'page', readonly entries: readonly unknown[], readonly revision: number, readonly hasMore: boolean }
+  | Page & { readonly kind: 'page' }
   /** The store no longer has the history after the requested revision. */
   | { readonly kind: 'forgotten' }
   | { readonly kind: 'failed', readonly cause: string }
@@ -37,14 +40,17 @@
 export class HttpStoreClient implements StoreClient {
   private readonly host: string
   private readonly clock: Clock
-  private readonly connections: ConnectionPool
+  private readonly memory: BodyMemory
+  private readonly seen = SeenContent.create({ key: configurationKey })
+  private connections: ConnectionPool
   private readonly onCall: (kind: StoreCallKind) => void
 
   private constructor ({ address, clock, memory, onCall }: HttpStoreClientOptions) {
     this.host = address
     this.clock = clock
+    this.memory = memory
     this.onCall = onCall
-    this.connections = ConnectionPool.create({ address, limit: 2, clock, memory })
+    this.connections = this.createConnections()
   }
 
   static create (options: HttpStoreClientOptions): HttpStoreClient {
@@ -56,29 +62,29 @@
    * there repeats whatever changed while the other pages were read.
    */
   async list (mode: 'cheap' | 'newest'): Promise<StoreAnswer> {
-    const changes: Change[] = []
-    let revision: number | undefined
-    let afterKey = ''
-    for (let pages = 0; pages < maxListPages; pages++) {
-      this.onCall(mode === 'cheap' ? 'cheap-list' : 'list')
-      const staleParameter = mode === 'cheap' ? '&allow_stale=1' : ''
-      const afterParameter = afterKey === '' ? '' : `&after=${encodeURIComponent(afterKey)}`
-      const page = await this.fetchPage(`/api/kv-range?prefix=${afterParameter}${staleParameter}`, listTimeoutMs, 'items')
+    const pages: Page[] = []
+    while (pages.length < maxListPages) {
+      const last = pages.at(-1)
+      const after = last?.keys.at(-1) ?? ''
+      if (last !== undefined && (!last.hasMore || last.keys.length === 0)) return this.completeList(pages)
+      const page = await this.fetchListPage(mode, after)
       if (page.kind !== 'page') return page
-      revision ??= page.revision
-      changes.push(...decodeEntries(page.entries))
-      const lastKey = asNonEmptyString(asJsonObject(page.entries.at(-1))?.['key'])
-      if (!page.hasMore || lastKey === undefined) return { kind: 'changes', changes, revision }
-      afterKey = lastKey
+      if (!isListPage({ prefix: '', after }, page)) return this.refuse('page of another call')
+      if (mode === 'newest' && !this.seen.isNewest(page)) return this.refuseAndForget('page of an earlier list')
+      pages.push(page)
     }
     return { kind: 'failed', cause: 'list has too many pages' }
   }
 
   /** Watches for changes after a revision; answers at the first change, or after `waitMs` milliseconds without one. */
   async watch (revision: number, waitMs: number): Promise<StoreAnswer> {
+    const call = { prefix: '', after: revision, waitMs: Math.round(waitMs) }
     this.onCall('watch')
-    const page = await this.fetchPage(`/api/kv-watch?prefix=&after=${revision}&wait_ms=${Math.round(waitMs)}`, waitMs + watchTimeoutMarginMs, 'events')
+    const page = await this.fetchPage(`/api/kv-watch?prefix=&after=${revision}&wait_ms=${call.waitMs}`, waitMs + watchTimeoutMarginMs, 'events')
     if (page.kind !== 'page') return page
+    if (!isWatchPage(call, page)) return this.refuse('changes of another watch')
+    if (isEarly(call, page, page.tookMs)) this.renewConnections()
+    this.seen.record(page, page.removedKeys)
     return { kind: 'changes', changes: decodeEntries(page.entries), revision: page.revision }
   }
 
@@ -88,7 +94,11 @@
     const result = await this.sendGet(`/api/kv-key?key=${encodeURIComponent(configurationKey)}`, keyReadTimeoutMs)
     if (result.kind !== 'answer' || result.status !== 200) return undefined
     const item = asJsonObject(parseJson(result.body))
-    const change = item === undefined ? undefined : decodeEntry(configurationKey, item)
+    if (item === undefined || !isItemOf(configurationKey, item['key'])) {
+      this.renewConnections()
+      return undefined
+    }
+    const change = decodeEntry(configurationKey, item)
     return change?.kind === 'configuration' ? change.configuration : undefined
   }
 
@@ -96,21 +106,57 @@
     this.connections.close()
   }
 
+  private createConnections (): ConnectionPool {
+    const { host: address, clock, memory } = this
+    return ConnectionPool.create({ address, limit: 2, clock, memory })
+  }
+
+  /** Uses the present connections for no further call: an answer on one of them may not belong to its call. */
+  private renewConnections (): void {
+    this.connections.retire()
+    this.connections = this.createConnections()
+  }
+
+  /** Fails a call whose answer belongs to another one. */
+  private refuse (cause: string): StoreAnswer & PageResult & { kind: 'failed' } {
+    this.renewConnections()
+    return { kind: 'failed', cause }
+  }
+
+  /** The same, after which what was seen is no longer held against the store: the next connection has no earlier answers. */
+  private refuseAndForget (cause: string): StoreAnswer {
+    this.seen.forget()
+    return this.refuse(cause)
+  }
+
+  private completeList (pages: readonly Page[]): StoreAnswer {
+    const revision = pages[0]?.revision ?? 0
+    const list = { keys: pages.flatMap(({ keys }) => keys), revision }
+    if (!this.seen.isWhole(list)) return this.refuseAndForget('part of a list')
+    this.seen.record(list)
+    return { kind: 'changes', changes: decodeEntries(pages.flatMap(({ entries }) => entries)), revision }
+  }
+
   private async sendGet (path: string, timeoutMs: number): Promise<ExchangeResult> {
     const { connections, clock, host } = this
     return await exchange({ connections, clock, method: 'GET', path, headers: ['host', host], body: Buffer.alloc(0), connectMs: connectTimeoutMs, timeoutMs })
   }
 
+  private async fetchListPage (mode: 'cheap' | 'newest', after: string): Promise<PageResult> {
+    this.onCall(mode === 'cheap' ? 'cheap-list' : 'list')
+    const staleParameter = mode === 'cheap' ? '&allow_stale=1' : ''
+    const afterParameter = after === '' ? '' : `&after=${encodeURIComponent(after)}`
+    return await this.fetchPage(`/api/kv-range?prefix=${afterParameter}${staleParameter}`, listTimeoutMs, 'items')
+  }
+
   private async fetchPage (path: string, timeoutMs: number, listField: 'items' | 'events'): Promise<PageResult> {
+    const startedAt = this.clock.now()
     const result = await this.sendGet(path, timeoutMs)
     if (result.kind !== 'answer') return { kind: 'failed', cause: result.cause }
-    if (result.status === 410) return { kind: 'forgotten' }
+    if (result.status === 410) return listField === 'events' ? { kind: 'forgotten' } : this.refuse('answer of a watch')
     if (result.status !== 200) return { kind: 'failed', cause: `status ${result.status}` }
-    const body = asJsonObject(parseJson(result.body))
-    const revision = asNonNegativeNumber(body?.['current_rev'])
-    const entries = body?.[listField]
-    if (body === undefined || revision === undefined || !Array.isArray(entries)) return { kind: 'failed', cause: 'invalid answer' }
-    return { kind: 'page', entries, revision, hasMore: body['has_more'] === true }
+    const page = parsePage(result.body, listField, this.clock.now() - startedAt)
+    return page === undefined ? this.refuse('invalid answer') : { kind: 'page', ...page }
   }
 }
 
