--- a/packages/sidecar/src/core/forwarding/peers.ts
+++ b/packages/sidecar/src/core/forwarding/peers.ts
@@ -1,4 +1,6 @@
 import type { CancelSignal, Clock } from 'auburnturn/core/clock'
+import type { Random } from 'auburnturn/core/random'
+import { CallNumbers, formatRead, isReadAnswer } from '../attribution/index.js'
 import { ConnectionPool, exchange } from '../exchange/index.js'
 import type { BodyMemory, ExchangeResult } from '../exchange/index.js'
 import { callPeer, PeerConnectionPool } from '../peer-calls/index.js'
@@ -15,11 +17,13 @@
 /** Sends requests to other nodes, with one connection pool for each. */
 export class Peers {
   private readonly options: PeersOptions
+  private readonly callNumbers: CallNumbers
   private readonly callPools = new Map<string, PeerConnectionPool>()
   private readonly statePools = new Map<string, ConnectionPool>()
 
   private constructor (options: PeersOptions) {
     this.options = options
+    this.callNumbers = CallNumbers.create(options)
   }
 
   static create (options: PeersOptions): Peers {
@@ -33,7 +37,8 @@
     const timeoutMs = job.deadlineAt - now
     if (timeoutMs <= 0) return notRun('expired')
     const connections = this.getCallPool(target.ip)
-    const result = await callPeer(connections, { frame: formatRequest(job, target.id, now), clock, memory, connectMs: peerConnectTimeoutMs, timeoutMs, signal })
+    const mark = { number: this.callNumbers.next(), request: job.id }
+    const result = await callPeer(connections, { frame: formatRequest(job, target.id, now), mark, clock, memory, connectMs: peerConnectTimeoutMs, timeoutMs, signal })
     // The idle connections may have become unresponsive together with this one.
     if (result.kind === 'lost' && result.cause === 'timeout') connections.closeIdle()
     return toOutcome(result)
@@ -60,7 +65,18 @@
 
   private async get (ip: string, path: string, timeoutMs: number): Promise<ExchangeResult> {
     const { clock } = this.options
-    return await exchange({ connections: this.getStatePool(ip), clock, method: 'GET', path, headers: ['host', ip], body: Buffer.alloc(0), connectMs: peerConnectTimeoutMs, timeoutMs })
+    const mark = { number: this.callNumbers.next(), path }
+    return await exchange({
+      connections: this.getStatePool(ip),
+      clock,
+      method: 'GET',
+      path,
+      headers: ['host', ip, ...formatRead(mark)],
+      body: Buffer.alloc(0),
+      connectMs: peerConnectTimeoutMs,
+      timeoutMs,
+      matchesRequest: (_status, headers) => isReadAnswer(mark, headers)
+    })
   }
 
   private getCallPool (ip: string): PeerConnectionPool {
@@ -95,6 +111,8 @@
   /** Port on which every node serves its state to other nodes. */
   readonly statePort: number
   readonly clock: Clock
+  /** Chooses the first number of the calls. */
+  readonly random: Random
   /** Limits the answer bodies that are being received, together with the other bodies of the process. */
   readonly memory: BodyMemory
 }
--- a/packages/sidecar/test/unsent.test.ts
+++ b/packages/sidecar/test/unsent.test.ts
@@ -5,6 +5,7 @@
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { BodyMemory, ConnectionPool, exchange } from '../src/core/exchange/index.js'
+import { encodeFrame } from '../src/core/peer-calls/frame.js'
 import { callPeer, PeerConnectionPool } from '../src/core/peer-calls/index.js'
 import { startRawServer } from './fixtures/raw-server.js'
 
@@ -25,14 +26,15 @@
 type Sender = (id: string, timeoutMs: number, signal: Cancellation) => Promise<string>
 
 /** Starts a server that ends connections in all ways, and records the ids of the requests of which it received a byte. */
-async function startUnreliableServer (random: Random, answer: string | Buffer): Promise<{ address: string, received: Set<string>, close: () => void }> {
+async function startUnreliableServer (random: Random, createAnswer: (id: string) => string | Buffer): Promise<{ address: string, received: Set<string>, close: () => void }> {
   const received = new Set<string>()
   const server = await startRawServer((socket, text) => {
-    for (const [id] of text.matchAll(/request-\d+;/g)) received.add(id)
-    react(socket, reactions[random.integerBelow(reactions.length)] as typeof reactions[number])
+    const id = /request-\d+;/.exec(text)?.[0] ?? ''
+    received.add(id)
+    react(socket, id, reactions[random.integerBelow(reactions.length)] as typeof reactions[number])
   })
-  function react (socket: Socket, reaction: typeof reactions[number]): void {
-    if (reaction.startsWith('answer')) socket.write(answer)
+  function react (socket: Socket, id: string, reaction: typeof reactions[number]): void {
+    if (reaction.startsWith('answer')) socket.write(createAnswer(id))
     if (reaction.endsWith('close')) setTimeout(() => { socket.destroy() }, random.integerBelow(3))
     if (reaction.endsWith('reset')) setTimeout(() => { if (!socket.destroyed) socket.resetAndDestroy() }, random.integerBelow(3))
   }
@@ -61,7 +63,7 @@
 // Guards against 'not run' for a request that its own node or another one had written to a connection (REFUSED; issue 29).
 test('a request that is reported as unsent to a target has not reached it', async () => {
   const random = Random.create(29)
-  const server = await startUnreliableServer(random, 'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n')
+  const server = await startUnreliableServer(random, () => 'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n')
   const connections = ConnectionPool.create({ address: server.address, limit: connectionLimit, clock, memory })
   const unsent = await sendAll(random, async (id, timeoutMs, signal) => {
     const { kind } = await exchange({ connections, clock, method: 'POST', path: `/${id}`, headers: ['host', 'x'], body: Buffer.from('x'), connectMs: 5, timeoutMs, signal })
@@ -75,10 +77,10 @@
 
 test('a call that is reported as unsent to another node has not reached it', async () => {
   const random = Random.create(29)
-  const server = await startUnreliableServer(random, Buffer.alloc(8))
+  const server = await startUnreliableServer(random, id => encodeFrame({ fields: ['0-0', id], body: Buffer.alloc(0) }))
   const connections = PeerConnectionPool.create({ host: '127.0.0.1', port: Number(server.address.split(':')[1]), limit: connectionLimit })
   const unsent = await sendAll(random, async (id, timeoutMs, signal) => {
-    const { kind } = await callPeer(connections, { frame: { fields: [id], body: Buffer.from('x') }, clock, memory, connectMs: 5, timeoutMs, signal })
+    const { kind } = await callPeer(connections, { frame: { fields: [id], body: Buffer.from('x') }, mark: { number: '0-0', request: id }, clock, memory, connectMs: 5, timeoutMs, signal })
     return kind
   })
   connections.close()
