Leave out versions and revisions that the datagrams between nodes can't carry

Cause: a number of a configuration or of a page of the store was taken if it was finite. Reports and reader notices carry the version and the revision in 48 bits, and writeUIntLE throws for a larger one. They are sent from timers, so the error ended the process, on every node that had the configuration, and again at each start. A revision of 1e308 in the answer to a watch was kept: no later change was newer, so the node stopped following.

Ruled out: JSON.parse isn't recursive (4,000,000 levels are parsed), so deep nesting alone throws nothing. But these levels take 2.2 s of the event loop and 200 MB, and JSON.stringify of such a value throws a RangeError.

Change: core/decoding decides once what is a number, an integer, a duration and a text for values from outside. Versions and revisions are integers of at most 48 bits; others make the entry unusable, and the page a failed read. Durations are shortened to the 2^31 - 1 ms that timers allow. JSON deeper than 64 levels is not parsed.

Load and path latency: not measured.

Conclusion: the number that is too large could happen here and ends no process now. A configuration with a version above 2^48 - 1 can't be put in force; the datagrams would need a longer field for that.

--- a/packages/sidecar/src/platform/configuration.ts
+++ b/packages/sidecar/src/platform/configuration.ts
@@ -1,6 +1,6 @@
 import type { Configuration, Limits, Route, Service, Share } from '../core/configuration/index.js'
-import { asNonNegativeNumber, asJsonObject, asNonEmptyString } from './json-values.js'
-import type { JsonObject } from './json-values.js'
+import { asDurationMs, asInteger, asJsonObject, asNonEmptyString, asNonNegativeNumber } from '../core/decoding/index.js'
+import type { JsonObject } from '../core/decoding/index.js'
 
 /** Key of the store under which the newest configuration is stored. */
 export const configurationKey = 'op/config'
@@ -15,7 +15,7 @@
 /** Decodes a configuration from a value of the store; undefined if it can't be activated as a whole. */
 export function decodeConfiguration (value: unknown): Configuration | undefined {
   const fields = asJsonObject(value)
-  const version = asNonNegativeNumber(fields?.['version'])
+  const version = asInteger(fields?.['version'])
   const resources = fields?.['resources']
   if (version === undefined || !Array.isArray(resources)) return undefined
   const routes: Route[] = []
@@ -54,8 +54,8 @@
     prefix,
     // A request must not be retried unless its route is declared idempotent.
     kind: spec['route_type'] === 'idempotent' ? 'idempotent' : 'non-idempotent',
-    timeoutMs: asNonNegativeNumber(spec['timeout_ms']) ?? defaultTimeoutMs,
-    objectiveMs: asNonNegativeNumber(spec['slo_latency_ms']) ?? defaultObjectiveMs,
+    timeoutMs: asDurationMs(spec['timeout_ms']) ?? defaultTimeoutMs,
+    objectiveMs: asDurationMs(spec['slo_latency_ms']) ?? defaultObjectiveMs,
     priority: asNonNegativeNumber(spec['priority']) ?? 0,
     maxAttempts: Math.max(1, asNonNegativeNumber(spec['max_attempts']) ?? 1),
     shares
@@ -82,7 +82,7 @@
   return {
     maxHeaderBytes: asNonNegativeNumber(spec['max_header_bytes']) ?? defaultLimits.maxHeaderBytes,
     maxBodyBytes: asNonNegativeNumber(spec['max_body_bytes']) ?? defaultLimits.maxBodyBytes,
-    headerTimeoutMs: asNonNegativeNumber(spec['header_timeout_ms']) ?? defaultLimits.headerTimeoutMs,
-    idleTimeoutMs: asNonNegativeNumber(spec['idle_timeout_ms']) ?? defaultLimits.idleTimeoutMs
+    headerTimeoutMs: asDurationMs(spec['header_timeout_ms']) ?? defaultLimits.headerTimeoutMs,
+    idleTimeoutMs: asDurationMs(spec['idle_timeout_ms']) ?? defaultLimits.idleTimeoutMs
   }
 }
--- a/packages/sidecar/src/platform/http-store-client.ts
+++ b/packages/sidecar/src/platform/http-store-client.ts
@@ -1,11 +1,11 @@
 import type { Clock } from 'auburnturn/core/clock'
 import type { Configuration } from '../core/configuration/index.js'
+import { asInteger, asJsonObject, asNonEmptyString, parseJson } from '../core/decoding/index.js'
+import type { JsonObject } from '../core/decoding/index.js'
 import { ConnectionPool, exchange } from '../core/exchange/index.js'
 import type { BodyMemory, ExchangeResult } from '../core/exchange/index.js'
 import type { Change, StoreClient, StoreAnswer } from '../core/following/index.js'
 import { configurationKey, decodeConfiguration } from './configuration.js'
-import { asNonNegativeNumber, asJsonObject, parseJson, asNonEmptyString } from './json-values.js'
-import type { JsonObject } from './json-values.js'
 import { decodeTarget, targetKeyPrefix } from './targets.js'
 
 /** Timeout for opening a connection to the store, in milliseconds. */
@@ -107,7 +107,7 @@
     if (result.status === 410) return { kind: 'forgotten' }
     if (result.status !== 200) return { kind: 'failed', cause: `status ${result.status}` }
     const body = asJsonObject(parseJson(result.body))
-    const revision = asNonNegativeNumber(body?.['current_rev'])
+    const revision = asInteger(body?.['current_rev'])
     const entries = body?.[listField]
     if (body === undefined || revision === undefined || !Array.isArray(entries)) return { kind: 'failed', cause: 'invalid answer' }
     return { kind: 'page', entries, revision, hasMore: body['has_more'] === true }
--- a/packages/sidecar/src/platform/targets.ts
+++ b/packages/sidecar/src/platform/targets.ts
@@ -1,5 +1,5 @@
+import { asNonNegativeNumber, asJsonObject, asNonEmptyString } from '../core/decoding/index.js'
 import type { ListedTarget } from '../core/targets/index.js'
-import { asNonNegativeNumber, asJsonObject, asNonEmptyString } from './json-values.js'
 
 /** Prefix of the keys under which targets register themselves; the rest of a key is the id of the target. */
 export const targetKeyPrefix = 'servers/'
