Leave out targets that can't be connected to or named between nodes

Cause: an address was taken if it had four groups of digits and a port of up to five digits. An IP such as 127.0.0.999 isn't an IP number, so a connection to it starts a name look-up. An id, a service or a zone could be any string: one with a line feed shifts the fields of a frame between nodes, one beyond latin1 or above 255 characters is another one in reports, and a zone of 1 MB made a changes notice that no node could read. Slots and the slow start could be 1e308. Settings had the same patterns.

Ruled out: none of these ended a process; such targets were candidates for requests until one failed.

Change: an address has an IPv4 address, a port from 1 to 65535, and isn't in an unspecified, multicast or reserved network. Ids, services and zones have at most 255 printable latin1 characters, slots are integers of 16 bits. Settings are checked for ports, octets and numbers too; 0.0.0.0 stays allowed there, as servers bind it.

A zone that is missing makes an entry unusable now, as the protocol says of missing fields.

--- a/packages/sidecar/src/core/decoding/index.ts
+++ b/packages/sidecar/src/core/decoding/index.ts
@@ -1,4 +1,5 @@
 /** Decodes values from untrusted sources: the store, other nodes and the settings. */
-export { maxDurationMs, maxInteger } from './constants.js'
+export { isAddress, maxPort, parseConnectableIp } from './address.js'
+export { maxDurationMs, maxInteger, maxSlots } from './constants.js'
 export { asDurationMs, asInteger, asJsonObject, asNonEmptyString, asNonNegativeNumber, asText, parseJson } from './json-values.js'
 export type { JsonObject } from './json-values.js'
--- a/packages/sidecar/src/platform/settings.ts
+++ b/packages/sidecar/src/platform/settings.ts
@@ -2,13 +2,12 @@
 import { Fault } from 'auburnturn/core/errors'
 import { getNodeValue, parseTree } from 'jsonc-parser'
 import type { ParseError } from 'jsonc-parser'
+import { asInteger, asNonNegativeNumber, isAddress, maxPort } from '../core/decoding/index.js'
 import type { Settings } from '../core/settings.js'
 
 /** Environment variable with the path of the settings file, which has the format of deploy/settings.jsonc. */
 export const settingsVariable = 'AUBURNTURN_SETTINGS'
 
-const addressPattern = /^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/
-
 /** Reads and validates the settings file. Throws a fault with the key, the value found and the values allowed. */
 export function readSettings (file: string): Settings {
   let text: string
@@ -37,7 +36,7 @@
       nodes: reader.readAddress('listen', 'nodes'),
       readiness: reader.readAddress('listen', 'readiness')
     },
-    internalPorts: [reader.readNumber('internalPorts', '0'), reader.readNumber('internalPorts', '1')],
+    internalPorts: [reader.readPort('internalPorts', '0'), reader.readPort('internalPorts', '1')],
     store: reader.readAddress('store'),
     memoryMb: reader.readNumber('memoryMb'),
     bounds: {
@@ -70,12 +69,17 @@
 
   readAddress (...keys: string[]): string {
     const value = this.findValue(keys)
-    return typeof value === 'string' && addressPattern.test(value) ? value : this.throwInvalid(keys, value, 'IP:PORT')
+    return typeof value === 'string' && isAddress(value) ? value : this.throwInvalid(keys, value, 'IP:PORT')
   }
 
   readNumber (...keys: string[]): number {
     const value = this.findValue(keys)
-    return typeof value === 'number' && value >= 0 ? value : this.throwInvalid(keys, value, 'a number of at least 0')
+    return asNonNegativeNumber(value) ?? this.throwInvalid(keys, value, 'a number of at least 0')
+  }
+
+  readPort (...keys: string[]): number {
+    const value = asInteger(this.findValue(keys))
+    return value !== undefined && value > 0 && value <= maxPort ? value : this.throwInvalid(keys, this.findValue(keys), `a port from 1 to ${maxPort}`)
   }
 
   private findValue (keys: readonly string[]): unknown {
--- a/packages/sidecar/src/platform/targets.ts
+++ b/packages/sidecar/src/platform/targets.ts
@@ -1,32 +1,24 @@
-import { asNonNegativeNumber, asJsonObject, asNonEmptyString } from '../core/decoding/index.js'
+import { asDurationMs, asInteger, asJsonObject, asNonEmptyString, asText, maxSlots, parseConnectableIp } from '../core/decoding/index.js'
 import type { ListedTarget } from '../core/targets/index.js'
 
 /** Prefix of the keys under which targets register themselves; the rest of a key is the id of the target. */
 export const targetKeyPrefix = 'servers/'
 
-const addressPattern = /^(\d{1,3}(?:\.\d{1,3}){3}):\d{1,5}$/
-
-/** Decodes a target from its entry in the store; undefined if a required field is missing or invalid. */
+/** Decodes a target from its entry in the store; undefined if a field that is used is missing, of another type or out of range. */
 export function decodeTarget (key: string, value: unknown): ListedTarget | undefined {
   const entry = asJsonObject(value)
   const info = asJsonObject(entry?.['info'])
   const status = asJsonObject(entry?.['status'])
-  const id = key.slice(targetKeyPrefix.length)
+  const id = key.startsWith(targetKeyPrefix) ? asText(key.slice(targetKeyPrefix.length)) : undefined
   const address = asNonEmptyString(entry?.['address'])
-  const ip = address === undefined ? undefined : addressPattern.exec(address)?.[1]
-  const service = asNonEmptyString(info?.['service'])
+  const ip = address === undefined ? undefined : parseConnectableIp(address)
+  const service = asText(info?.['service'])
+  const failureDomain = asText(info?.['zone'])
   const state = status?.['state']
-  const slots = asNonNegativeNumber(info?.['slots'])
-  if (!key.startsWith(targetKeyPrefix) || id === '' || address === undefined || ip === undefined) return undefined
-  if (service === undefined || slots === undefined || (state !== 'ready' && state !== 'draining')) return undefined
-  return {
-    id,
-    service,
-    address,
-    ip,
-    failureDomain: asNonEmptyString(info?.['zone']) ?? '',
-    slots,
-    state,
-    coldMs: asNonNegativeNumber(status?.['cold_remaining_ms']) ?? 0
-  }
+  const slots = asInteger(info?.['slots'])
+  const coldMs = status?.['cold_remaining_ms'] === undefined ? 0 : asDurationMs(status['cold_remaining_ms'])
+  if (id === undefined || id === '' || address === undefined || ip === undefined) return undefined
+  if (service === undefined || service === '' || failureDomain === undefined || coldMs === undefined) return undefined
+  if (slots === undefined || slots > maxSlots || (state !== 'ready' && state !== 'draining')) return undefined
+  return { id, service, address, ip, failureDomain, slots, state, coldMs }
 }
--- a/packages/sidecar/test/odd-entries.test.ts
+++ b/packages/sidecar/test/odd-entries.test.ts
@@ -1,15 +1,17 @@
 import fc from 'fast-check'
 import { createServer } from 'node:http'
+import { isIPv4 } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { Clock } from 'auburnturn/core/clock'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { Configuration } from '../src/core/configuration/index.js'
-import { maxDurationMs, maxInteger, parseJson } from '../src/core/decoding/index.js'
+import { maxDurationMs, maxInteger, maxSlots, parseJson } from '../src/core/decoding/index.js'
 import { BodyMemory } from '../src/core/exchange/index.js'
 import type { StoreAnswer } from '../src/core/following/index.js'
-import { decodeConfiguration, HttpStoreClient } from '../src/platform/index.js'
-import { anyJsonText, oddJsonTexts, oddPages, replaceValues, seed } from './fixtures/odd-values.js'
+import type { ListedTarget } from '../src/core/targets/index.js'
+import { decodeConfiguration, decodeTarget, HttpStoreClient, parseSettings } from '../src/platform/index.js'
+import { anyJsonText, oddAddresses, oddEntries, oddJsonTexts, oddPages, replaceValues, seed, validEntry } from './fixtures/odd-values.js'
 
 const test = suite('odd entries')
 
@@ -36,6 +38,17 @@
   return Number.isInteger(value) && isNumberUpTo(value, maxInteger)
 }
 
+/** Asserts that a target has the types and ranges that the rest of the node relies on. */
+function assertTarget ({ id, service, address, ip, failureDomain, slots, state, coldMs }: ListedTarget): void {
+  for (const text of [id, service, failureDomain]) assert.match(text, /^[\u0020-\u007e\u00a0-\u00ff]{0,255}$/)
+  assert.ok(id !== '' && service !== '')
+  const port = Number(address.slice(ip.length + 1))
+  const firstOctet = Number(ip.split('.')[0])
+  assert.ok(isIPv4(ip) && firstOctet > 0 && firstOctet < 224 && address === `${ip}:${port}` && Number.isInteger(port) && port >= 1 && port <= 65_535, address)
+  assert.ok(isInteger(slots) && slots <= maxSlots && isNumberUpTo(coldMs, maxDurationMs))
+  assert.ok(state === 'ready' || state === 'draining')
+}
+
 /** Asserts that a configuration has the types and ranges that the rest of the node relies on. */
 function assertConfiguration ({ version, routes, services, limits }: Configuration): void {
   assert.ok(isInteger(version), `version ${version}`)
@@ -60,6 +73,30 @@
   for (const version of [1e308, Infinity, 2 ** 48, 1.5, -1, '7']) assert.is(decodeConfiguration({ ...validConfiguration, version }), undefined, String(version))
 })
 
+// Guards against targets at addresses that no node can connect to, and texts that headers, datagrams and frames can't carry (issue 29).
+test('an entry is decoded to a target that can be used, or not at all', () => {
+  const keys = fc.oneof(fc.constant('servers/i-1'), fc.string({ unit: 'binary' }).map(id => `servers/${id}`), fc.constantFrom('servers/', 'servers/a\nb', 'servers/\u0000', 'servers/日本', 'servers/__proto__', `servers/${'x'.repeat(256)}`, 'other/i-1'))
+  fc.assert(fc.property(keys, parsedValues(validEntry), (key, value) => {
+    const target = decodeTarget(key, value)
+    if (target !== undefined) assertTarget(target)
+  }), { seed, numRuns: 4_000 })
+  for (const text of oddEntries(0).slice(0, -3)) assert.is(decodeTarget('servers/i-1', parseJson(Buffer.from(text))), undefined, text.slice(0, 100))
+  for (const key of ['servers/', 'servers/a\nb', 'servers/\u0000', 'servers/日本', `servers/${'x'.repeat(256)}`, 'other/i-1']) assert.is(decodeTarget(key, validEntry), undefined, key)
+  for (const slots of [1e308, 2 ** 16, 0.5, -1]) assert.is(decodeTarget('servers/i-1', { ...validEntry, info: { ...validEntry.info, slots } }), undefined, String(slots))
+  for (const zone of [undefined, 7, 'x'.repeat(1_000_000), 'a\nb']) assert.is(decodeTarget('servers/i-1', { ...validEntry, info: { ...validEntry.info, zone } }), undefined, String(zone).slice(0, 20))
+  assert.ok(decodeTarget('servers/i-1', validEntry) !== undefined && decodeTarget('servers/__proto__', validEntry) !== undefined)
+})
+
+const settingsText = '{ "name": "n", "ip": "10.0.0.1", "failureDomain": "a", "service": "s", "upstream": "10.0.0.1:80", "listen": { "callers": "0.0.0.0:1", "nodes": "10.0.0.1:2", "readiness": "10.0.0.1:3" }, "internalPorts": [4, 9], "store": "10.0.0.2:80", "memoryMb": 250, "bounds": { "graceSeconds": 6, "retryRatio": 0.2, "retryAllowance": 60, "probesPerSecond": 20 } }'
+
+// Guards against settings with an address or a port to which nothing can be bound or connected (issue 29).
+test('settings with a port or an octet out of range, or a number too large, are reported as invalid', () => {
+  assert.is(parseSettings(settingsText, 'file').listen.callers, '0.0.0.0:1')
+  for (const address of oddAddresses.filter(one => !/^(0|224|255)\./.test(one))) assert.throws(() => parseSettings(settingsText.replace('"10.0.0.2:80"', JSON.stringify(address)), 'file'), /store/, address)
+  for (const port of ['0', '65536', '1.5', '1e999']) assert.throws(() => parseSettings(settingsText.replace('[4,', `[${port},`), 'file'), /internalPorts/, port)
+  for (const number of ['1e999', '1e308', '-1']) assert.throws(() => parseSettings(settingsText.replace('250', number), 'file'), /memoryMb/, number)
+})
+
 // Guards against a value that is nested so deep that it blocks the node for seconds, or can't be written as JSON again (issue 29).
 test('JSON that is nested too deep is not parsed, whatever its strings and brackets are', () => {
   for (const levels of [65, 300_000, 4_000_000]) assert.is(parseJson(Buffer.from('['.repeat(levels) + ']'.repeat(levels))), undefined)
@@ -83,7 +120,10 @@
 function assertStoreAnswer (answer: StoreAnswer): void {
   if (answer.kind !== 'changes') return
   assert.ok(isInteger(answer.revision), `revision ${answer.revision}`)
-  for (const change of answer.changes) if (change.kind === 'configuration') assertConfiguration(change.configuration)
+  for (const change of answer.changes) {
+    if (change.kind === 'configuration') assertConfiguration(change.configuration)
+    if (change.kind === 'target') assertTarget(change.target)
+  }
 }
 
 // Guards against a node that ends, or never follows again, after a page with odd content (issue 29).
