Decode what other nodes send as strictly as what the store answers

Cause: the state and the configuration of another node were cast to their types, and so were the changes in a datagram once they were an array. What one node takes by mistake, or a node of another version writes, was applied by all others.

Ruled out: reports, short reports, subscriptions and reader notices have fixed forms; only their texts were unchecked (a line feed in an id shifts the fields of a frame).

Change: core/following/decode-shared-state.ts decodes state, configurations and changes. A target of a state that can't be used is left out; an odd configuration or revision makes the state unusable; an odd change makes its datagram unreadable, and the next notice makes the node request the list. Data that doesn't decompress is undefined and no error. Texts of datagrams are printable latin1 of at most 255 characters. Changes that other nodes could not decompress (256 KB) are not sent. The scan for nesting compares bytes without sets.

Seen before, on real processes: a changes datagram with `null` in it ended the process (TypeError in Follower.receiveChanges). A configuration of another node with limits of another type was put in force ("offer=taken", version 6000, which no store had), so the store's was "older", and the next connection of a caller ended the process (TypeError reading 'idleTimeoutMs'). A notice of 3,000 equal targets was encoded before, though its receivers refuse it.

Conclusion: an odd value doesn't spread from one node to the others in state, configurations or changes. A node that serves a well-formed configuration with a version that is too high is still believed.

--- a/packages/sidecar/src/core/decoding/json-values.ts
+++ b/packages/sidecar/src/core/decoding/json-values.ts
@@ -11,8 +11,10 @@
 /** Characters of JSON texts that matter for their nesting. */
 const quote = 0x22
 const backslash = 0x5c
-const openingBrackets = new Set([0x5b, 0x7b])
-const closingBrackets = new Set([0x5d, 0x7d])
+const openingBracket = 0x5b
+const closingBracket = 0x5d
+const openingBrace = 0x7b
+const closingBrace = 0x7d
 
 /** Returns the value if it is an object, but not an array. */
 export function asJsonObject (value: unknown): JsonObject | undefined {
@@ -62,12 +64,10 @@
   let inString = false
   for (let index = 0; index < bytes.length; index++) {
     const character = bytes[index] as number
-    if (inString) {
-      if (character === backslash) index++
-      else if (character === quote) inString = false
-    } else if (character === quote) inString = true
-    else if (openingBrackets.has(character) && ++depth > maxNestingDepth) return true
-    else if (closingBrackets.has(character)) depth--
+    if (character === quote) inString = !inString
+    else if (inString && character === backslash) index++
+    else if (!inString && (character === openingBracket || character === openingBrace) && ++depth > maxNestingDepth) return true
+    else if (!inString && (character === closingBracket || character === closingBrace)) depth--
   }
   return false
 }
--- a/packages/sidecar/src/core/forwarding/compression.ts
+++ b/packages/sidecar/src/core/forwarding/compression.ts
@@ -1,4 +1,5 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
+import { parseJson } from '../decoding/index.js'
 import { maxDecompressedBytes } from './constants.js'
 
 /** Compresses data for another node: lists of targets are repetitive, and traffic between failure domains is expensive. */
@@ -6,7 +7,12 @@
   return deflateRawSync(JSON.stringify(value))
 }
 
-/** Decompresses data from another node. Throws when the data is damaged, or too large to be a valid state. */
+/** Decompresses data from another node; undefined when it is damaged, or too large or nested too deep to be a valid state. */
 export function decompressJson (bytes: Buffer): unknown {
-  return JSON.parse(inflateRawSync(bytes, { maxOutputLength: maxDecompressedBytes }).toString())
+  try {
+    return parseJson(inflateRawSync(bytes, { maxOutputLength: maxDecompressedBytes }))
+  } catch {
+    // The calling code logs that the other node served nothing.
+    return undefined
+  }
 }
--- a/packages/sidecar/src/core/forwarding/peers.ts
+++ b/packages/sidecar/src/core/forwarding/peers.ts
@@ -7,6 +7,7 @@
 import type { PeerCallResult } from '../peer-calls/index.js'
 import type { Candidate } from '../targets/index.js'
 import type { Configuration } from '../configuration/index.js'
+import { decodeSharedConfiguration, decodeSharedState } from '../following/decode-shared-state.js'
 import type { SharedState } from '../following/index.js'
 import { configurationTimeoutMs, configurationPath, maxPeerConnections, maxStateConnections, peerConnectTimeoutMs, stateTimeoutMs, statePath } from './constants.js'
 import { formatRequest, parseOutcome } from './hop-message.js'
@@ -42,7 +43,7 @@
   /** Reads the configuration and the targets from the node at `ip`; undefined when it does not provide them. */
   async readState (ip: string): Promise<SharedState | undefined> {
     const result = await this.get(ip, statePath, stateTimeoutMs)
-    return result.kind === 'answer' && result.status === 200 ? decompressJson(result.body) as SharedState : undefined
+    return result.kind === 'answer' && result.status === 200 ? decodeSharedState(decompressJson(result.body)) : undefined
   }
 
   /** Reads the configuration from the node at `ip`; 'long' when it is too large for that node to serve. */
@@ -50,7 +51,7 @@
     const result = await this.get(ip, configurationPath, configurationTimeoutMs)
     if (result.kind !== 'answer') return undefined
     if (result.status === 204) return 'long'
-    return result.status === 200 ? decompressJson(result.body) as Configuration : undefined
+    return result.status === 200 ? decodeSharedConfiguration(decompressJson(result.body)) : undefined
   }
 
   close (): void {
--- a/packages/sidecar/src/core/readers/codec.ts
+++ b/packages/sidecar/src/core/readers/codec.ts
@@ -1,4 +1,6 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
+import { asInteger, asJsonObject, asText, parseJson } from '../decoding/index.js'
+import { decodeSharedChanges } from '../following/decode-shared-state.js'
 import type { ChangesNotice, ReaderNotice, ReaderState } from './types.js'
 
 /** Message type in the first byte of each datagram. Lower values are reports, see `reports/codec.ts`. */
@@ -28,23 +30,39 @@
 export function decodeReaderNotice (bytes: Buffer): ReaderNotice | undefined {
   if (bytes.length < readerHeaderBytes || bytes[0] !== messageTypes.reader) return undefined
   const state = readerStates[bytes.readUInt8(1)]
-  if (state === undefined) return undefined
-  return { kind: 'reader', state, failureDomain: bytes.toString('latin1', readerHeaderBytes), revision: bytes.readUIntLE(2, 6), configurationVersion: bytes.readUIntLE(8, 6) }
+  const failureDomain = asText(bytes.toString('latin1', readerHeaderBytes))
+  if (state === undefined || failureDomain === undefined) return undefined
+  return { kind: 'reader', state, failureDomain, revision: bytes.readUIntLE(2, 6), configurationVersion: bytes.readUIntLE(8, 6) }
 }
 
-/** Encodes changes as compressed JSON; undefined if they don't fit in a datagram; other nodes then request the list. */
+/**
+ * Encodes changes as compressed JSON; undefined if they don't fit in a datagram, or are too large for the other nodes to decompress;
+ * other nodes then request the list.
+ */
 export function encodeChangesNotice ({ from, to, changes }: ChangesNotice): Buffer | undefined {
-  const bytes = Buffer.concat([Buffer.from([messageTypes.changes]), deflateRawSync(JSON.stringify({ from, to, changes }))])
+  const text = Buffer.from(JSON.stringify({ from, to, changes }))
+  if (text.length > maxInflatedBytes) return undefined
+  const bytes = Buffer.concat([Buffer.from([messageTypes.changes]), deflateRawSync(text)])
   return bytes.length <= maxDatagramBytes ? bytes : undefined
 }
 
-/** Decodes a changes notice; undefined for any other, incomplete or too large datagram. */
+/**
+ * Decodes a changes notice; undefined for any other, incomplete or too large datagram, and if one of the changes can't be used: the
+ * next notice of a revision makes this node request the list.
+ */
 export function decodeChangesNotice (bytes: Buffer): ChangesNotice | undefined {
   if (bytes[0] !== messageTypes.changes) return undefined
+  const fields = asJsonObject(inflateJson(bytes.subarray(1)))
+  const from = asInteger(fields?.['from'])
+  const to = asInteger(fields?.['to'])
+  const changes = decodeSharedChanges(fields?.['changes'])
+  return from === undefined || to === undefined || changes === undefined ? undefined : { kind: 'changes', from, to, changes }
+}
+
+/** Decompresses JSON; undefined when it is damaged, too large or nested too deep. */
+function inflateJson (bytes: Buffer): unknown {
   try {
-    const text = inflateRawSync(bytes.subarray(1), { maxOutputLength: maxInflatedBytes }).toString()
-    const { from, to, changes } = JSON.parse(text) as ChangesNotice
-    return Number.isFinite(from) && Number.isFinite(to) && Array.isArray(changes) ? { kind: 'changes', from, to, changes } : undefined
+    return parseJson(inflateRawSync(bytes, { maxOutputLength: maxInflatedBytes }))
   } catch {
     // The calling code logs datagrams that can't be decoded.
     return undefined
--- a/packages/sidecar/src/core/reports/codec.ts
+++ b/packages/sidecar/src/core/reports/codec.ts
@@ -1,4 +1,5 @@
 import { crc32 } from 'node:zlib'
+import { asText } from '../decoding/index.js'
 import { unlimited } from '../rate-limit/index.js'
 import type { TargetReport, TargetState } from '../targets/index.js'
 
@@ -132,8 +133,9 @@
   while (fields.length < 3) {
     if (offset >= bytes.length) return undefined
     const end = offset + 1 + bytes.readUInt8(offset)
-    if (end > bytes.length) return undefined
-    fields.push(bytes.toString('latin1', offset + 1, end))
+    const field = end > bytes.length ? undefined : asText(bytes.toString('latin1', offset + 1, end))
+    if (field === undefined) return undefined
+    fields.push(field)
     offset = end
   }
   return fields
--- a/packages/sidecar/test/odd-entries-processes.test.ts
+++ b/packages/sidecar/test/odd-entries-processes.test.ts
@@ -1,7 +1,12 @@
+import { createSocket } from 'node:dgram'
+import { createServer } from 'node:http'
+import { deflateRawSync } from 'node:zlib'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
-import { oddPages, oddVersions } from './fixtures/odd-values.js'
-import { ProcessCluster } from './fixtures/process-cluster.js'
+import { encodeReport } from '../src/core/reports/index.js'
+import { unlimited } from '../src/core/rate-limit/index.js'
+import { oddDatagrams, oddPages, oddVersions } from './fixtures/odd-values.js'
+import { ProcessCluster, processPorts } from './fixtures/process-cluster.js'
 
 const test = suite('odd entries, processes')
 
@@ -14,6 +19,9 @@
 /** Time for which a test lets nodes read odd pages, in milliseconds. */
 const oddPagesMs = 5_000
 
+/** Index of the address from which a test writes to the nodes as another node. */
+const otherNodeIndex = 40
+
 async function withCluster (check: (cluster: ProcessCluster) => Promise<void>): Promise<void> {
   const cluster = await ProcessCluster.create(2)
   try {
@@ -23,6 +31,10 @@
   }
 }
 
+async function sleep (milliseconds: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, milliseconds))
+}
+
 async function assertWorks (cluster: ProcessCluster, context: string): Promise<void> {
   assert.is(await cluster.findFailure(followedWithinMs), undefined, context)
 }
@@ -62,4 +74,63 @@
   })
 })
 
+// Guards against a node that ends because of a datagram that is no message, or a message with odd content (issue 29).
+test('after odd datagrams, nodes serve requests and follow changes', async () => {
+  await withCluster(async cluster => {
+    const socket = createSocket('udp4')
+    await new Promise<void>(resolve => { socket.bind(0, cluster.getIp(otherNodeIndex), resolve) })
+    for (const bytes of oddDatagrams(100)) {
+      for (const [index] of cluster.nodes.entries()) socket.send(bytes, processPorts.internal, cluster.getIp(index))
+      await sleep(1)
+    }
+    await sleep(200)
+    socket.close()
+    await assertWorks(cluster, 'after the datagrams')
+  })
+})
+
+/** States that a faulty node may serve: its version is announced as the highest one. */
+const oddStates: ReadonlyArray<readonly [string, (version: number) => Buffer]> = [
+  ['no JSON', () => Buffer.from('no JSON')],
+  ['null', () => deflateRawSync('null')],
+  ['a state of other types', version => deflateRawSync(JSON.stringify({ configuration: { version, routes: 'none', services: {}, limits: null }, targets: [null, 7], revision: 'x', version }))],
+  ['a configuration alone, of other types', version => deflateRawSync(JSON.stringify({ version, routes: [null, { host: 7 }], services: [null], limits: null }))],
+  ['limits of another type', version => deflateRawSync(JSON.stringify({ version, routes: [], services: [], limits: null, configuration: { version, routes: [], services: [], limits: null }, targets: [] }))],
+  ['very deep nesting', () => deflateRawSync('['.repeat(500_000) + ']'.repeat(500_000))]
+]
+
+// Guards against odd state that spreads from one node to the others (issue 29).
+test('while another node serves odd state, nodes serve requests and follow changes', async () => {
+  await withCluster(async cluster => {
+    const ip = cluster.getIp(otherNodeIndex)
+    let createState = oddStates[0]?.[1] ?? (() => Buffer.alloc(0))
+    let version = 1_000
+    let reads = 0
+    const server = createServer((_request, response) => {
+      reads++
+      response.writeHead(200).end(createState(version))
+    })
+    await new Promise<void>(resolve => { server.listen(processPorts.nodes, ip, resolve) })
+    const socket = createSocket('udp4')
+    await new Promise<void>(resolve => { socket.bind(0, ip, resolve) })
+    const target = { id: 'odd', service: 'odd', failureDomain: 'a', state: 'up' as const, fresh: true, running: 0, waiting: 0, limit: 1, slowness: 1, failures: 0, rateLimit: unlimited, rateAllowance: unlimited }
+    for (const [name, create] of oddStates) {
+      createState = create
+      reads = 0
+      version += 1_000
+      for (let times = 0; times < 3; times++) {
+        for (const [index] of cluster.nodes.entries()) socket.send(encodeReport({ kind: 'full', target, configurationVersion: version }), processPorts.internal, cluster.getIp(index))
+        await sleep(300)
+      }
+      assert.ok(reads > 0, `${name} was read`)
+      assert.is(cluster.nodes.find(({ end }) => end !== undefined)?.output.slice(-600), undefined, name)
+    }
+    socket.close()
+    server.close()
+    server.closeAllConnections()
+    await sleep(800)
+    await assertWorks(cluster, 'after the states')
+  })
+})
+
 test.run()
--- a/packages/sidecar/test/odd-entries.test.ts
+++ b/packages/sidecar/test/odd-entries.test.ts
@@ -2,16 +2,21 @@
 import { createServer } from 'node:http'
 import { isIPv4 } from 'node:net'
 import type { AddressInfo } from 'node:net'
+import { deflateRawSync } from 'node:zlib'
 import { Clock } from 'auburnturn/core/clock'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { Configuration } from '../src/core/configuration/index.js'
 import { maxDurationMs, maxInteger, maxSlots, parseJson } from '../src/core/decoding/index.js'
 import { BodyMemory } from '../src/core/exchange/index.js'
-import type { StoreAnswer } from '../src/core/following/index.js'
+import { decodeSharedConfiguration, decodeSharedState } from '../src/core/following/index.js'
+import type { Change, StoreAnswer } from '../src/core/following/index.js'
+import { compressJson, decompressJson } from '../src/core/forwarding/compression.js'
+import { decodeMessage } from '../src/core/reports/index.js'
+import { decodeChangesNotice, encodeChangesNotice } from '../src/core/readers/index.js'
 import type { ListedTarget } from '../src/core/targets/index.js'
 import { decodeConfiguration, decodeTarget, HttpStoreClient, parseSettings } from '../src/platform/index.js'
-import { anyJsonText, oddAddresses, oddEntries, oddJsonTexts, oddPages, replaceValues, seed, validEntry } from './fixtures/odd-values.js'
+import { anyJsonText, oddAddresses, oddChanges, oddDatagrams, oddEntries, oddJsonTexts, oddPages, replaceValues, seed, validEntry } from './fixtures/odd-values.js'
 
 const test = suite('odd entries')
 
@@ -138,4 +143,63 @@
   })
 })
 
+const validTarget: ListedTarget = { id: 'i-1', service: 'shop', address: '10.0.0.9:8080', ip: '10.0.0.9', failureDomain: 'a', slots: 8, state: 'ready', coldMs: 0 }
+const sharedState = { configuration: decodeConfiguration(validConfiguration), targets: [validTarget, { ...validTarget, id: 'i-2', coldMs: 20 }], revision: 40 }
+
+// Guards against odd state that spreads from one node to the others (issue 29).
+test('the state and the configuration of another node are decoded with all values in range, or not at all', () => {
+  fc.assert(fc.property(parsedValues(sharedState), value => {
+    const state = decodeSharedState(value)
+    if (state === undefined) return
+    assertConfiguration(state.configuration)
+    state.targets.forEach(assertTarget)
+    assert.ok(state.revision === undefined || isInteger(state.revision))
+  }), { seed, numRuns: 2_000 })
+  fc.assert(fc.property(parsedValues(sharedState.configuration), value => {
+    const configuration = decodeSharedConfiguration(value)
+    if (configuration !== undefined) assertConfiguration(configuration)
+  }), { seed, numRuns: 2_000 })
+  assert.equal(decodeSharedState(decompressJson(compressJson(sharedState))), sharedState)
+  assert.equal(decodeSharedState({ ...sharedState, targets: [validTarget, null, { ...validTarget, address: '10.0.0.9:0' }] })?.targets, [validTarget])
+})
+
+// Guards against a node that ends when another one serves bytes that are no state (issue 29).
+test('compressed data of another node that is damaged, too large or nested too deep is left out', () => {
+  fc.assert(fc.property(fc.uint8Array({ maxLength: 100 }), bytes => { decodeSharedState(decompressJson(Buffer.from(bytes))) }), { seed })
+  for (const value of ['x'.repeat(17_000_000), '['.repeat(1_000_000)]) assert.is(decompressJson(deflateRawSync(value)), undefined)
+})
+
+/** Asserts that an announced change has the types that the rest of the node relies on. */
+function assertSharedChange (change: Change): void {
+  switch (change.kind) {
+    case 'target': return assertTarget(change.target)
+    case 'gone': return assert.type(change.id, 'string')
+    case 'unusable': return assert.type(change.key, 'string')
+    case 'configuration': assert.unreachable('datagrams hold no configuration')
+  }
+}
+
+// Guards against a node that ends because of a datagram with odd content (issue 29).
+test('a datagram is decoded to a message with all values in range, or not at all', () => {
+  const notice = { from: 3, to: 9, changes: [{ kind: 'target', target: validTarget }, { kind: 'gone', id: 'i-2' }, { kind: 'unusable', key: 'servers/i-3', id: 'i-3' }] }
+  const notices = fc.sample(replaceValues(notice), { numRuns: 2_000, seed }).map(text => Buffer.concat([Buffer.from([5]), deflateRawSync(text)]))
+  for (const bytes of [...oddDatagrams(1_000), ...notices]) {
+    const message = decodeMessage(bytes)
+    if (message?.kind === 'full') assert.ok([message.target.id, message.target.service, message.target.failureDomain].every(text => !/[\n\0]/.test(text)) && isInteger(message.configurationVersion))
+    if (message?.kind === 'reader') assert.ok(isInteger(message.revision) && isInteger(message.configurationVersion) && !message.failureDomain.includes('\n'))
+    if (message?.kind !== 'changes') continue
+    assert.ok(isInteger(message.from) && isInteger(message.to))
+    message.changes.forEach(assertSharedChange)
+  }
+  for (const text of oddChanges) assert.is(decodeChangesNotice(Buffer.concat([Buffer.from([5]), deflateRawSync(text)])), undefined, text)
+})
+
+// Guards against a notice that compresses well but is too large for every node that receives it (issue 29).
+test('changes that other nodes could not decompress are not sent', () => {
+  const changes = Array.from({ length: 3_000 }, (): Change => ({ kind: 'target', target: validTarget }))
+  assert.is(encodeChangesNotice({ kind: 'changes', from: 1, to: 2, changes }), undefined)
+  const few = { kind: 'changes' as const, from: 1, to: 2, changes: changes.slice(0, 1_000) }
+  assert.equal(decodeChangesNotice(encodeChangesNotice(few) ?? Buffer.alloc(0)), few)
+})
+
 test.run()
