Log and announce an entry that can't be used once

Cause: `entry-unusable` was logged each time that the entry was read: with each list, and with each write. A node whose list fails reads it again, and a target that is odd may write every second; a reader announced it to all nodes each time. Logs are bounded to 20 lines a second, so a few such entries push out the lines that matter.

Change: following/unusable-entries.ts remembers the entries that were logged, up to 10,000, until a usable entry takes the place, a removal, or a list without it. The announcement filter leaves out a repeated odd entry likewise.

Conclusion: once for an entry. The line has the key alone, not which field is odd.

--- a/packages/sidecar/src/core/following/announcement-filter.ts
+++ b/packages/sidecar/src/core/following/announcement-filter.ts
@@ -6,12 +6,16 @@
   readonly changes: readonly Change[]
 }
 
+/** Stands for an announced entry that can't be used; no JSON is equal to it. */
+const unusable = 'unusable'
+
 /**
  * Selects the changes of a watch that other nodes need. An entry that differs from the previous one only in how long
- * its target stays slow after its start (`coldMs`) is omitted, since the node on the target's VM reports that itself.
+ * its target stays slow after its start (`coldMs`) is omitted, since the node on the target's VM reports that itself. So is
+ * one that can't be used and that was announced before, since an odd entry may be written again every second.
  */
 export class AnnouncementFilter {
-  /** Last announced entry of each target as JSON without `coldMs`, by id. */
+  /** Last announced entry of each target by id: JSON without `coldMs`, or `unusable`. */
   private readonly announced = new Map<string, string>()
   /** After this revision, up to `pendingTo`, nothing had to be announced; undefined right after an announcement. */
   private pendingFrom: number | undefined
@@ -64,7 +68,9 @@
         this.announced.delete(change.id)
         return true
       case 'unusable':
-        if (change.id !== undefined) this.announced.delete(change.id)
+        if (change.id === undefined) return true
+        if (this.announced.get(change.id) === unusable) return false
+        this.announced.set(change.id, unusable)
         return true
       case 'configuration':
         return true
--- a/packages/sidecar/src/core/following/apply-changes.ts
+++ b/packages/sidecar/src/core/following/apply-changes.ts
@@ -2,11 +2,14 @@
 import type { CurrentConfiguration } from '../configuration/index.js'
 import type { Directory, ListedTarget } from '../targets/index.js'
 import type { Change } from './types.js'
+import type { UnusableEntries } from './unusable-entries.js'
 
 /** The local state that changes of the store are applied to. */
 export interface ApplyContext {
   readonly directory: Directory
   readonly configuration: CurrentConfiguration
+  /** The entries that can't be used and were logged. */
+  readonly unusableEntries: UnusableEntries
   readonly logger: Logger
 }
 
@@ -15,6 +18,7 @@
   const { directory } = context
   if (fullList) directory.replace(changes.flatMap((change): ListedTarget[] => change.kind === 'target' ? [change.target] : []))
   for (const change of changes) applyChange(change, fullList, context)
+  for (const key of context.unusableEntries.record(changes, fullList)) context.logger.warn('entry-unusable', { key })
 }
 
 function applyChange (change: Change, fullList: boolean, { directory, configuration, logger }: ApplyContext): void {
@@ -36,6 +40,5 @@
       break
     case 'unusable':
       if (change.id !== undefined) directory.remove(change.id)
-      logger.warn('entry-unusable', { key: change.key })
   }
 }
--- a/packages/sidecar/src/core/following/constants.ts
+++ b/packages/sidecar/src/core/following/constants.ts
@@ -46,3 +46,6 @@
  * fetches it announces it to the nodes of its own failure domain, which then request it from that node.
  */
 export const crossDomainFetchJitterMs = 600
+
+/** Maximum number of entries that can't be used and whose line in the log is remembered; each takes about 300 bytes. */
+export const maxUnusableEntries = 10_000
--- a/packages/sidecar/src/core/following/index.ts
+++ b/packages/sidecar/src/core/following/index.ts
@@ -6,3 +6,4 @@
 export { decodeSharedConfiguration, decodeSharedState } from './decode-shared-state.js'
 export { Follower } from './follower.js'
 export type { Change, SharedState, StoreClient, StoreAnswer } from './types.js'
+export { UnusableEntries } from './unusable-entries.js'
--- /dev/null
+++ b/packages/sidecar/src/core/following/unusable-entries.ts
@@ -0,0 +1,51 @@
+import { maxUnusableEntries } from './constants.js'
+import type { Change } from './types.js'
+
+/**
+ * Remembers which entries can't be used, so that each is logged once: until a usable entry takes its place, or it is removed. An odd
+ * entry may be read again with each list, or be written again every second.
+ */
+export class UnusableEntries {
+  private readonly names = new Set<string>()
+
+  private constructor () {}
+
+  static create (): UnusableEntries {
+    return new UnusableEntries()
+  }
+
+  /** Records changes; with `fullList` they are the complete content of the store. Returns the keys that were not recorded before. */
+  record (changes: readonly Change[], fullList: boolean): string[] {
+    const newKeys: string[] = []
+    const present = new Set<string>()
+    for (const change of changes) {
+      const name = getName(change)
+      if (change.kind !== 'unusable') this.names.delete(name)
+      else {
+        present.add(name)
+        if (this.add(name)) newKeys.push(change.key)
+      }
+    }
+    if (fullList) for (const name of this.names) if (!present.has(name)) this.names.delete(name)
+    return newKeys
+  }
+
+  /** Adds a name; false if it is known. The oldest one above the maximum is forgotten. */
+  private add (name: string): boolean {
+    if (this.names.has(name)) return false
+    this.names.add(name)
+    const [oldest] = this.names
+    if (oldest !== undefined && this.names.size > maxUnusableEntries) this.names.delete(oldest)
+    return true
+  }
+}
+
+/** Returns a name that the changes of one entry have in common. */
+function getName (change: Change): string {
+  switch (change.kind) {
+    case 'target': return `target ${change.target.id}`
+    case 'gone': return `target ${change.id}`
+    case 'configuration': return 'configuration'
+    case 'unusable': return change.id === undefined ? 'configuration' : `target ${change.id}`
+  }
+}
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -6,7 +6,7 @@
 import { Supervisor } from 'auburnturn/core/supervisor'
 import type { Part } from 'auburnturn/core/supervisor'
 import { CurrentConfiguration } from './core/configuration/index.js'
-import { applyChanges, ConfigurationFetcher, watchDeliveryMs, crossDomainFetchJitterMs, Follower, fetchJitterMs } from './core/following/index.js'
+import { applyChanges, ConfigurationFetcher, watchDeliveryMs, crossDomainFetchJitterMs, Follower, fetchJitterMs, UnusableEntries } from './core/following/index.js'
 import type { Change, SharedState } from './core/following/index.js'
 import { Drain } from './core/draining/index.js'
 import { BodyMemory } from './core/exchange/index.js'
@@ -48,6 +48,7 @@
   private readonly random: Random
   private readonly supervisor: Supervisor
   private readonly election: ReaderElection
+  private readonly unusableEntries = UnusableEntries.create()
   private reporter: Reporter | undefined
   private subscriber: Subscriber | undefined
   private announcer: Announcer | undefined
@@ -367,9 +368,9 @@
 
   /** Applies changes of the store; with `fullList` they are its complete content. */
   private applyStoreChanges (changes: readonly Change[], fullList: boolean): void {
-    const { directory, configuration, logger } = this
+    const { directory, configuration, unusableEntries, logger } = this
     directory.recordListResponse()
-    applyChanges(changes, fullList, { directory, configuration, logger })
+    applyChanges(changes, fullList, { directory, configuration, unusableEntries, logger })
     this.hasTargetList ||= fullList
     this.selectPeers()
     this.reporter?.reportChanges()
@@ -385,8 +386,8 @@
   private applySharedState ({ configuration, targets }: SharedState): void {
     const changes: Change[] = [{ kind: 'configuration', configuration }]
     if (!this.hasTargetList) for (const target of targets) changes.push({ kind: 'target', target })
-    const { directory, logger } = this
-    applyChanges(changes, false, { directory, configuration: this.configuration, logger })
+    const { directory, unusableEntries, logger } = this
+    applyChanges(changes, false, { directory, configuration: this.configuration, unusableEntries, logger })
     this.hasTargetList = true
     this.selectPeers()
     this.reporter?.reportChanges()
--- a/packages/sidecar/test/odd-entries-processes.test.ts
+++ b/packages/sidecar/test/odd-entries-processes.test.ts
@@ -5,7 +5,7 @@
 import * as assert from 'uvu/assert'
 import { encodeReport } from '../src/core/reports/index.js'
 import { unlimited } from '../src/core/rate-limit/index.js'
-import { oddDatagrams, oddPages, oddVersions } from './fixtures/odd-values.js'
+import { oddDatagrams, oddEntries, oddPages, oddVersions } from './fixtures/odd-values.js'
 import { ProcessCluster, processPorts } from './fixtures/process-cluster.js'
 
 const test = suite('odd entries, processes')
@@ -39,6 +39,19 @@
   assert.is(await cluster.findFailure(followedWithinMs), undefined, context)
 }
 
+// Guards against a node that ends, stops following or fills its log because of odd entries of targets (issue 29).
+test('with many odd entries of targets, nodes serve requests, follow changes and log each entry once', async () => {
+  await withCluster(async cluster => {
+    for (const [index, value] of oddEntries(60).entries()) cluster.store.put(`servers/odd-${index}`, value)
+    await assertWorks(cluster, 'after the entries')
+    for (let lists = 0; lists < 2; lists++) {
+      cluster.store.discardHistory()
+      await assertWorks(cluster, `after list ${lists}`)
+    }
+    assert.is(cluster.countLines('event=entry-unusable key=servers/odd-0'), cluster.nodes.length, 'lines of one entry')
+  })
+})
+
 // Guards against a node that ends, or follows no later version, after a configuration whose version is too large (issue 29).
 test('after configurations whose version is too large, nodes serve requests and follow changes', async () => {
   await withCluster(async cluster => {
--- a/packages/sidecar/test/odd-entries.test.ts
+++ b/packages/sidecar/test/odd-entries.test.ts
@@ -3,17 +3,22 @@
 import { isIPv4 } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { deflateRawSync } from 'node:zlib'
-import { Clock } from 'auburnturn/core/clock'
+import { Clock, ManualClock } from 'auburnturn/core/clock'
+import { Logger } from 'auburnturn/core/logger'
+import { Random } from 'auburnturn/core/random'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { CurrentConfiguration } from '../src/core/configuration/index.js'
 import type { Configuration } from '../src/core/configuration/index.js'
 import { maxDurationMs, maxInteger, maxSlots, parseJson } from '../src/core/decoding/index.js'
 import { BodyMemory } from '../src/core/exchange/index.js'
-import { decodeSharedConfiguration, decodeSharedState } from '../src/core/following/index.js'
+import { applyChanges, decodeSharedConfiguration, decodeSharedState, UnusableEntries } from '../src/core/following/index.js'
 import type { Change, StoreAnswer } from '../src/core/following/index.js'
+import { AnnouncementFilter } from '../src/core/following/announcement-filter.js'
 import { compressJson, decompressJson } from '../src/core/forwarding/compression.js'
 import { decodeMessage } from '../src/core/reports/index.js'
 import { decodeChangesNotice, encodeChangesNotice } from '../src/core/readers/index.js'
+import { Directory } from '../src/core/targets/index.js'
 import type { ListedTarget } from '../src/core/targets/index.js'
 import { decodeConfiguration, decodeTarget, HttpStoreClient, parseSettings } from '../src/platform/index.js'
 import { anyJsonText, oddAddresses, oddChanges, oddDatagrams, oddEntries, oddJsonTexts, oddPages, replaceValues, seed, validEntry } from './fixtures/odd-values.js'
@@ -202,4 +207,33 @@
   assert.equal(decodeChangesNotice(encodeChangesNotice(few) ?? Buffer.alloc(0)), few)
 })
 
+const unusable: Change = { kind: 'unusable', key: 'servers/i-1', id: 'i-1' }
+
+// Guards against a log that is filled by one odd entry, which is read with each list and written every second (issue 29).
+test('an entry that can not be used is logged once, until it is usable or removed', () => {
+  const lines: string[] = []
+  const clock = ManualClock.create()
+  const context = { directory: Directory.create({ clock }), configuration: CurrentConfiguration.create({ random: Random.create(1) }), unusableEntries: UnusableEntries.create(), logger: Logger.create('warn', line => { lines.push(line) }) }
+  const countLines = (changes: readonly Change[], fullList: boolean): number => {
+    lines.length = 0
+    applyChanges(changes, fullList, context)
+    return lines.length
+  }
+  const unusableConfiguration: Change = { kind: 'unusable', key: 'op/config', id: undefined }
+  assert.equal([countLines([unusable, unusableConfiguration], true), countLines([unusable, unusableConfiguration], true), countLines([unusable, unusable], false)], [2, 0, 0])
+  assert.equal([countLines([{ kind: 'target', target: validTarget }], false), countLines([unusable], false), countLines([{ kind: 'gone', id: 'i-1' }], false), countLines([unusable], false)], [0, 1, 0, 1])
+  assert.equal([countLines([], true), countLines([unusable], true)], [0, 1])
+  const configuration: Change = { kind: 'configuration', configuration: { version: 1, routes: [], services: [], limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } } }
+  assert.equal([countLines([unusableConfiguration], false), countLines([configuration], false), countLines([unusableConfiguration], false)], [1, 0, 1])
+  const many = Array.from({ length: 12_000 }, (_, index): Change => ({ kind: 'unusable', key: `servers/odd-${index}`, id: `odd-${index}` }))
+  assert.is(countLines(many, false), many.length)
+})
+
+// Guards against notices to all nodes each time that an odd entry is written (issue 29).
+test('an entry that can not be used is announced to other nodes once, until it is usable or removed', () => {
+  const filter = AnnouncementFilter.create()
+  const announces = (change: Change): boolean => filter.select([change], 1, 2) !== undefined
+  assert.equal([unusable, unusable, { kind: 'target', target: validTarget } as const, unusable, { kind: 'gone', id: 'i-1' } as const, unusable].map(announces), [true, false, true, true, true, true])
+})
+
 test.run()
