--- a/packages/sidecar/src/core/following/unusable-entries.ts
+++ b/packages/sidecar/src/core/following/unusable-entries.ts
@@ -1,5 +1,5 @@
+import type { Change } from '../store/index.js'
 import { maxUnusableEntries } from './constants.js'
-import type { Change } from './types.js'
 
 /**
  * Remembers which entries can't be used, so that each is logged once: until a usable entry takes its place, or it is removed. An odd
--- a/packages/sidecar/src/core/readers/codec.ts
+++ b/packages/sidecar/src/core/readers/codec.ts
@@ -1,6 +1,6 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import { asInteger, asJsonObject, asText, parseJson } from '../decoding/index.js'
-import { decodeSharedChanges } from '../following/decode-shared-state.js'
+import { decodeSharedChanges } from '../store/index.js'
 import type { ChangesNotice, ReaderNotice, ReaderState } from './types.js'
 
 /** Message type in the first byte of each datagram. Lower values are reports, see `reports/codec.ts`. */
--- a/packages/sidecar/src/platform/http-store-client.ts
+++ b/packages/sidecar/src/platform/http-store-client.ts
@@ -4,7 +4,7 @@
 import type { JsonObject } from '../core/decoding/index.js'
 import { ConnectionPool, exchange } from '../core/exchange/index.js'
 import type { BodyMemory, ExchangeResult } from '../core/exchange/index.js'
-import type { Change, StoreClient, StoreAnswer } from '../core/following/index.js'
+import type { Change, StoreAnswer, StoreClient } from '../core/store/index.js'
 import { configurationKey, decodeConfiguration } from './configuration.js'
 import { decodeTarget, targetKeyPrefix } from './targets.js'
 
