--- a/packages/sidecar/src/core/store/index.ts
+++ b/packages/sidecar/src/core/store/index.ts
@@ -1,2 +1,3 @@
 /** The platform's store as a node reads it: its entries, their changes, and the client. */
+export { decodeSharedChanges, decodeSharedConfiguration, decodeSharedTarget } from './decode-shared.js'
 export type { Change, StoreAnswer, StoreClient } from './types.js'
