--- a/packages/sidecar/src/platform/http-store-client.ts
+++ b/packages/sidecar/src/platform/http-store-client.ts
@@ -3,7 +3,7 @@
 import type { Configuration } from '../core/configuration/index.js'
 import { ConnectionPool, exchange } from '../core/exchange/index.js'
 import type { BodyMemory, ExchangeResult } from '../core/exchange/index.js'
-import type { Change, StoreClient, StoreAnswer } from '../core/following/index.js'
+import type { Change, StoreAnswer, StoreClient } from '../core/store/index.js'
 import { configurationKey, decodeConfiguration } from './configuration.js'
 import { asJsonObject, parseJson, asNonEmptyString } from './json-values.js'
 import type { JsonObject } from './json-values.js'
--- a/packages/sidecar/test/attribution-store.test.ts
+++ b/packages/sidecar/test/attribution-store.test.ts
@@ -7,7 +7,7 @@
 import { isEarly, isListPage, isWatchPage } from '../src/core/attribution/index.js'
 import type { ListPage, WatchPage } from '../src/core/attribution/index.js'
 import { BodyMemory } from '../src/core/exchange/index.js'
-import type { StoreAnswer } from '../src/core/following/index.js'
+import type { StoreAnswer } from '../src/core/store/index.js'
 import { HttpStoreClient } from '../src/platform/index.js'
 import { MisplacingProxy } from './fixtures/misplacing-proxy.js'
 
