Believe the answer to a health check only if it can be that of the check

What callers would see: a sound target gets nothing for a while, because it counts as draining, slow, small or replaced; or one in trouble goes on getting requests. Cause: whatever answer came next on the connection of the checks set the incarnation, the load, the demands and the health of the target. A target that writes an answer twice, or the answer to a request on that connection, sets them from another time. Ruled out: one answer behind for ever. Bytes on an idle connection are dropped by Node's agent, and the repeated answer is refused now. Not detected: an earlier answer of a target that repeats no id on the path of its checks, when it comes between a check and its answer. Change: a check carries an id of its own, 16 hexadecimal digits, in the header of an attempt's id. An answer with an id needs this one; one without needs the target's id if it is successful, and no seal. Any other changes nothing, not even the count of unanswered checks, and its connection is closed.

--- a/packages/bench/src/scene/scene-node.ts
+++ b/packages/bench/src/scene/scene-node.ts
@@ -1,7 +1,7 @@
 import { Cancellation } from 'auburnturn/core/clock'
 import { Logger } from 'auburnturn/core/logger'
 import { Metrics } from 'auburnturn/core/metrics'
-import type { Random } from 'auburnturn/core/random'
+import { Random } from 'auburnturn/core/random'
 import { BodyMemory } from 'auburnturn-sidecar/core/exchange'
 import type { ExchangeOptions, ExchangeResult } from 'auburnturn-sidecar/core/exchange'
 import { Forwarder } from 'auburnturn-sidecar/core/forwarding'
@@ -28,6 +28,9 @@
 /** Retries that a service allows: a share of its requests, and a number besides. */
 const retryBudget = { ratio: 0.2, allowance: 58 }
 
+/** Seed of the ids of health checks; it is apart from that of the scene, whose figures they don't change. */
+const checkIdSeed = 1
+
 const emptyBody = Buffer.alloc(0)
 
 /** What the nodes of a scene share. */
@@ -76,7 +79,7 @@
     const exchange = async (sent: ExchangeOptions): Promise<ExchangeResult> => await this.exchange(sent)
     const loadMonitor = { refresh: async () => { await this.prober.refresh() }, useShortInterval: () => { this.prober.useShortInterval() } }
     this.ownTarget = OwnTarget.create({ address: `${ip}:1`, service: target.group.service, failureDomain, clock, memory, logger, metrics, protocol, directory, loadMonitor, exchange, onChange: () => { this.reporter?.reportChanges() } })
-    this.prober = Prober.create({ address: `${ip}:1`, clock, memory, protocol, target: this.ownTarget, exchange, healthPath: () => '/health', probesPerSecond: () => probesPerSecond, onFailure: error => { throw error } })
+    this.prober = Prober.create({ address: `${ip}:1`, clock, random: Random.create(checkIdSeed), memory, protocol, target: this.ownTarget, exchange, healthPath: () => '/health', probesPerSecond: () => probesPerSecond, onFailure: error => { throw error } })
     this.reporter = Reporter.create({
       clock,
       describe: () => ({ kind: 'full', target: this.ownTarget.describe(), configurationVersion: 1 }),
@@ -147,8 +150,8 @@
     const { time, runAtTarget } = this.options
     await time.clock.sleep(exchangeMs)
     if (this.down) return { kind: 'unsent', cause: 'connect-failed' }
-    if (path === '/health') return this.answer(200, 'health')
-    const id = headers[1] as string
+    const id = headers.at(-1) as string
+    if (path === '/health') return this.answer(200, id)
     const result = await runAtTarget(this, id, time.now() + timeoutMs)
     switch (result) {
       case 'done': return this.answer(200, id)
@@ -171,6 +174,7 @@
   readRequest: () => ({ id: '', timeoutMs: undefined }),
   filterRequest: headers => [...headers],
   writeRequest: (_headers, { id }) => ['id', id],
+  writeHealthCheck: id => ['id', id],
   readAnswer: (status, headers): AnswerHead => {
     const [id = '', targetId = '', ...figures] = headers
     const [running = 0, waiting = 0, slots = 1, slowness = 1, rateLimit = 'none'] = figures.map(Number)
--- a/packages/sidecar/src/core/attribution/index.ts
+++ b/packages/sidecar/src/core/attribution/index.ts
@@ -2,6 +2,7 @@
 export { CallNumbers } from './call-numbers.js'
 export { DatagramOrder, DatagramStamps, readStamp, stampBytes } from './datagram.js'
 export { attributeAnswer, markAnswer, numberCall, readCall } from './frame.js'
+export { CheckIds, isHealthAnswer } from './health-answer.js'
 export { formatRead, formatReadAnswer, isReadAnswer, parseRead } from './state-answer.js'
 export type { DatagramStamp } from './datagram.js'
 export type { CallMark } from './frame.js'
--- a/packages/sidecar/src/core/own-target/prober.ts
+++ b/packages/sidecar/src/core/own-target/prober.ts
@@ -1,5 +1,7 @@
 import { Cancellation } from 'auburnturn/core/clock'
 import type { Clock } from 'auburnturn/core/clock'
+import type { Random } from 'auburnturn/core/random'
+import { CheckIds, isHealthAnswer } from '../attribution/index.js'
 import { ConnectionPool, exchange } from '../exchange/index.js'
 import type { BodyMemory, Exchange } from '../exchange/index.js'
 import type { Protocol } from '../requests/index.js'
@@ -10,6 +12,7 @@
 export class Prober {
   private readonly options: ProberOptions
   private readonly connections: ConnectionPool
+  private readonly checkIds: CheckIds
   private unansweredProbes = 0
   private lastProbeAt = -Infinity
   private probeInFlight: Promise<void> | undefined
@@ -19,6 +22,7 @@
 
   private constructor (options: ProberOptions) {
     this.options = options
+    this.checkIds = CheckIds.create(options)
     this.connections = ConnectionPool.create({ address: options.address, limit: 1, clock: options.clock, memory: options.memory })
   }
 
@@ -91,10 +95,25 @@
 
   private async probe (path: string): Promise<void> {
     const { clock, target, protocol, address } = this.options
+    const id = this.checkIds.next()
+    let foreign = false
     this.lastProbeAt = clock.now()
     const result = await (this.options.exchange ?? exchange)({
-      connections: this.connections, clock, method: 'GET', path, headers: ['host', address], body: Buffer.alloc(0), connectMs: connectTimeoutMs, timeoutMs: probeTimeoutMs
+      connections: this.connections,
+      clock,
+      method: 'GET',
+      path,
+      headers: ['host', address, ...protocol.writeHealthCheck(id)],
+      body: Buffer.alloc(0),
+      connectMs: connectTimeoutMs,
+      timeoutMs: probeTimeoutMs,
+      matchesRequest: (status, headers) => {
+        foreign = !isHealthAnswer(id, status, protocol.readAnswer(status, headers))
+        return !foreign
+      }
     })
+    // The answer to another check or to a request shows neither the state of the target nor that it does not answer.
+    if (foreign) return
     if (result.kind === 'answer') {
       this.unansweredProbes = 0
       target.recordHealthCheck(result.status === 200, protocol.readAnswer(result.status, result.headers))
@@ -111,6 +130,8 @@
   /** `IP:PORT`. */
   readonly address: string
   readonly clock: Clock
+  /** Chooses the ids of the checks. */
+  readonly random: Random
   readonly memory: BodyMemory
   readonly protocol: Protocol
   readonly target: OwnTarget
--- a/packages/sidecar/src/core/requests/protocol.ts
+++ b/packages/sidecar/src/core/requests/protocol.ts
@@ -9,6 +9,8 @@
   filterRequest (headers: Headers): string[]
   /** Adds the headers that a target expects to those that are forwarded. */
   writeRequest (headers: Headers, head: TargetRequestHead): string[]
+  /** Returns the headers of a health check with an id of its own. */
+  writeHealthCheck (id: string): string[]
   readAnswer (status: number, headers: Headers): AnswerHead
   /** Returns the answer headers for the caller: without hop-by-hop headers, the length and the load. */
   filterAnswer (headers: Headers): string[]
--- a/packages/sidecar/src/node.ts
+++ b/packages/sidecar/src/node.ts
@@ -335,8 +335,8 @@
   }
 
   private startProber (onFailure: (error: unknown) => void): Part {
-    const { clock, target, configuration, settings: { upstream, service } } = this
-    this.prober = Prober.create({ address: upstream, clock, memory: this.memory, protocol, target, healthPath: () => configuration.findService(service)?.healthPath, probesPerSecond: () => this.settings.bounds.probesPerSecond, onFailure })
+    const { clock, random, target, configuration, settings: { upstream, service } } = this
+    this.prober = Prober.create({ address: upstream, clock, random, memory: this.memory, protocol, target, healthPath: () => configuration.findService(service)?.healthPath, probesPerSecond: () => this.settings.bounds.probesPerSecond, onFailure })
     const { prober } = this
     return { close: async () => { prober.close() } }
   }
--- a/packages/sidecar/src/platform/protocol.ts
+++ b/packages/sidecar/src/platform/protocol.ts
@@ -37,7 +37,7 @@
 const unforwardedAnswerHeaders = new Set<string>(['content-length', headerNames.serverLoad])
 
 /** Reads and writes the headers of the platform. */
-export const protocol: Protocol = { readRequest, filterRequest, writeRequest, readAnswer, filterAnswer }
+export const protocol: Protocol = { readRequest, filterRequest, writeRequest, writeHealthCheck, readAnswer, filterAnswer }
 
 function readRequest (headers: Headers): RequestHead {
   const timeoutMs = Number(findHeader(headers, headerNames.timeoutMs) ?? Number.NaN)
@@ -56,6 +56,10 @@
   return [...headers, headerNames.timeoutMs, remainingMs, headerNames.expectedTarget, target, headerNames.callerService, caller]
 }
 
+function writeHealthCheck (id: string): string[] {
+  return [headerNames.attemptId, id]
+}
+
 function readAnswer (status: number, headers: Headers): AnswerHead {
   return {
     id: findHeader(headers, headerNames.attemptId) ?? '',
--- a/packages/sidecar/test/prober.test.ts
+++ b/packages/sidecar/test/prober.test.ts
@@ -1,6 +1,7 @@
 import { Cancellation, ManualClock } from 'auburnturn/core/clock'
 import { Logger } from 'auburnturn/core/logger'
 import { Metrics } from 'auburnturn/core/metrics'
+import { Random } from 'auburnturn/core/random'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { BodyMemory } from '../src/core/exchange/index.js'
@@ -92,6 +93,7 @@
     this.prober = Prober.create({
       address: server.address,
       clock,
+      random: Random.create(1),
       memory: this.memory,
       protocol,
       target: this.ownTarget,
