Wait for a listening server in one place

Cause: three HTTP servers of the sidecar had the same line that waits until a server listens or fails to.

--- a/packages/sidecar/src/core/listening/open-server.ts
+++ b/packages/sidecar/src/core/listening/open-server.ts
@@ -3,6 +3,7 @@
 import type { Logger } from 'auburnturn/core/logger'
 import { parseHost, parsePort } from './address.js'
 import type { InFlightRequests } from './in-flight-requests.js'
+import { listen } from './listen.js'
 
 /** Maximum size of a request head, in bytes; the configuration may set a lower limit. */
 const maxRequestHeadBytes = 65_536
@@ -18,7 +19,7 @@
       response.destroy()
     })
   })
-  await new Promise<void>((resolve, reject) => { server.once('error', reject).listen(parsePort(address), parseHost(address), resolve) })
+  await listen(server, parseHost(address), parsePort(address))
   return server
 }
 
--- a/packages/sidecar/src/core/metrics/metrics-server.ts
+++ b/packages/sidecar/src/core/metrics/metrics-server.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
 import type { Metrics } from 'auburnturn/core/metrics'
-import { closeServer } from '../listening/index.js'
+import { closeServer, listen } from '../listening/index.js'
 
 /** Path that serves the state of the node as JSON. */
 const dumpPath = '/dump'
@@ -21,7 +21,7 @@
       if (request.url !== path) return response.writeHead(404, { 'content-length': 0 }).end()
       return response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(metrics.format())
     })
-    await new Promise<void>((resolve, reject) => { server.once('error', reject).listen(port, ip, resolve) })
+    await listen(server, ip, port)
     return new MetricsServer(server)
   }
 
--- a/packages/sidecar/src/platform/readiness.ts
+++ b/packages/sidecar/src/platform/readiness.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
-import { closeServer } from '../core/listening/index.js'
+import { closeServer, listen } from '../core/listening/index.js'
 
 /** Path that the platform requests for its readiness check. */
 const readinessPath = '/api/ready'
@@ -20,7 +20,7 @@
       const status = request.url !== readinessPath ? 404 : isReady() ? 200 : 503
       response.writeHead(status, { 'content-length': 0 }).end()
     })
-    await new Promise<void>((resolve, reject) => { server.once('error', reject).listen(port, ip, resolve) })
+    await listen(server, ip, port)
     return new ReadinessServer(server)
   }
 
