Create what several tests of the sidecar use in one place each

Cause: two test files had the same listed target, the test of the forwarder its own copy of the request fixture, 16 places of the rate limit tests the same two lines, and two tests of readers the same five lines. Change: fixtures/create-listed-target; the forwarder's test uses fixtures/create-job; LimitedTarget.demand states the headers in a health check, as the two lines did; createReadingElection in readers.test. No assertion, bound or seed is changed. The request of the forwarder's test now has the id r-1 and the path /pages/ in place of r and /; no check reads them. Conclusion: the tests check what they checked.

--- a/packages/sidecar/test/following.test.ts
+++ b/packages/sidecar/test/following.test.ts
@@ -10,6 +10,7 @@
 import { ReaderElection } from '../src/core/readers/index.js'
 import type { Change, StoreAnswer } from '../src/core/store/index.js'
 import type { ListedTarget } from '../src/core/targets/index.js'
+import { createListedTarget } from './fixtures/create-listed-target.js'
 
 const test = suite('following')
 
@@ -20,7 +21,7 @@
 }
 
 function createTarget (id: string, changes: Partial<ListedTarget> = {}): Change {
-  return { kind: 'target', target: { id, service: 'shop', address: '10.0.0.1:80', ip: '10.0.0.1', failureDomain: 'a', slots: 10, state: 'ready', coldMs: 0, ...changes } }
+  return { kind: 'target', target: createListedTarget(id, changes) }
 }
 
 /**
--- a/packages/sidecar/test/forwarder.test.ts
+++ b/packages/sidecar/test/forwarder.test.ts
@@ -10,6 +10,8 @@
 import { notRun } from '../src/core/requests/index.js'
 import type { Job, Outcome } from '../src/core/requests/index.js'
 import { Directory } from '../src/core/targets/index.js'
+import { createJob } from './fixtures/create-job.js'
+import { createListedTarget } from './fixtures/create-listed-target.js'
 
 const test = suite('forwarder')
 
@@ -17,17 +19,12 @@
 
 const answer: Outcome = { kind: 'answer', status: 200, headers: [], body: Buffer.alloc(0) }
 
-function createJob (clock: ManualClock): Job {
-  const now = clock.now()
-  return { id: 'r', method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), route: route.name, service: 'shop', caller: 'shop', idempotent: true, objectiveMs: 600, priority: 1, mayWait: false, objectiveAt: now + 600, deadlineAt: now + 2_000 }
-}
-
 /** Forwards one request in a deployment of `targets` targets on other VMs, whose nodes answer with `serve`. */
 async function forward (targets: number, serve: (job: Job, target: string) => Outcome): Promise<{ outcome: Outcome, offers: string[] }> {
   const clock = ManualClock.create()
   const directory = Directory.create({ clock })
   for (let index = 1; index <= targets; index++) {
-    directory.put({ id: `i-${index}`, service: 'shop', address: `10.0.0.${index}:1`, ip: `10.0.0.${index}`, failureDomain: 'a', slots: 8, state: 'ready', coldMs: 0 })
+    directory.put(createListedTarget(`i-${index}`, { address: `10.0.0.${index}:1`, ip: `10.0.0.${index}`, slots: 8 }))
   }
   const offers: string[] = []
   const forwarder = Forwarder.create({
@@ -48,7 +45,8 @@
     onShortage: () => {},
     retryBudget: () => ({ ratio: 0.2, allowance: 58, nodes: 1 })
   })
-  return { outcome: await forwarder.run(createJob(clock), route, Cancellation.create()), offers }
+  const job = createJob(clock.now(), { service: 'shop', caller: 'shop', mayWait: false })
+  return { outcome: await forwarder.run(job, route, Cancellation.create()), offers }
 }
 
 test('targets that turn slow: the last attempt may wait for the usual speed, so that the request is not refused', async () => {
--- a/packages/sidecar/test/rate-limit.test.ts
+++ b/packages/sidecar/test/rate-limit.test.ts
@@ -37,8 +37,7 @@
 test('a target that names a limit gets no more than that from all nodes together, and nearly all of it', async () => {
   const clock = ManualClock.create()
   const target = LimitedTarget.create(clock)
-  target.demands = ['Server-Limit', '10.5']
-  target.checkHealth()
+  target.demand('Server-Limit', '10.5')
   await sendSteadily(target, clock, { perSecond: 60, forMs: 12_000 })
   assert.ok(target.countMostWithin(windowMs) <= 10.5 * 4 + 1, String(target.countMostWithin(windowMs)))
   assert.ok(target.arrivedAt.length >= 10.5 * 12 * 0.95, String(target.arrivedAt.length))
@@ -49,8 +48,7 @@
   for (const name of ['restart', 'freeze']) {
     const clock = ManualClock.create()
     const target = LimitedTarget.create(clock)
-    target.demands = ['Server-Limit', '10']
-    target.checkHealth()
+    target.demand('Server-Limit', '10')
     await sendSteadily(target, clock, {
       perSecond: 60,
       forMs: 10_000,
@@ -67,10 +65,8 @@
 test('a limit binds for as long as the target names it: the first answer without it ends it', async () => {
   const clock = ManualClock.create()
   const target = LimitedTarget.create(clock)
-  target.demands = ['Server-Limit', '5']
-  target.checkHealth()
-  target.demands = []
-  target.checkHealth()
+  target.demand('Server-Limit', '5')
+  target.demand()
   const outcomes = await sendSteadily(target, clock, { perSecond: 60, forMs: 2_000 })
   assert.is(outcomes.filter(outcome => outcome === 'answer').length, 120)
 })
@@ -79,13 +75,10 @@
   test(`a limit of '${value}' is no number of requests and changes nothing, with or without a limit before`, async () => {
     const clock = ManualClock.create()
     const target = LimitedTarget.create(clock)
-    target.demands = ['Server-Limit', value]
-    target.checkHealth()
+    target.demand('Server-Limit', value)
     assert.is(target.ownTarget.rateLimit.perSecond, Infinity)
-    target.demands = ['Server-Limit', '5']
-    target.checkHealth()
-    target.demands = ['Server-Limit', value]
-    target.checkHealth()
+    target.demand('Server-Limit', '5')
+    target.demand('Server-Limit', value)
     assert.is(target.ownTarget.rateLimit.perSecond, 5)
   })
 }
@@ -93,13 +86,11 @@
 test('a target that takes no requests gets none, is refused at once, and is used again when it names no limit', async () => {
   const clock = ManualClock.create()
   const target = LimitedTarget.create(clock)
-  target.demands = ['Server-Limit', '0']
-  target.checkHealth()
+  target.demand('Server-Limit', '0')
   const outcome = await target.send()
   assert.is(describe(outcome), 'rate-limited')
   assert.ok(outcome.kind === 'not-run' && Number.isFinite(outcome.retryAfterMs))
-  target.demands = []
-  target.checkHealth()
+  target.demand()
   const served = target.send()
   await clock.advance(200)
   assert.is(describe(await served), 'answer')
@@ -108,8 +99,7 @@
 test('a request that could go to another target is refused at once, others wait only if they meet their objective', async () => {
   const clock = ManualClock.create()
   const target = LimitedTarget.create(clock)
-  target.demands = ['Server-Limit', '4']
-  target.checkHealth()
+  target.demand('Server-Limit', '4')
   assert.is(describe(await target.send({ mayWait: false })), 'rate-limited')
   const waiting = target.send()
   assert.is(describe(await target.send()), 'rate-limited')
@@ -121,8 +111,7 @@
 test('a queued request that a more urgent one makes too late is refused at once', async () => {
   const clock = ManualClock.create()
   const target = LimitedTarget.create(clock)
-  target.demands = ['Server-Limit', '4']
-  target.checkHealth()
+  target.demand('Server-Limit', '4')
   let passed: string | undefined
   target.send({ priority: 2 }).then(outcome => { passed = describe(outcome) }, assert.unreachable)
   await clock.advance(50)
@@ -136,8 +125,7 @@
 test('Retry-After of a refusal is when the limit lets the request through', async () => {
   const clock = ManualClock.create()
   const target = LimitedTarget.create(clock)
-  target.demands = ['Server-Limit', '2']
-  target.checkHealth()
+  target.demand('Server-Limit', '2')
   const refused = await target.send({ objectiveAt: 10 })
   assert.ok(refused.kind === 'not-run' && refused.cause === 'rate-limited')
   assert.is(Math.round(refused.retryAfterMs), 500)
@@ -150,8 +138,7 @@
 test('logs and metrics tell which limit bound, how long it has been named, and what it did with requests', async () => {
   const clock = ManualClock.create()
   const target = LimitedTarget.create(clock)
-  target.demands = ['Server-Limit', '4']
-  target.checkHealth()
+  target.demand('Server-Limit', '4')
   await clock.advance(1_000)
   for (let count = 0; count < 4; count++) target.send().catch(assert.unreachable)
   await target.send({ mayWait: false })
@@ -166,14 +153,12 @@
 test('a target that announces in an answer that it drains gets nothing more, also after a restart of its node', async () => {
   const clock = ManualClock.create()
   const target = LimitedTarget.create(clock)
-  target.demands = ['Server-Leaving', '1']
-  target.checkHealth()
+  target.demand('Server-Leaving', '1')
   assert.is(target.ownTarget.describe().state, 'closing')
   target.restartNode()
   assert.is(describe(await target.send()), 'closed')
   // An answer that it made earlier may arrive later.
-  target.demands = []
-  target.checkHealth()
+  target.demand()
   assert.is(describe(await target.send()), 'closed')
   assert.is(target.arrivedAt.length, 0)
 })
@@ -181,8 +166,7 @@
 for (const value of ['', '0', 'yes', '1, 1']) {
   test(`Server-Leaving: ${value} does not announce that a target drains`, () => {
     const target = LimitedTarget.create(ManualClock.create())
-    target.demands = ['Server-Leaving', value]
-    target.checkHealth()
+    target.demand('Server-Leaving', value)
     assert.is(target.ownTarget.describe().state, 'up')
   })
 }
--- a/packages/sidecar/test/readers.test.ts
+++ b/packages/sidecar/test/readers.test.ts
@@ -239,14 +239,20 @@
   assert.is(decodeChangesNotice(datagram), undefined)
 })
 
-test('a store without changes counts as answering until a call fails', async () => {
-  const clock = ManualClock.create()
-  const readingTimes: number[] = []
+/** Creates the election of a node without other readers, which the store answers. */
+async function createReadingElection (clock: ManualClock): Promise<ReaderElection> {
   const election = ReaderElection.create({ clock, random: Random.create(1), logger: Logger.createSilent(), ip: '10.0.0.1', failureDomain: 'a', domainCount: () => 1, isDiscovered: () => true, domainPeers: () => ['10.0.0.2'], onStateChange: () => {} })
   election.update()
   await clock.advance(400)
   election.update()
   election.recordCall(true)
+  return election
+}
+
+test('a store without changes counts as answering until a call fails', async () => {
+  const clock = ManualClock.create()
+  const readingTimes: number[] = []
+  const election = await createReadingElection(clock)
   const announcer = Announcer.create({ clock, election, failureDomain: 'a', configurationVersion: () => 4, otherAddresses: () => [], send: () => {}, onReading: () => { readingTimes.push(clock.now()) } })
   await clock.advance(2_400)
   assert.is(readingTimes.length, 5)
@@ -259,11 +265,7 @@
 test('changes that do not fit in a datagram are announced by their revision only', async () => {
   const clock = ManualClock.create()
   const sent: Buffer[] = []
-  const election = ReaderElection.create({ clock, random: Random.create(1), logger: Logger.createSilent(), ip: '10.0.0.1', failureDomain: 'a', domainCount: () => 1, isDiscovered: () => true, domainPeers: () => ['10.0.0.2'], onStateChange: () => {} })
-  election.update()
-  await clock.advance(400)
-  election.update()
-  election.recordCall(true)
+  const election = await createReadingElection(clock)
   const announcer = Announcer.create({ clock, election, failureDomain: 'a', configurationVersion: () => 4, otherAddresses: () => ['10.0.0.2'], send: bytes => { sent.push(bytes) }, onReading: () => {} })
   const random = Random.create(5)
   // Random ids compress poorly.
--- a/packages/sidecar/test/targets.test.ts
+++ b/packages/sidecar/test/targets.test.ts
@@ -4,7 +4,8 @@
 import * as assert from 'uvu/assert'
 import { unlimited } from '../src/core/rate-limit/index.js'
 import { chooseTarget, findAvoidedTarget, Directory, FailureRate } from '../src/core/targets/index.js'
-import type { Candidate, ListedTarget, TargetReport } from '../src/core/targets/index.js'
+import type { Candidate, TargetReport } from '../src/core/targets/index.js'
+import { createListedTarget } from './fixtures/create-listed-target.js'
 
 const test = suite('targets')
 
@@ -59,10 +60,6 @@
   assert.ok(failureRate.read(10_000) < 0.05)
 })
 
-function createListed (id: string, changes: Partial<ListedTarget> = {}): ListedTarget {
-  return { id, service: 'shop', address: '10.0.0.1:80', ip: '10.0.0.1', failureDomain: 'a', slots: 10, state: 'ready', coldMs: 0, ...changes }
-}
-
 function createReport (id: string, changes: Partial<TargetReport> = {}): TargetReport {
   return { id, service: 'shop', failureDomain: 'a', state: 'up', fresh: false, running: 0, waiting: 0, limit: 8, slowness: 1, failures: 0, rateLimit: unlimited, rateAllowance: unlimited, ...changes }
 }
@@ -73,18 +70,18 @@
 
 test('power cut: a listed target of an earlier incarnation is replaced by the one that the node reports', () => {
   const directory = Directory.create({ clock: ManualClock.create() })
-  directory.put(createListed('old'))
+  directory.put(createListedTarget('old'))
   directory.recordReport('10.0.0.1', createReport('new', { fresh: true }))
   assert.equal(findCandidateIds(directory), ['new'])
-  directory.put(createListed('new'))
+  directory.put(createListedTarget('new'))
   directory.recordReport('10.0.0.1', createReport('new'))
   assert.equal(findCandidateIds(directory), ['new'])
 })
 
 test('a draining target is not chosen, nor again because of a later report once it is removed', () => {
   const directory = Directory.create({ clock: ManualClock.create() })
-  directory.put(createListed('one'))
-  directory.put(createListed('one', { state: 'draining' }))
+  directory.put(createListedTarget('one'))
+  directory.put(createListedTarget('one', { state: 'draining' }))
   directory.recordReport('10.0.0.1', createReport('one'))
   assert.equal(findCandidateIds(directory), [])
   directory.remove('one')
@@ -106,7 +103,7 @@
   const clock = ManualClock.create()
   const directory = Directory.create({ clock })
   directory.recordListResponse()
-  directory.put(createListed('missing'))
+  directory.put(createListedTarget('missing'))
   await clock.advance(8_000)
   directory.recordListResponse()
   directory.remove('missing')
@@ -119,8 +116,8 @@
   const clock = ManualClock.create()
   const directory = Directory.create({ clock })
   directory.recordListResponse()
-  directory.put(createListed('missing'))
-  directory.put(createListed('kept', { address: '10.0.0.2:80', ip: '10.0.0.2' }))
+  directory.put(createListedTarget('missing'))
+  directory.put(createListedTarget('kept', { address: '10.0.0.2:80', ip: '10.0.0.2' }))
   await clock.advance(8_000)
   directory.recordListResponse()
   directory.remove('missing')
@@ -133,7 +130,7 @@
   const directory = Directory.create({ clock })
   for (let second = 0; second < 5; second++) {
     directory.recordListResponse()
-    directory.put(createListed('one'))
+    directory.put(createListedTarget('one'))
     await clock.advance(1_000)
   }
   directory.remove('one')
@@ -142,7 +139,7 @@
 
 test('an address that another service uses now yields only the target of that service', () => {
   const directory = Directory.create({ clock: ManualClock.create() })
-  directory.put(createListed('old'))
+  directory.put(createListedTarget('old'))
   directory.recordReport('10.0.0.1', createReport('next', { service: 'stock', fresh: true }))
   assert.equal(findCandidateIds(directory), [])
   assert.equal(directory.findCandidates('stock').map(({ id }) => id), ['next'])
@@ -150,7 +147,7 @@
 
 test('requests started after a report are added to its running count', () => {
   const directory = Directory.create({ clock: ManualClock.create() })
-  directory.put(createListed('one'))
+  directory.put(createListedTarget('one'))
   directory.recordReport('10.0.0.1', createReport('one', { running: 3 }))
   directory.recordRequestStart('one')
   directory.recordRequestStart('one')
