--- a/packages/sidecar/src/node/messaging.ts
+++ b/packages/sidecar/src/node/messaging.ts
@@ -1,5 +1,6 @@
 import type { Clock } from 'auburnturn/core/clock'
 import type { Logger } from 'auburnturn/core/logger'
+import type { Random } from 'auburnturn/core/random'
 import { Announcer } from '../core/readers/index.js'
 import type { ReaderElection } from '../core/readers/index.js'
 import { DatagramTransport, Reporter, Subscriber } from '../core/reports/index.js'
@@ -47,8 +48,8 @@
 
   /** Resolves when the socket is bound. */
   static async create (options: MessagingOptions): Promise<Messaging> {
-    const { ip, port, logger, onMessage } = options
-    const transport = await DatagramTransport.create({ ip, port, logger, onMessage })
+    const { ip, port, clock, random, logger, onMessage } = options
+    const transport = await DatagramTransport.create({ ip, port, clock, random, logger, onMessage })
     return new Messaging(transport, options)
   }
 
@@ -66,6 +67,7 @@
   readonly port: number
   readonly failureDomain: string
   readonly clock: Clock
+  readonly random: Random
   readonly logger: Logger
   readonly election: ReaderElection
   readonly state: LocalState
--- a/packages/sidecar/src/node/node.ts
+++ b/packages/sidecar/src/node/node.ts
@@ -26,6 +26,7 @@
 export class Node {
   private settings: Settings
   private readonly clock: Clock
+  private readonly random: Random
   private readonly logger: Logger
   private readonly metrics: Metrics
   private readonly memory: BodyMemory
@@ -44,6 +45,7 @@
     const { ip, failureDomain, upstream } = settings
     this.settings = settings
     this.clock = clock
+    this.random = random
     this.logger = logger
     this.metrics = Metrics.create({ clock })
     this.memory = BodyMemory.create({ maxBytes: settings.memoryMb * bytesPerMegabyte * bodyMemoryShare })
@@ -148,7 +150,7 @@
   }
 
   private async startMessaging (ip: string): Promise<Messaging> {
-    const { clock, logger, state, subscribers, storeSync, requestPath, settings: { internalPorts, failureDomain } } = this
+    const { clock, random, logger, state, subscribers, storeSync, requestPath, settings: { internalPorts, failureDomain } } = this
     const recordSubscription = (subscriberIp: string): void => {
       if (subscribers.recordSubscription(subscriberIp)) this.messaging?.reporter.sendFullReport(subscriberIp)
     }
@@ -157,6 +159,7 @@
       port: internalPorts[0],
       failureDomain,
       clock,
+      random,
       logger,
       election: storeSync.election,
       state,
--- a/packages/sidecar/src/node/request-path.ts
+++ b/packages/sidecar/src/node/request-path.ts
@@ -94,8 +94,8 @@
   }
 
   private createPeers (): Peers {
-    const { clock, memory, settings: { internalPorts, listen } } = this.options
-    return Peers.create({ callPort: internalPorts[0], statePort: parsePort(listen.nodes), clock, memory })
+    const { clock, random, memory, settings: { internalPorts, listen } } = this.options
+    return Peers.create({ callPort: internalPorts[0], statePort: parsePort(listen.nodes), clock, random, memory })
   }
 
   private createForwarder (): Forwarder {
