Go on with a list past an entry without a key, and end one that repeats

Cause: the next page of a list was read after the key of the last entry of a page. If that entry had no key, the list counted as complete, so all targets of later pages were removed. A page whose last key doesn't advance was read 1,000 times, each a call that counts toward the reads of all nodes.

Change: platform/list-cursor.ts takes the last key that a page has. A page without a key, or one whose key was used before, fails the list: the node keeps what it has, and asks again after its backoff or another node.

Seen before: the two new tests fail ("b" is missing; the endless list is taken as complete after 1,000 pages). After: they pass, within 4 pages.

An odd entry in the middle of a page was no fault.

--- a/packages/sidecar/src/platform/http-store-client.ts
+++ b/packages/sidecar/src/platform/http-store-client.ts
@@ -6,6 +6,7 @@
 import type { BodyMemory, ExchangeResult } from '../core/exchange/index.js'
 import type { Change, StoreAnswer, StoreClient } from '../core/store/index.js'
 import { configurationKey, decodeConfiguration } from './configuration.js'
+import { ListCursor } from './list-cursor.js'
 import { decodeTarget, targetKeyPrefix } from './targets.js'
 
 /** Timeout for opening a connection to the store, in milliseconds. */
@@ -59,6 +60,7 @@
     const changes: Change[] = []
     let revision: number | undefined
     let afterKey = ''
+    const cursor = ListCursor.create()
     for (let pages = 0; pages < maxListPages; pages++) {
       this.onCall(mode === 'cheap' ? 'cheap-list' : 'list')
       const staleParameter = mode === 'cheap' ? '&allow_stale=1' : ''
@@ -67,9 +69,10 @@
       if (page.kind !== 'page') return page
       revision ??= page.revision
       changes.push(...decodeEntries(page.entries))
-      const lastKey = asNonEmptyString(asJsonObject(page.entries.at(-1))?.['key'])
-      if (!page.hasMore || lastKey === undefined) return { kind: 'changes', changes, revision }
-      afterKey = lastKey
+      if (!page.hasMore) return { kind: 'changes', changes, revision }
+      const nextKey = cursor.advance(page.entries)
+      if (nextKey === undefined) return { kind: 'failed', cause: 'list does not advance' }
+      afterKey = nextKey
     }
     return { kind: 'failed', cause: 'list has too many pages' }
   }
--- a/packages/sidecar/test/odd-entries.test.ts
+++ b/packages/sidecar/test/odd-entries.test.ts
@@ -143,12 +143,49 @@
   const bodies = [...oddPages(), ...oddJsonTexts, ...fc.sample(replaceValues(page), { numRuns: 200, seed })]
   await readStore(bodies, async (client, body) => {
     assertStoreAnswer(await client.watch(1, 1_000))
-    if (!body.includes('"has_more"')) assertStoreAnswer(await client.list('newest'))
+    assertStoreAnswer(await client.list('newest'))
     const configuration = await client.readConfiguration()
     if (configuration !== undefined) assertConfiguration(configuration)
   })
 })
 
+/** Lists a store whose pages are chosen by the key after which they begin; returns the answer and the number of pages read. */
+async function listPages (choosePage: (after: string) => unknown): Promise<{ answer: StoreAnswer, pages: number }> {
+  let pages = 0
+  const server = createServer((request, response) => {
+    pages++
+    response.end(JSON.stringify(choosePage(new URL(request.url ?? '/', 'http://store').searchParams.get('after') ?? '')))
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const client = HttpStoreClient.create({ address: `127.0.0.1:${(server.address() as AddressInfo).port}`, clock: Clock.create(), memory: BodyMemory.create({ maxBytes: 64 * 1024 * 1024 }), onCall: () => {} })
+  const answer = await client.list('newest')
+  client.close()
+  server.close()
+  server.closeAllConnections()
+  return { answer, pages }
+}
+
+function createItem (id: string): unknown {
+  return { key: `servers/${id}`, value: Buffer.from(JSON.stringify(validEntry)).toString('base64') }
+}
+
+// Guards against a full list without the targets that come after an odd entry at the end of a page (issue 29).
+test('an entry without a key at the end of a page does not end the list', async () => {
+  const { answer } = await listPages(after => after === '' ? { items: [createItem('a'), { key: 7 }], has_more: true, current_rev: 5 } : { items: [createItem('b')], has_more: false, current_rev: 5 })
+  assert.equal(answer.kind === 'changes' ? answer.changes.map(change => change.kind === 'target' ? change.target.id : change.kind) : answer, ['a', 'b'])
+})
+
+// Guards against a node that spends the reads of all nodes on a list without end (issue 29).
+test('a list that does not advance fails after few pages', async () => {
+  for (const items of [[], [{}], [createItem('a')], [createItem('a'), {}]]) {
+    const { answer, pages } = await listPages(() => ({ items, has_more: true, current_rev: 5 }))
+    assert.equal([answer.kind, pages <= 2], ['failed', true])
+  }
+  let next = 0
+  const { answer, pages } = await listPages(() => ({ items: [createItem(['a', 'b', 'c'][next++ % 3] ?? '')], has_more: true, current_rev: 5 }))
+  assert.equal([answer.kind, pages], ['failed', 4])
+})
+
 const validTarget: ListedTarget = { id: 'i-1', service: 'shop', address: '10.0.0.9:8080', ip: '10.0.0.9', failureDomain: 'a', slots: 8, state: 'ready', coldMs: 0 }
 const sharedState = { configuration: decodeConfiguration(validConfiguration), targets: [validTarget, { ...validTarget, id: 'i-2', coldMs: 20 }], revision: 40 }
 
