Keep odd entries recorded over full lists of other nodes

Cause: the record of entries that were logged was cleared by a full list without them. The list that a node gets from another node contains targets alone, so the next list of the store logged them again.

Change: only a usable entry or a removal clears the record; it is bounded, so a removal that is never read costs one name.

--- a/packages/sidecar/src/core/following/apply-changes.ts
+++ b/packages/sidecar/src/core/following/apply-changes.ts
@@ -18,7 +18,7 @@
   const { directory } = context
   if (fullList) directory.replace(changes.flatMap((change): ListedTarget[] => change.kind === 'target' ? [change.target] : []))
   for (const change of changes) applyChange(change, fullList, context)
-  for (const key of context.unusableEntries.record(changes, fullList)) context.logger.warn('entry-unusable', { key })
+  for (const key of context.unusableEntries.record(changes)) context.logger.warn('entry-unusable', { key })
 }
 
 function applyChange (change: Change, fullList: boolean, { directory, configuration, logger }: ApplyContext): void {
--- a/packages/sidecar/src/core/following/unusable-entries.ts
+++ b/packages/sidecar/src/core/following/unusable-entries.ts
@@ -2,8 +2,9 @@
 import { maxUnusableEntries } from './constants.js'
 
 /**
- * Remembers which entries can't be used, so that each is logged once: until a usable entry takes its place, or it is removed. An odd
- * entry may be read again with each list, or be written again every second.
+ * Remembers which entries can't be used, so that each is logged once: until a usable entry takes its place, or its removal is read. An
+ * odd entry may be read again with each list, or be written again every second. Full lists of other nodes don't contain such entries,
+ * so a list without one says nothing about it.
  */
 export class UnusableEntries {
   private readonly names = new Set<string>()
@@ -14,19 +15,14 @@
     return new UnusableEntries()
   }
 
-  /** Records changes; with `fullList` they are the complete content of the store. Returns the keys that were not recorded before. */
-  record (changes: readonly Change[], fullList: boolean): string[] {
+  /** Records changes. Returns the keys of entries that can't be used and that were not recorded before. */
+  record (changes: readonly Change[]): string[] {
     const newKeys: string[] = []
-    const present = new Set<string>()
     for (const change of changes) {
       const name = getName(change)
       if (change.kind !== 'unusable') this.names.delete(name)
-      else {
-        present.add(name)
-        if (this.add(name)) newKeys.push(change.key)
-      }
+      else if (this.add(name)) newKeys.push(change.key)
     }
-    if (fullList) for (const name of this.names) if (!present.has(name)) this.names.delete(name)
     return newKeys
   }
 
