--- a/packages/sidecar/src/platform/http-store-client.ts
+++ b/packages/sidecar/src/platform/http-store-client.ts
@@ -66,7 +66,8 @@
     while (pages.length < maxListPages) {
       const last = pages.at(-1)
       const after = last?.keys.at(-1) ?? ''
-      if (last !== undefined && (!last.hasMore || last.keys.length === 0)) return this.completeList(pages)
+      if (last?.hasMore === false) return this.completeList(pages)
+      if (last?.keys.length === 0) return { kind: 'failed', cause: 'list does not advance' }
       const page = await this.fetchListPage(mode, after)
       if (page.kind !== 'page') return page
       if (!isListPage({ prefix: '', after }, page)) return this.refuse('page of another call')
