Believe an answer only if its head is one message that names the request once

Cause: whose an answer is was decided by its place on the connection and the first id found in its head. A target that breaks off an earlier refusal and goes on with the true answer makes the parser read one head: the refusal's status and mark, and the id of the request. The same holds for an earlier refusal inside the head of the true answer, and for two ids in one head. Why this works: in one head, the second status line can only stand in the reason phrase or in a header value; anywhere else the parser ends the connection, as the test that cuts at each byte shows. Such a head is nobody's, and neither is one with no or two ids. Change: core/attribution makes AttributedHead, the only way to an Answer, and Exchange has to be told whose answers belong to it. The cause 'foreign' tells such answers from garbage in the lines of attempts. The test of a foreign answer in exchange.test now asks for the cause 'foreign' (stricter).

--- a/packages/auburnturn/src/core/http/index.ts
+++ b/packages/auburnturn/src/core/http/index.ts
@@ -2,7 +2,7 @@
 export { isFramed } from './answer-head.js'
 export { viaValue } from './constants.js'
 export { Exchange } from './exchange.js'
-export { filterEndToEndHeaders, findHeader } from './headers.js'
+export { filterEndToEndHeaders, countHeader, findHeader } from './headers.js'
 export { Listener } from './listener.js'
 export { formatLoad, parseLoad } from './load.js'
 export { createProblem } from './problem.js'
--- a/packages/bench/src/scene/scene-node.ts
+++ b/packages/bench/src/scene/scene-node.ts
@@ -2,7 +2,9 @@
 import { Logger } from 'auburnturn/core/logger'
 import { Metrics } from 'auburnturn/core/metrics'
 import { Random } from 'auburnturn/core/random'
-import { BodyMemory } from 'auburnturn-sidecar/core/exchange'
+import { AttributedHead } from 'auburnturn-sidecar/core/attribution'
+import type { Ownership } from 'auburnturn-sidecar/core/attribution'
+import { Answer, BodyMemory } from 'auburnturn-sidecar/core/exchange'
 import type { ExchangeOptions, ExchangeResult } from 'auburnturn-sidecar/core/exchange'
 import { Forwarder } from 'auburnturn-sidecar/core/forwarding'
 import { OwnTarget, Prober } from 'auburnturn-sidecar/core/own-target'
@@ -146,26 +148,28 @@
   }
 
   /** Stands for the HTTP exchange with the target: health checks and requests. */
-  private async exchange ({ path, headers, timeoutMs }: ExchangeOptions): Promise<ExchangeResult> {
+  private async exchange ({ path, headers, timeoutMs, belongs }: ExchangeOptions): Promise<ExchangeResult> {
     const { time, runAtTarget } = this.options
     await time.clock.sleep(exchangeMs)
     if (this.down) return { kind: 'unsent', cause: 'connect-failed' }
     const id = headers.at(-1) as string
-    if (path === '/health') return this.answer(200, id)
+    if (path === '/health') return this.answer(200, id, belongs)
     const result = await runAtTarget(this, id, time.now() + timeoutMs)
     switch (result) {
-      case 'done': return this.answer(200, id)
-      case 'rejected': return this.answer(503, id)
-      case 'call-failed': return this.answer(500, id)
-      case 'expired': return this.answer(504, id)
+      case 'done': return this.answer(200, id, belongs)
+      case 'rejected': return this.answer(503, id, belongs)
+      case 'call-failed': return this.answer(500, id, belongs)
+      case 'expired': return this.answer(504, id, belongs)
     }
   }
 
   /** The answer head as headers: id of the request, id of the target, load. */
-  private answer (status: number, id: string): ExchangeResult {
+  private answer (status: number, id: string, belongs: Ownership): ExchangeResult {
     const { id: targetId, running, queued, group, slowness, rateLimit } = this.target
     const named = rateLimit === undefined ? [] : [String(rateLimit)]
-    return { kind: 'answer', status, headers: [id, targetId, String(running), String(queued), String(group.slots), String(slowness), ...named], body: emptyBody, connection: { earlierRequests: 0, ageMs: 0 } }
+    const headers = [id, targetId, String(running), String(queued), String(group.slots), String(slowness), ...named]
+    const head = AttributedHead.create({ status, reason: '', headers }, belongs)
+    return head === undefined ? { kind: 'lost', cause: 'foreign' } : Answer.create({ head, body: emptyBody, connection: { earlierRequests: 0, ageMs: 0 } })
   }
 }
 
--- a/packages/sidecar/src/core/exchange/exchange.ts
+++ b/packages/sidecar/src/core/exchange/exchange.ts
@@ -3,6 +3,8 @@
 import type { Socket } from 'node:net'
 import { isFramed } from 'auburnturn/core/http'
 import type { Timeout } from 'auburnturn/core/clock'
+import { AttributedHead } from '../attribution/index.js'
+import { Answer } from './answer.js'
 import type { BufferedBody } from './body-memory.js'
 import { wasReset } from './connection-pool.js'
 import { maxAnswerBytes, maxAnswerHeadBytes, maxInterimAnswers } from './constants.js'
@@ -72,9 +74,9 @@
   }
 
   private readAnswer (answer: IncomingMessage): void {
-    const status = answer.statusCode ?? 0
-    const { rawHeaders: headers } = answer
-    if (this.options.matchesRequest?.(status, headers) === false) return this.abort('invalid')
+    const { statusCode: status = 0, statusMessage: reason = '', rawHeaders: headers } = answer
+    const head = AttributedHead.create({ status, reason, headers }, this.options.belongs)
+    if (head === undefined) return this.abort('foreign')
     const chunks: Buffer[] = []
     const { memory } = this.options.connections
     const evict = (): void => {
@@ -89,15 +91,16 @@
       memory.add(bufferedBody, chunk.length)
       if (bufferedBody.bytes > maxAnswerBytes) evict()
     })
-    answer.once('end', () => { this.complete(status, headers, chunks) })
+    answer.once('end', () => { this.complete(head, chunks) })
     answer.once('error', () => { this.finish({ kind: 'lost', cause: 'cut' }) })
   }
 
-  private complete (status: number, headers: readonly string[], chunks: readonly Buffer[]): void {
+  private complete (head: AttributedHead, chunks: readonly Buffer[]): void {
     const { socket, options } = this
-    const truncated = socket !== undefined && wasReset(socket) && !isFramed(options.method, status, headers)
+    const truncated = socket !== undefined && wasReset(socket) && !isFramed(options.method, head.status, head.headers)
     if (truncated) return this.finish({ kind: 'lost', cause: 'cut' })
-    this.finish({ kind: 'answer', status, headers, body: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks), connection: this.connection })
+    const body = chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks)
+    this.finish(Answer.create({ head, body, connection: this.connection }))
   }
 
   private handleError (error: NodeJS.ErrnoException): void {
@@ -116,7 +119,7 @@
   }
 
   /** Ends the exchange immediately and closes its connection. */
-  private abort (cause: 'timeout' | 'left' | 'invalid'): void {
+  private abort (cause: 'timeout' | 'left' | 'invalid' | 'foreign'): void {
     if (this.stage === 'sent') this.finish({ kind: 'lost', cause })
     else if (cause === 'left') this.finish({ kind: 'unsent', cause })
     else this.finish({ kind: 'unsent', cause: this.stage === 'connecting' && this.remainingMs() > 0 ? 'connect-timeout' : 'timeout' })
--- a/packages/sidecar/src/core/exchange/index.ts
+++ b/packages/sidecar/src/core/exchange/index.ts
@@ -1,4 +1,5 @@
 /** Sends one request on one connection and receives its whole answer: for targets, other nodes and the platform. */
+export { Answer } from './answer.js'
 export { BodyMemory } from './body-memory.js'
 export { ConnectionPool } from './connection-pool.js'
 export { exchange } from './exchange.js'
--- a/packages/sidecar/src/core/exchange/types.ts
+++ b/packages/sidecar/src/core/exchange/types.ts
@@ -1,4 +1,6 @@
 import type { CancelSignal, Clock } from 'auburnturn/core/clock'
+import type { Ownership } from '../attribution/index.js'
+import type { Answer } from './answer.js'
 import type { ConnectionPool } from './connection-pool.js'
 
 /** Alternating header names and values. */
@@ -8,7 +10,8 @@
 export type LossCause =
   | 'reset' // the connection ended before the answer
   | 'cut' // the connection ended within the answer
-  | 'invalid' // not a valid HTTP answer, too large, or the answer to another request
+  | 'invalid' // not a valid HTTP answer, or too large
+  | 'foreign' // the answer to another request, or one that was read from the bytes of two answers
   | 'timeout'
   | 'left' // the caller cancelled the request
 
@@ -22,7 +25,7 @@
 
 /** Result of one request on one connection. */
 export type ExchangeResult =
-  | { readonly kind: 'answer', readonly status: number, readonly headers: Headers, readonly body: Buffer, readonly connection: ConnectionUse }
+  | Answer
   /** No part of the request was written. */
   | { readonly kind: 'unsent', readonly cause: 'connect-failed' | 'connect-timeout' | 'timeout' | 'left' }
   /** The server may have read the request. */
@@ -44,7 +47,7 @@
   /** Aborts the exchange. */
   readonly signal?: CancelSignal | undefined
   /** Whether an answer head belongs to the request; if not, the connection is closed. */
-  readonly matchesRequest?: ((status: number, headers: Headers) => boolean) | undefined
+  readonly belongs: Ownership
 }
 
 /** Sends one request and receives its whole answer. Never rejects. */
--- a/packages/sidecar/src/core/forwarding/peers.ts
+++ b/packages/sidecar/src/core/forwarding/peers.ts
@@ -77,7 +77,7 @@
       body: Buffer.alloc(0),
       connectMs: peerConnectTimeoutMs,
       timeoutMs,
-      matchesRequest: (_status, headers) => isReadAnswer(mark, headers)
+      belongs: ({ headers }) => isReadAnswer(mark, headers)
     })
   }
 
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -3,6 +3,7 @@
 import type { Metrics } from 'auburnturn/core/metrics'
 import { Slots } from '../admission/index.js'
 import type { AdmissionDecision, SlotRequest } from '../admission/index.js'
+import { isAnswerToAttempt } from '../attribution/index.js'
 import { ConnectionPool, exchange } from '../exchange/index.js'
 import type { BodyMemory, Exchange, ExchangeResult } from '../exchange/index.js'
 import type { RateLimit } from '../rate-limit/index.js'
@@ -208,7 +209,7 @@
       timeoutMs,
       // A request that isn't idempotent runs to its end, even if its caller disconnects.
       signal: job.idempotent ? signal : undefined,
-      matchesRequest: (status, headers) => protocol.readAnswer(status, headers).id === job.id
+      belongs: ({ status, headers }) => isAnswerToAttempt(job.id, protocol.readAnswer(status, headers).id)
     })
     const outcome = this.processResult(result)
     if (outcome.kind === 'answer') this.workEstimate.record(job.route, clock.now() - startedAt, slowness)
@@ -234,10 +235,10 @@
       if (result.cause === 'timeout') this.connections.closeIdle()
       return mayHaveRun(result.cause)
     }
-    const { status, headers, body, connection } = result
+    const { status, headers, body } = result
     const head = this.options.protocol.readAnswer(status, headers)
     this.updateFromAnswer(head)
-    if (head.notRun) return rejected({ kind: 'refusal', status, attempt: head.id, target: head.targetId, connection }, this.slots.estimateRetryAfterMs())
+    if (head.notRun) return rejected(result, head, this.slots.estimateRetryAfterMs())
     return classifyAnswer({ status, headers: this.options.protocol.filterAnswer(headers), body, head })
   }
 }
--- a/packages/sidecar/src/core/own-target/prober.ts
+++ b/packages/sidecar/src/core/own-target/prober.ts
@@ -96,7 +96,6 @@
   private async probe (path: string): Promise<void> {
     const { clock, target, protocol, address } = this.options
     const id = this.checkIds.next()
-    let foreign = false
     this.lastProbeAt = clock.now()
     const result = await (this.options.exchange ?? exchange)({
       connections: this.connections,
@@ -107,13 +106,10 @@
       body: Buffer.alloc(0),
       connectMs: connectTimeoutMs,
       timeoutMs: probeTimeoutMs,
-      matchesRequest: (status, headers) => {
-        foreign = !isHealthAnswer(id, status, protocol.readAnswer(status, headers))
-        return !foreign
-      }
+      belongs: ({ status, headers }) => isHealthAnswer(id, status, protocol.readAnswer(status, headers))
     })
     // The answer to another check or to a request shows neither the state of the target nor that it does not answer.
-    if (foreign) return
+    if (result.kind === 'lost' && result.cause === 'foreign') return
     if (result.kind === 'answer') {
       this.unansweredProbes = 0
       target.recordHealthCheck(result.status === 200, protocol.readAnswer(result.status, result.headers))
--- a/packages/sidecar/src/core/requests/answer-head.ts
+++ b/packages/sidecar/src/core/requests/answer-head.ts
@@ -15,7 +15,7 @@
 
 /** Fields of an answer head that this system uses. */
 export interface AnswerHead {
-  /** Id of the attempt that is answered; empty when missing. */
+  /** Id of the attempt that is answered; empty when missing, or given more than once. */
   readonly id: string
   /** The target certifies that it made the answer. */
   readonly sealed: boolean
--- a/packages/sidecar/src/core/requests/outcome.ts
+++ b/packages/sidecar/src/core/requests/outcome.ts
@@ -1,6 +1,7 @@
-import type { Headers } from '../exchange/index.js'
+import type { Answer, Headers } from '../exchange/index.js'
+import type { AnswerHead } from './answer-head.js'
 import { unsent } from './evidence.js'
-import type { Evidence, Refusal } from './evidence.js'
+import type { Evidence } from './evidence.js'
 
 /** Why a request did not run. */
 export type NotRunCause =
@@ -22,7 +23,7 @@
  * Why it is unknown whether a request ran: a `LossCause`, or 'unproven' for an answer whose status claims that the request did
  * not run, without the header that proves it.
  */
-export type MayHaveRunCause = 'reset' | 'cut' | 'invalid' | 'timeout' | 'left' | 'unproven'
+export type MayHaveRunCause = 'reset' | 'cut' | 'invalid' | 'foreign' | 'timeout' | 'left' | 'unproven'
 
 /** Result of a request at one target. */
 export type Outcome =
@@ -35,9 +36,13 @@
   return { kind: 'not-run', cause, retryAfterMs, evidence: unsent }
 }
 
-/** The outcome of a request that a target refused, with the delay before a retry in milliseconds. */
-export function rejected (refusal: Refusal, retryAfterMs: number): Extract<Outcome, { kind: 'not-run' }> {
-  return { kind: 'not-run', cause: 'rejected', retryAfterMs, evidence: refusal }
+/**
+ * The outcome of a request that a target refused, with the delay before a retry in milliseconds.
+ * @param answer the refusal
+ * @param head what its head names
+ */
+export function rejected ({ status, connection }: Answer, { id: attempt, targetId: target }: AnswerHead, retryAfterMs: number): Extract<Outcome, { kind: 'not-run' }> {
+  return { kind: 'not-run', cause: 'rejected', retryAfterMs, evidence: { kind: 'refusal', status, attempt, target, connection } }
 }
 
 /** The outcome of a request that may have run. */
--- a/packages/sidecar/src/platform/http-store-client.ts
+++ b/packages/sidecar/src/platform/http-store-client.ts
@@ -140,7 +140,7 @@
 
   private async sendGet (path: string, timeoutMs: number): Promise<ExchangeResult> {
     const { connections, clock, host } = this
-    return await exchange({ connections, clock, method: 'GET', path, headers: ['host', host], body: Buffer.alloc(0), connectMs: connectTimeoutMs, timeoutMs })
+    return await exchange({ connections, clock, method: 'GET', path, headers: ['host', host], body: Buffer.alloc(0), connectMs: connectTimeoutMs, timeoutMs, belongs: bearsNoId })
   }
 
   private async fetchListPage (mode: 'cheap' | 'newest', after: string): Promise<PageResult> {
@@ -161,6 +161,9 @@
   }
 }
 
+/** The store's answers bear no id; the content of each is checked after it was received whole. */
+const bearsNoId = (): boolean => true
+
 function decodeEntries (entries: readonly unknown[]): Change[] {
   return entries.flatMap(entry => {
     const fields = asJsonObject(entry)
--- a/packages/sidecar/src/platform/protocol.ts
+++ b/packages/sidecar/src/platform/protocol.ts
@@ -1,4 +1,4 @@
-import { findHeader, filterEndToEndHeaders } from 'auburnturn/core/http'
+import { countHeader, findHeader, filterEndToEndHeaders } from 'auburnturn/core/http'
 import type { Headers } from '../core/exchange/index.js'
 import type { AnswerHead, NamedRateLimit, Protocol, RequestHead, TargetLoad, TargetRequestHead } from '../core/requests/index.js'
 
@@ -62,7 +62,7 @@
 
 function readAnswer (status: number, headers: Headers): AnswerHead {
   return {
-    id: findHeader(headers, headerNames.attemptId) ?? '',
+    id: countHeader(headers, headerNames.attemptId) === 1 ? findHeader(headers, headerNames.attemptId) ?? '' : '',
     sealed: findHeader(headers, headerNames.responseSeal) !== undefined,
     notRun: findHeader(headers, headerNames.notExecuted) !== undefined || status === misdirectedStatus,
     encoded: findHeader(headers, 'content-encoding') !== undefined,
--- a/packages/sidecar/test/endless.test.ts
+++ b/packages/sidecar/test/endless.test.ts
@@ -58,7 +58,7 @@
   const connections = ConnectionPool.create({ address: server.address, limit: exchangeCount + 1, clock, memory })
   let peakBytes = 0
   const sampler = setInterval(() => { peakBytes = Math.max(peakBytes, memory.bufferedBytes) }, 1)
-  const send = async (path: string): Promise<ExchangeResult> => await exchange({ connections, clock, method: 'GET', path, headers: ['host', 'example'], body: Buffer.alloc(0), connectMs: timeoutMs, timeoutMs })
+  const send = async (path: string): Promise<ExchangeResult> => await exchange({ connections, clock, method: 'GET', path, headers: ['host', 'example'], body: Buffer.alloc(0), connectMs: timeoutMs, timeoutMs, belongs: () => true })
   const goodResults: ExchangeResult[] = []
   const faultyExchanges = { ended: false }
   const goodExchanges = (async () => { while (!faultyExchanges.ended) goodResults.push(await send('/good')) })()
@@ -90,7 +90,7 @@
   })
   const clock = Clock.create()
   const connections = ConnectionPool.create({ address: server.address, limit: 1, clock, memory: BodyMemory.create({ maxBytes }) })
-  const result = await exchange({ connections, clock, method: 'GET', path: '/', headers: ['host', 'example'], body: Buffer.alloc(0), connectMs: 500, timeoutMs: 500 })
+  const result = await exchange({ connections, clock, method: 'GET', path: '/', headers: ['host', 'example'], body: Buffer.alloc(0), connectMs: 500, timeoutMs: 500, belongs: () => true })
   assert.equal(result, { kind: 'lost', cause: 'timeout' })
   connections.close()
   server.close()
--- a/packages/sidecar/test/exchange.test.ts
+++ b/packages/sidecar/test/exchange.test.ts
@@ -24,6 +24,7 @@
     body: Buffer.alloc(0),
     connectMs: 2_000,
     timeoutMs: 5_000,
+    belongs: () => true,
     ...options
   })
   connections.close()
@@ -72,8 +73,8 @@
   const result = await send(socket => {
     socket.once('close', () => { closed = true })
     socket.write('HTTP/1.1 200 OK\r\nx-id: other\r\ncontent-length: 2\r\n\r\nok')
-  }, { matchesRequest: () => false })
-  assert.equal(result, { kind: 'lost', cause: 'invalid' })
+  }, { belongs: () => false })
+  assert.equal(result, { kind: 'lost', cause: 'foreign' })
   await new Promise(resolve => setTimeout(resolve, 50))
   assert.ok(closed)
 })
@@ -82,7 +83,7 @@
   const server = await startRawServer(() => {})
   server.close()
   const connections = ConnectionPool.create({ address: server.address, limit: 1, clock: Clock.create(), memory: BodyMemory.create({ maxBytes: testMemoryBytes }) })
-  const result = await exchange({ connections, clock: Clock.create(), method: 'GET', path: '/', headers: ['host', 'x'], body: Buffer.alloc(0), connectMs: 2_000, timeoutMs: 5_000 })
+  const result = await exchange({ connections, clock: Clock.create(), method: 'GET', path: '/', headers: ['host', 'x'], body: Buffer.alloc(0), connectMs: 2_000, timeoutMs: 5_000, belongs: () => true })
   assert.equal(result, { kind: 'unsent', cause: 'connect-failed' })
   connections.close()
 })
@@ -97,7 +98,7 @@
   const connections = ConnectionPool.create({ address: server.address, limit: 4, clock, memory: BodyMemory.create({ maxBytes: testMemoryBytes }) })
   const sendNext = async (): Promise<void> => {
     connections.closeIdleLongerThan(150)
-    await exchange({ connections, clock, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), connectMs: 2_000, timeoutMs: 5_000 })
+    await exchange({ connections, clock, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), connectMs: 2_000, timeoutMs: 5_000, belongs: () => true })
     await new Promise(resolve => setImmediate(resolve))
   }
   await sendNext()
--- a/packages/sidecar/test/unsent.test.ts
+++ b/packages/sidecar/test/unsent.test.ts
@@ -66,7 +66,7 @@
   const server = await startUnreliableServer(random, () => 'HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n')
   const connections = ConnectionPool.create({ address: server.address, limit: connectionLimit, clock, memory })
   const unsent = await sendAll(random, async (id, timeoutMs, signal) => {
-    const { kind } = await exchange({ connections, clock, method: 'POST', path: `/${id}`, headers: ['host', 'x'], body: Buffer.from('x'), connectMs: 5, timeoutMs, signal })
+    const { kind } = await exchange({ connections, clock, method: 'POST', path: `/${id}`, headers: ['host', 'x'], body: Buffer.from('x'), connectMs: 5, timeoutMs, signal, belongs: () => true })
     return kind
   })
   connections.close()
