Let the targets of every soak write refusals and answers once more

The soak had no target that writes what belongs to another request, and its targets refused and failed next to nothing, so it could not find requests that were refused though run. Change: fault `repeat-answers`: each target, at a time of its own and for 2 to 5 s, refuses a fifth of the requests, fails a twentieth, and writes an earlier refusal or answer once more in seeded forms. It is in each plan, also in those of planned faults, and excuses no finding. Check added: `own-answer`: an answer names no other request, and a success or a sealed failure has the status that a target gave; answers with status 500 end an execution as failed. Seeds give the same other faults as before. Ruled out: one faulty target a service.

--- a/packages/bench/src/soak/checks/checks.ts
+++ b/packages/bench/src/soak/checks/checks.ts
@@ -83,6 +83,19 @@
   return most > allowed ? [{ rule: 'rate-limit', detail: `${most} requests in ${rateLimitWindowMs} ms at ${target}, which takes ${perSecond} a second` }] : []
 })
 
+/** An answer names no other request, and a success or a sealed failure has the status that a target gave to the request. */
+const checkOwnAnswers: Check = ({ outcomes, executionAnswers }) => {
+  const answersBySeal = new Map(executionAnswers.map(answer => [answer.seal, answer]))
+  return outcomes.flatMap(({ requestId, path, result, owner }) => {
+    if (typeof result !== 'number') return []
+    const isForeign = owner?.requestId !== undefined && owner.requestId !== requestId
+    const isSuccess = result >= 200 && result < 300
+    const given = answersBySeal.get(owner?.seal ?? '')
+    const isMixed = (isSuccess || owner?.seal !== undefined) && (given?.requestId !== requestId || given.status !== result)
+    return isForeign || isMixed ? [{ rule: 'own-answer', detail: `${requestId} to ${path}: ${result} with id ${owner?.requestId ?? 'none'} and seal ${owner?.seal ?? 'none'}; given: ${given === undefined ? 'nothing' : `${given.status} to ${given.requestId}`}` }] : []
+  })
+}
+
 /** Valid requests are not rejected as invalid. */
 const checkFalseRejections: Check = ({ outcomes, configurations }) => outcomes.flatMap(({ requestId, path, result, sentAt, endedAt }) => {
   if (typeof result !== 'number' || result < 400 || result >= 500 || result === 429) return []
@@ -104,7 +117,7 @@
 
 /** All checks that a run must pass, by name. */
 export const checks: Readonly<Record<string, Check>> = {
-  checkLibraryRules, checkDrain, checkConfiguration, checkRoute, checkLostAnswers, checkTimeout, checkRetries, checkRateLimits, checkFalseRejections, checkRecovery, checkProcessExits
+  checkLibraryRules, checkDrain, checkConfiguration, checkRoute, checkLostAnswers, checkTimeout, checkRetries, checkRateLimits, checkOwnAnswers, checkFalseRejections, checkRecovery, checkProcessExits
 }
 
 const outcomeCache = new WeakMap<Observation, Map<string, CallerOutcome>>()
--- a/packages/bench/src/soak/inject-fault.ts
+++ b/packages/bench/src/soak/inject-fault.ts
@@ -32,6 +32,8 @@
 function getAffectedComponents ({ name, vm }: Fault): Array<number | 'store'> {
   switch (name) {
     case 'configure': return []
+    // It excuses nothing: an answer that belongs to no request must not harm any.
+    case 'repeat-answers': return []
     case 'refuse-store':
     case 'pause-store':
     case 'forget-history': return ['store']
@@ -39,7 +41,7 @@
   }
 }
 
-async function applyFault ({ name, vm: index, forMs }: Fault, { vms, store, storeWriter, datagramRelay, rateLimits }: FaultContext): Promise<void> {
+async function applyFault ({ at, name, vm: index, forMs }: Fault, { vms, store, storeWriter, datagramRelay, rateLimits }: FaultContext): Promise<void> {
   const vm = vms[index]
   if (vm === undefined) throw new Error(`VM ${index} does not exist`)
   const proxies = Object.values(vm.proxies)
@@ -54,6 +56,8 @@
     case 'limit-target':
       rateLimits.push(await vm.limitTarget(targetLimitPerSecond, forMs))
       return
+    // The forms follow from its time, and so from the seed of the plan.
+    case 'repeat-answers': return await vm.repeatAnswers(at, forMs)
     case 'delay-link': return await delayTraffic(proxies, forMs)
     case 'reset-link': return resetAllConnections(proxies)
     case 'swallow-requests': return await dropTraffic([vm.proxies.nodes, vm.proxies.peerCalls, vm.proxies.upstream], 'swallow-requests', forMs)
--- a/packages/bench/src/soak/plan.ts
+++ b/packages/bench/src/soak/plan.ts
@@ -20,6 +20,7 @@
   'pause-target': [300, 2_500],
   'drain-target': [2_500, 4_000],
   'limit-target': [5_000, 9_000],
+  'repeat-answers': [2_000, 5_000],
   'delay-link': [500, 4_000],
   'reset-link': [0, 0],
   'swallow-requests': [500, 3_000],
@@ -33,13 +34,16 @@
   configure: [0, 0]
 }
 
-/** Faults that are part of a normal deployment; no response may be lost because of them. */
-export const plannedFaults: readonly FaultName[] = ['terminate-node', 'reload-node', 'drain-target', 'limit-target', 'configure']
+/**
+ * Faults that are part of a normal deployment, and answers of targets that belong to no request; no response may be lost
+ * because of them.
+ */
+export const plannedFaults: readonly FaultName[] = ['terminate-node', 'reload-node', 'drain-target', 'limit-target', 'repeat-answers', 'configure']
 
 const allFaults = Object.keys(durationRangesMs) as FaultName[]
 
-/** Added to the seed for the rate limits, which each plan has besides its series, so that they overlap with all other faults. */
-const limitSeedOffset = 1_000_000
+/** Added to the seed for the faults that each plan has besides its series, so that they overlap with all other faults. */
+const seedOffsets = { 'limit-target': 1_000_000, 'repeat-answers': 2_000_000 } as const
 
 /**
  * Generates overlapping series of faults, sorted by their start. Every third seed uses planned faults only.
@@ -47,10 +51,11 @@
  */
 export function createPlan ({ seed, vms, faultWindowMs }: PlanOptions): Fault[] {
   const random = Random.create(seed)
-  const names = (seed % 3 === 0 ? plannedFaults : allFaults).filter(name => name !== 'limit-target')
+  const names = (seed % 3 === 0 ? plannedFaults : allFaults).filter(name => !(name in seedOffsets))
   const seriesCount = 3 + random.integerBelow(4)
   const faults = Array.from({ length: seriesCount }, () => createSeries(random, names, vms, faultWindowMs)).flat()
-  faults.push(...createLimits(Random.create(seed + limitSeedOffset), vms, faultWindowMs))
+  faults.push(...createLimits(Random.create(seed + seedOffsets['limit-target']), vms, faultWindowMs))
+  faults.push(...createRepetitions(Random.create(seed + seedOffsets['repeat-answers']), vms, faultWindowMs))
   return faults.filter(({ at }) => at < faultWindowMs).sort((one, other) => one.at - other.at)
 }
 
@@ -80,3 +85,14 @@
     forMs: minMs + random.integerBelow(maxMs - minMs + 1)
   }))
 }
+
+/** Each target writes earlier messages once more, at different times, so that nodes can't avoid all such targets. */
+function createRepetitions (random: Random, vms: number, faultWindowMs: number): Fault[] {
+  const [minMs, maxMs] = durationRangesMs['repeat-answers']
+  return Array.from({ length: vms }, (_, vm) => ({
+    at: random.integerBelow(faultWindowMs),
+    name: 'repeat-answers',
+    vm,
+    forMs: minMs + random.integerBelow(maxMs - minMs + 1)
+  }))
+}
--- a/packages/bench/src/soak/processes/callers.ts
+++ b/packages/bench/src/soak/processes/callers.ts
@@ -4,7 +4,7 @@
 import { callerTimeoutMs, ports } from '../constants.js'
 import { now, sendToParent } from './messages.js'
 import type { CallersCommand } from './messages.js'
-import type { CallerOutcome } from '../types.js'
+import type { AnswerOwner, CallerOutcome } from '../types.js'
 
 /** Idle time after which a connection is closed, in milliseconds; below the 15 s limit of the nodes. */
 const idleTimeoutMs = 10_000
@@ -13,6 +13,9 @@
 const paths = ['/pages/', '/orders/', '/extra/'] as const
 let requestCount = 0
 
+/** Reports the outcome of one request; `owner` comes with a status. */
+type OutcomeReporter = (result: CallerOutcome['result'], owner?: AnswerOwner) => void
+
 process.on('message', ({ vms, requestsPerSecond }: CallersCommand) => {
   for (const vm of vms) setInterval(() => { sendRequest(vm) }, 1_000 / requestsPerSecond)
 })
@@ -26,8 +29,8 @@
   const idempotent = path !== '/orders/'
   const sentAt = now()
   sendToParent({ kind: 'event', event: { kind: 'call-sent', sending: requestId, call: requestId, idempotent, ticketed: false, timeoutMs: callerTimeoutMs, at: sentAt } })
-  const reportOutcome = (result: CallerOutcome['result']): void => {
-    sendToParent({ kind: 'told', outcome: { requestId, vm: index, path, sentAt, endedAt: now(), result } })
+  const reportOutcome: OutcomeReporter = (result, owner) => {
+    sendToParent({ kind: 'told', outcome: { requestId, vm: index, path, sentAt, endedAt: now(), result, owner } })
   }
   const body = idempotent ? '' : 'order'
   const clientRequest = request({
@@ -52,7 +55,7 @@
   clientRequest.end(body)
 }
 
-function recordResponse (requestId: string, response: IncomingMessage, reportOutcome: (result: CallerOutcome['result']) => void): void {
+function recordResponse (requestId: string, response: IncomingMessage, reportOutcome: OutcomeReporter): void {
   const status = response.statusCode ?? 0
   const execution = String(response.headers['x-response-seal'] ?? '')
   let content = ''
@@ -61,11 +64,16 @@
   response.once('end', () => {
     if (status === 200) sendToParent({ kind: 'event', event: { kind: 'answer-ended', sending: requestId, execution, whole: true, content, at: now() } })
     else sendToParent({ kind: 'event', event: { kind: 'refused', sending: requestId, verdict: provesNotRun(status) ? 'not-run' : 'may-have-run', cause: `status ${status}`, at: now() } })
-    reportOutcome(status)
+    reportOutcome(status, readOwner(response))
   })
   response.once('error', () => { reportOutcome('cut') })
 }
 
+function readOwner ({ headers }: IncomingMessage): AnswerOwner {
+  const read = (value: string | string[] | undefined): string | undefined => value === undefined ? undefined : String(value)
+  return { requestId: read(headers['x-attempt-id']), seal: read(headers['x-response-seal']) }
+}
+
 /** Whether a status guarantees that the request was not executed. */
 function provesNotRun (status: number): boolean {
   return status === 503 || status === 429 || status === 408 || status === 421 || status === 404
--- a/packages/bench/src/soak/processes/messages.ts
+++ b/packages/bench/src/soak/processes/messages.ts
@@ -1,5 +1,5 @@
 import type { HistoryEvent } from 'auburnturn'
-import type { CallerOutcome, Execution } from '../types.js'
+import type { CallerOutcome, Execution, ExecutionAnswer } from '../types.js'
 
 /** Messages of the helper processes to the process that controls the run. */
 export type HelperMessage =
@@ -7,6 +7,8 @@
   | { readonly kind: 'event', readonly event: HistoryEvent }
   /** A target started to execute a request. */
   | { readonly kind: 'work', readonly execution: Execution }
+  /** A target answers an execution. */
+  | { readonly kind: 'answered', readonly answer: ExecutionAnswer }
   /** A request ended at its caller. */
   | { readonly kind: 'told', readonly outcome: CallerOutcome }
   /** The store has applied a change. */
@@ -19,11 +21,12 @@
   | { readonly kind: 'refuse', readonly status: number | undefined }
   | { readonly kind: 'forget' }
 
-/** Command to a target process: the rate limit that it names from now on, in requests per second; undefined for none. */
-export interface TargetCommand {
-  readonly kind: 'limit'
-  readonly perSecond: number | undefined
-}
+/** Commands of the controlling process to a target process. */
+export type TargetCommand =
+  /** The rate limit that it names from now on, in requests per second; undefined for none. */
+  | { readonly kind: 'limit', readonly perSecond: number | undefined }
+  /** Writes earlier messages once more from now on, in forms that follow from the seed; undefined to stop. */
+  | { readonly kind: 'repeat', readonly seed: number | undefined }
 
 /** Command to a process of callers: the VMs at which it sends requests, and the rate at each of them. */
 export interface CallersCommand {
--- a/packages/bench/src/soak/processes/target.ts
+++ b/packages/bench/src/soak/processes/target.ts
@@ -1,9 +1,9 @@
 /** Process of a stand-in target: `target.js VM SERVICE ID IP PORT`. */
-import { StandInTarget } from '@auburnturn/stand-ins'
-import type { ReceivedRequest } from '@auburnturn/stand-ins'
-import type { ServerResponse } from 'node:http'
+import { RepeatingTarget } from '@auburnturn/stand-ins'
+import type { ReceivedRequest, RunResult } from '@auburnturn/stand-ins'
 import { now, sendToParent } from './messages.js'
 import type { TargetCommand } from './messages.js'
+import { RepetitionFault } from './repetition-fault.js'
 
 const [vm = '', service = '', id = '', ip = '', port = ''] = process.argv.slice(2)
 
@@ -14,37 +14,50 @@
 const workMs = 40
 
 let executionCount = 0
-const target = await StandInTarget.create({ id, ip, port: Number(port) })
-target.overrideResponse = (request, response) => {
-  if (target.running >= slots) {
-    response.writeHead(503, { 'x-attempt-id': request.id, 'x-not-executed': '1', 'x-instance-id': id, ...target.demands }).end()
-  } else {
-    execute(request, response)
+let fault: RepetitionFault | undefined
+const target = await RepeatingTarget.create({
+  id,
+  ip,
+  port: Number(port),
+  refuses: () => target.running >= slots || fault?.refuses() === true,
+  run: execute,
+  chooseLayout: () => fault?.chooseLayout() ?? { idPosition: 'first', framing: 'length' }
+})
+target.selectRepetition = earlier => fault?.selectRepetition(earlier)
+process.on('message', (command: TargetCommand) => {
+  switch (command.kind) {
+    case 'limit':
+      target.demands = command.perSecond === undefined ? {} : { 'server-limit': String(command.perSecond) }
+      return
+    case 'repeat':
+      fault = command.seed === undefined ? undefined : RepetitionFault.create(command.seed)
   }
-  return 'answered'
-}
-process.on('message', ({ perSecond }: TargetCommand) => { target.demands = perSecond === undefined ? {} : { 'server-limit': String(perSecond) } })
+})
 process.on('disconnect', () => { process.exit(0) })
 sendToParent({ kind: 'ready' })
 
-function execute ({ id: requestId, path }: ReceivedRequest, response: ServerResponse): void {
+async function execute ({ id: requestId, path }: ReceivedRequest, reachMiddle: () => void, closed: AbortSignal): Promise<RunResult> {
   const execution = `${id}#${++executionCount}`
-  const content = `${execution} ran ${requestId}`
   const startedAt = now()
-  target.running++
   sendToParent({ kind: 'event', event: { kind: 'execution-started', execution, sending: requestId, call: requestId, target: id, at: startedAt } })
   sendToParent({ kind: 'work', execution: { requestId, target: id, vm: Number(vm), service, path, startedAt } })
-  const timer = setTimeout(() => {
-    finish('whole', content)
-    response.writeHead(200, { 'x-attempt-id': requestId, 'x-response-seal': execution, 'x-instance-id': id, 'x-server-load': target.load, ...target.demands }).end(content)
-  }, workMs)
-  response.once('close', () => { if (!response.writableFinished) finish('cut', '') })
-  let ended = false
-  function finish (completion: 'whole' | 'cut', text: string): void {
-    if (ended) return
-    ended = true
-    clearTimeout(timer)
-    target.running--
-    sendToParent({ kind: 'event', event: { kind: 'execution-ended', execution, how: completion, content: text, at: now() } })
-  }
+  await work(reachMiddle, closed)
+  const result = { status: fault?.chooseStatus() ?? 200, seal: execution, body: `${execution} ran ${requestId}` }
+  const completion = closed.aborted ? 'cut' : result.status === 200 ? 'whole' : 'failed'
+  sendToParent({ kind: 'event', event: { kind: 'execution-ended', execution, how: completion, content: completion === 'cut' ? '' : result.body, at: now() } })
+  if (completion !== 'cut') sendToParent({ kind: 'answered', answer: { requestId, seal: execution, status: result.status } })
+  return result
+}
+
+/** Resolves at the end of the work, or when the connection closes. */
+async function work (reachMiddle: () => void, closed: AbortSignal): Promise<void> {
+  await new Promise<void>(resolve => {
+    const middle = setTimeout(reachMiddle, workMs / 2)
+    const end = setTimeout(resolve, workMs)
+    closed.addEventListener('abort', () => {
+      clearTimeout(middle)
+      clearTimeout(end)
+      resolve()
+    }, { once: true })
+  })
 }
--- a/packages/bench/src/soak/run.ts
+++ b/packages/bench/src/soak/run.ts
@@ -11,7 +11,7 @@
 import type { HelperMessage, CallersCommand } from './processes/messages.js'
 import { now } from './processes/messages.js'
 import { injectFault } from './inject-fault.js'
-import type { FaultPeriod, Fault, Observation, RateLimitPeriod, UnexpectedExit, CallerOutcome, Execution } from './types.js'
+import type { FaultPeriod, Fault, Observation, RateLimitPeriod, UnexpectedExit, CallerOutcome, Execution, ExecutionAnswer } from './types.js'
 import { Vm } from './vm.js'
 
 /** Options of one run. */
@@ -93,6 +93,7 @@
   private readonly events: HistoryEvent[] = []
   private readonly outcomes: CallerOutcome[] = []
   private readonly executions: Execution[] = []
+  private readonly executionAnswers: ExecutionAnswer[] = []
 
   private constructor () {}
 
@@ -111,6 +112,9 @@
       case 'work':
         this.executions.push(message.execution)
         break
+      case 'answered':
+        this.executionAnswers.push(message.answer)
+        break
       case 'acknowledged':
         this.storeWriter?.recordAcknowledgement(message.changeId, message.acknowledgedAt)
         break
@@ -126,6 +130,7 @@
       history,
       outcomes: this.outcomes,
       executions: this.executions,
+      executionAnswers: this.executionAnswers,
       configurations: this.storeWriter?.configurations ?? [],
       departures: this.storeWriter?.departures ?? [],
       rateLimits: this.rateLimits,
--- a/packages/bench/src/soak/types.ts
+++ b/packages/bench/src/soak/types.ts
@@ -2,11 +2,12 @@
 
 /**
  * A kind of fault. It affects one VM, or the store that all VMs share. `silence-connections` discards all bytes of the open
- * connections without closing them; `forget-history` makes the store drop its change history.
+ * connections without closing them; `forget-history` makes the store drop its change history; `repeat-answers` makes a target
+ * write refusals and answers once more that it wrote before on the same connection.
  */
 export type FaultName =
   | 'terminate-node' | 'kill-node' | 'pause-node' | 'reload-node'
-  | 'crash-target' | 'pause-target' | 'drain-target' | 'limit-target'
+  | 'crash-target' | 'pause-target' | 'drain-target' | 'limit-target' | 'repeat-answers'
   | 'delay-link' | 'reset-link' | 'swallow-requests' | 'swallow-answers' | 'silence-connections' | 'lose-datagrams'
   | 'cut-store' | 'refuse-store' | 'pause-store' | 'forget-history'
   | 'configure'
@@ -36,6 +37,24 @@
    * `left`, the caller timed out.
    */
   readonly result: number | 'cut' | 'cut-on-kept' | 'unreached' | 'left'
+  /** Headers of the answer that name what it belongs to; only with a status, and if they are set. */
+  readonly owner?: AnswerOwner | undefined
+}
+
+/** What an answer belongs to, as its headers say. */
+export interface AnswerOwner {
+  /** Id of the request. */
+  readonly requestId: string | undefined
+  /** Name of the execution, which targets use as the seal. */
+  readonly seal: string | undefined
+}
+
+/** The status with which a target answered an execution. */
+export interface ExecutionAnswer {
+  readonly requestId: string
+  /** Name of the execution, which targets use as the seal. */
+  readonly seal: string
+  readonly status: number
 }
 
 /** The start of the execution of a request at a target. */
@@ -93,6 +112,7 @@
   readonly history: readonly HistoryEvent[]
   readonly outcomes: readonly CallerOutcome[]
   readonly executions: readonly Execution[]
+  readonly executionAnswers: readonly ExecutionAnswer[]
   readonly configurations: readonly PublishedConfiguration[]
   readonly departures: readonly Departure[]
   readonly rateLimits: readonly RateLimitPeriod[]
--- a/packages/bench/src/soak/vm.ts
+++ b/packages/bench/src/soak/vm.ts
@@ -127,6 +127,14 @@
     return { target: targetId, perSecond, from, to }
   }
 
+  /** Makes the target write earlier messages once more for a time, while other faults affect this VM. */
+  async repeatAnswers (seed: number, durationMs: number): Promise<void> {
+    const { target } = this
+    target?.send({ kind: 'repeat', seed })
+    await sleep(durationMs)
+    target?.send({ kind: 'repeat', seed: undefined })
+  }
+
   /** Drains the target, then replaces it with a new incarnation. */
   async drainTarget (): Promise<void> {
     await this.runInSequence(async () => {
--- a/packages/bench/test/soak.test.ts
+++ b/packages/bench/test/soak.test.ts
@@ -23,9 +23,16 @@
   for (let seed = 0; seed < 30; seed += 3) assert.ok(createPlan({ ...options, seed }).every(({ name }) => plannedFaults.includes(name)))
 })
 
+soak('every plan has targets that name rate limits and targets that write answers once more', () => {
+  for (let seed = 0; seed < 30; seed++) {
+    const names = createPlan({ seed, vms: 9, faultWindowMs: 10_000 }).map(({ name }) => name)
+    assert.ok(names.includes('limit-target') && names.includes('repeat-answers'))
+  }
+})
+
 soak('every fault occurs in some plan', () => {
   const names = new Set(Array.from({ length: 200 }, (_, seed) => createPlan({ seed, vms: 9, faultWindowMs: 12_000 })).flat().map(({ name }) => name))
-  assert.is(names.size, 19)
+  assert.is(names.size, 20)
 })
 
 const routes = new Map([['/pages/', 'shop'], ['/orders/', 'ledger']])
@@ -36,6 +43,7 @@
     history: [],
     outcomes: [createOutcome({ sentAt: 90_000, endedAt: 90_050 })],
     executions: [createExecution({ startedAt: 90_010 })],
+    executionAnswers: ['s', 'last'].map(requestId => ({ requestId, seal: nameRunOf(requestId), status: 200 })),
     configurations: [{ version: 1, publishedAt: 0, acknowledgedAt: 1, routes }],
     departures: [],
     rateLimits: [],
@@ -46,8 +54,15 @@
   }
 }
 
+/** A success bears the id of its request and the seal of its run. */
 function createOutcome (changes: Partial<CallerOutcome> = {}): CallerOutcome {
-  return { requestId: 's', vm: 0, path: '/pages/', sentAt: 10_000, endedAt: 10_050, result: 200, ...changes }
+  const { requestId = 's', result = 200 } = changes
+  const owner = result === 200 ? { requestId, seal: nameRunOf(requestId) } : undefined
+  return { requestId, vm: 0, path: '/pages/', sentAt: 10_000, endedAt: 10_050, result, owner, ...changes }
+}
+
+function nameRunOf (requestId: string): string {
+  return `run-of-${requestId}`
 }
 
 function createExecution (changes: Partial<Execution> = {}): Execution {
@@ -77,6 +92,12 @@
   ['attempts', 'execution at three targets', { outcomes: [createOutcome(), servedOutcome], executions: [createExecution(), createExecution(), createExecution()] }],
   ['retry-budget', 'too many retries', { outcomes: [servedOutcome], executions: Array.from({ length: 80 }, (_, index) => [createExecution({ requestId: `s${index}` }), createExecution({ requestId: `s${index}` })]).flat() }],
   ['rate-limit', 'requests far above the limit of a target', { rateLimits: [{ target: 'i-1', perSecond: 2, from: 0, to: 9_000 }], executions: Array.from({ length: 20 }, (_, index) => createExecution({ requestId: `s${index}`, startedAt: 2_000 + index * 100 })) }],
+  ['own-answer', 'an answer that names another request', { outcomes: [createOutcome({ result: 502, owner: { requestId: 'other', seal: undefined } }), servedOutcome] }],
+  ['own-answer', 'a success without a seal', { outcomes: [createOutcome({ owner: { requestId: 's', seal: undefined } }), servedOutcome] }],
+  ['own-answer', 'a success with the seal of another request', { outcomes: [createOutcome({ owner: { requestId: 's', seal: 'run-of-last' } }), servedOutcome] }],
+  ['own-answer', 'a success with two seals', { outcomes: [createOutcome({ owner: { requestId: 's', seal: 'run-of-last, run-of-s' } }), servedOutcome] }],
+  ['own-answer', 'a success where the target answered with a failure', { executionAnswers: [{ requestId: 's', seal: 'run-of-s', status: 500 }] }],
+  ['own-answer', 'a sealed failure with another status than that of the target', { outcomes: [createOutcome({ result: 504, owner: { requestId: 's', seal: 'run-of-s' } }), servedOutcome] }],
   ['denied', 'a valid request rejected as invalid', { outcomes: [createOutcome({ requestId: 'proper', result: 400 }), servedOutcome] }],
   ['recovery', 'no request served after the recovery', { outcomes: [createOutcome({ requestId: 'refused', sentAt: 90_000, endedAt: 90_010, result: 503 })] }],
   ['ends', 'a node that exited unexpectedly', { unexpectedExits: [{ process: 'node of vm-1', exitedAt: 1, reason: 'code 1' }] }],
@@ -95,6 +116,7 @@
   ['an older version soon after the acknowledgement of the next one', { configurations: [{ version: 1, publishedAt: 0, acknowledgedAt: 1, routes }, { ...movedConfiguration, acknowledgedAt: 9_000 }], outcomes: [createOutcome(), servedOutcome], executions: [createExecution()] }],
   ['requests within the limit of a target, and more after its end', { rateLimits: [{ target: 'i-1', perSecond: 2, from: 0, to: 9_000 }], executions: Array.from({ length: 60 }, (_, index) => createExecution({ requestId: `s${index}`, startedAt: index < 17 ? 2_000 + index * 240 : 9_100 })) }],
   ['a response lost while a node is killed', { faultPeriods: [{ component: 3, from: 9_900, to: 10_020, planned: false }], outcomes: [createOutcome({ requestId: 'cut', result: 'cut' }), servedOutcome] }],
+  ['a failure that the target gave, with its seal', { outcomes: [createOutcome({ result: 500, owner: { requestId: 's', seal: 'run-of-s' } }), servedOutcome], executionAnswers: [{ requestId: 's', seal: 'run-of-s', status: 500 }, { requestId: 'last', seal: 'run-of-last', status: 200 }] }],
   ['a reused connection that was closed before its request was read', { outcomes: [createOutcome({ requestId: 'unread', result: 'cut-on-kept' }), servedOutcome] }]
 ]
 
