Believe another node's answer only for the send that it names

What callers would see: "not run", or the answer of another call, from a node of the library after the node of a target, or what is between the two, has written an answer once more. Cause: the verdict, load, incarnation and successor ticket in an answer of another node were believed for their place on the connection. Evidence: "an answer of another node that belongs to another call changes nothing" failed before: for a call whose connection brought the refusal of the call before it, expected may-have-run answer-invalid, actual not-run overloaded. It passes now, the connection is closed and the next call is answered. Ruled out: control messages, which are streams of HTTP/2 and bear its stream ids; tickets, which bear member, incarnation, serial and a message authentication code that only their issuer makes and checks ("foreign" and "invalid" in ledger tests); notices, member lists and configuration, which bear versions and incarnations of their own. Bytes on an idle connection close it in undici. Can't be ruled out: an upstream's answer that is written twice. The library's upstreams are any HTTP servers, which repeat no id; its verdict headers are not believed (test "verdict, load and incarnation headers of an upstream are ignored"). Change: each send to another node bears a number of its connections, and the answer or refusal repeats it. An answer without it is `answer-invalid`: the call may have run. A refusal of a head that the other node could not read bears none, so it no longer proves "not run". Tests changed: the refusal of the raw server in "verdict, load, incarnation and successor of a refusal by another node are accepted" bears the number of its send.

--- a/packages/auburnturn/src/core/call/constants.ts
+++ b/packages/auburnturn/src/core/call/constants.ts
@@ -28,6 +28,8 @@
   successor: 'auburnturn-successor',
   /** `wanted` on a request: the same header of the answer then lists the targets that were tried, in order. */
   triedTargets: 'auburnturn-way',
+  /** Number of one send of a call to another node; the answer repeats it, so that it is known which send it answers. */
+  send: 'auburnturn-send',
   /** Identifier of the call in logs and histories, between nodes. */
   callId: 'auburnturn-call-id',
   /** The caller, a service name or an address, between nodes. */
--- a/packages/auburnturn/src/core/http/attempt.ts
+++ b/packages/auburnturn/src/core/http/attempt.ts
@@ -158,10 +158,15 @@
   }
 
   private findAnswerFault (status: number, headers: RawHeaders): MayHaveRunCause | undefined {
-    if (this.options.isPeer && this.peerAnswer === undefined) return 'answer-invalid'
+    if (this.options.isPeer && (this.peerAnswer === undefined || !this.answersThisSend(headers))) return 'answer-invalid'
     return isFramed(this.options.call.method, status, headers) ? undefined : 'answer-invalid'
   }
 
+  /** Whether the answer of another node names this send, and not an earlier one on the connection. */
+  private answersThisSend (headers: RawHeaders): boolean {
+    return findHeader(headers, headerNames.send) === this.options.sendNumber
+  }
+
   private classifyError (error: Error): Verdict {
     const { code } = error as NodeJS.ErrnoException
     const { body } = this.options
@@ -197,5 +202,7 @@
   readonly clock: Clock
   /** Whether the address belongs to another node, so that the verdict in its answer is accepted. */
   readonly isPeer: boolean
+  /** What the answer of another node must repeat; undefined if the address belongs to an upstream. */
+  readonly sendNumber: string | undefined
   readonly resolve: (outcome: Outcome) => void
 }
--- a/packages/auburnturn/src/core/http/exchange.ts
+++ b/packages/auburnturn/src/core/http/exchange.ts
@@ -1,4 +1,5 @@
 import type { buildConnector } from 'undici'
+import { headerNames } from '../call/index.js'
 import type { Answer, Body, Call, Outcome, RawHeaders } from '../call/types.js'
 import type { Clock } from '../clock/index.js'
 import { notRun } from '../verdict/index.js'
@@ -10,6 +11,7 @@
   private readonly pool: ConnectionPool
   private readonly clock: Clock
   private readonly isPeer: boolean
+  private sends = 0
 
   private constructor (pool: ConnectionPool, clock: Clock, isPeer: boolean) {
     this.pool = pool
@@ -32,9 +34,11 @@
     if (this.clock.now() >= call.deadline) return { verdict: notRun('deadline-expired') }
     if (call.signal.aborted) return { verdict: notRun('caller-gone') }
     const { pool, clock, isPeer } = this
-    const headers = extraHeaders.length === 0 ? call.headers : [...call.headers, ...extraHeaders]
+    const sendNumber = isPeer ? String(++this.sends) : undefined
+    const sendHeaders = sendNumber === undefined ? [] : [headerNames.send, sendNumber]
+    const headers = extraHeaders.length + sendHeaders.length === 0 ? call.headers : [...call.headers, ...extraHeaders, ...sendHeaders]
     return await new Promise<Outcome>(resolve => {
-      Attempt.start({ call, body, answer, headers, pool, clock, isPeer, resolve })
+      Attempt.start({ call, body, answer, headers, pool, clock, isPeer, sendNumber, resolve })
     })
   }
 
--- a/packages/auburnturn/src/core/http/listener.ts
+++ b/packages/auburnturn/src/core/http/listener.ts
@@ -141,7 +141,7 @@
       this.refuseBody(call, request, response, { kind: 'refused', cause: body.fault, detail: 'The request body did not arrive whole.' })
       return
     }
-    const answer = ResponseAnswer.create(response, { clock, callerIdleMs: call.profile.timeouts.callerIdleMs, createExtraHeaders: () => this.createAnswerHeaders() })
+    const answer = ResponseAnswer.create(response, { clock, callerIdleMs: call.profile.timeouts.callerIdleMs, createExtraHeaders: () => this.createAnswerHeaders(request) })
     const outcome = await handleCall(call, body, answer)
     if (answer.started) return
     const verdict = outcome.verdict.kind === 'done' ? mayHaveRun('connection-lost') : outcome.verdict
@@ -161,8 +161,9 @@
     })
   }
 
-  private createAnswerHeaders (): RawHeaders {
-    const headers = this.options.answerHeaders()
+  private createAnswerHeaders ({ rawHeaders }: IncomingMessage): RawHeaders {
+    const { answerHeaders, repeatedHeaders } = this.options
+    const headers = [...answerHeaders(), ...repeatedHeaders(rawHeaders)]
     return this.closing ? [...headers, 'connection', 'close'] : headers
   }
 
@@ -195,6 +196,7 @@
     // A caller that expects 100 Continue may or may not send its body now, so the connection can't be reused.
     const mustClose = this.closing || this.inFlightCalls.isUnreadable(request.socket) || (request.headers.expect !== undefined && !request.complete)
     if (mustClose) problem.headers.push('connection', 'close')
+    problem.headers.push(...this.options.repeatedHeaders(request.rawHeaders))
     response.writeHead(problem.status, problem.headers)
     response.end(problem.body)
   }
@@ -230,6 +232,8 @@
   readonly answerHeaders: () => RawHeaders
   /** Returns the headers to add to a refusal of a call. */
   readonly refusalHeaders: (outcome: Outcome) => RawHeaders
+  /** Returns the headers of a request that its answer or refusal repeats. */
+  readonly repeatedHeaders: (requestHeaders: RawHeaders) => RawHeaders
   readonly identifyCall: CallIdentifier
   readonly handleCall: CallHandler
   readonly logger: Logger
--- a/packages/auburnturn/test/http/exchange.test.ts
+++ b/packages/auburnturn/test/http/exchange.test.ts
@@ -232,7 +232,7 @@
   })
 })
 
-const nodeAnswer = 'HTTP/1.1 200 OK\r\nauburnturn-verdict: not-run\r\nAuburnturn-Cause: overloaded\r\nauburnturn-load: 1;0;20;serving\r\nauburnturn-incarnation: x\r\nauburnturn-ticket: t\r\ncontent-length: 2\r\n\r\nok'
+const nodeAnswer = 'HTTP/1.1 200 OK\r\nauburnturn-verdict: not-run\r\nAuburnturn-Cause: overloaded\r\nauburnturn-load: 1;0;20;serving\r\nauburnturn-incarnation: x\r\nauburnturn-ticket: t\r\nauburnturn-send: 1\r\ncontent-length: 2\r\n\r\nok'
 
 exchanges('verdict, load and incarnation headers of an upstream are ignored', async () => {
   await withServer(socket => { socket.write(nodeAnswer) }, async ({ exchange }) => {
@@ -282,4 +282,34 @@
   }, 1)
 })
 
+/** The header of a request that the answer of another node repeats, with a CRLF; empty if the request has none. */
+function findSendLine (request: string): string {
+  return [...request.matchAll(/auburnturn-send: [^\r]*\r\n/g)].at(-1)?.[0] ?? ''
+}
+
+const refusalHead = 'HTTP/1.1 503 Busy\r\nauburnturn-verdict: not-run\r\nauburnturn-cause: overloaded\r\ncontent-length: 0\r\n'
+const answerHead = 'HTTP/1.1 200 OK\r\nauburnturn-verdict: done\r\ncontent-length: 0\r\n'
+
+// Guards against "not run" for a call that runs, with another node's refusal of an earlier call on the same connection.
+exchanges('an answer of another node that belongs to another call changes nothing', async () => {
+  const requests: string[] = []
+  let calls = 0
+  const server = await RawServer.create((socket, text) => {
+    requests.push(text)
+    const [first = ''] = requests
+    calls++
+    // The second call is answered with the refusal of the first one, before it runs.
+    if (calls <= 2) socket.write(`${refusalHead}${findSendLine(first)}\r\n`)
+    else socket.write(`${answerHead}${findSendLine(text)}\r\n`)
+  })
+  const exchange = Exchange.create({ origin: server.origin, maxConnections: 1, clock: ManualClock.create(), isPeer: true })
+  const send = async (id: string): Promise<unknown> => (await exchange.send(createCall({ id, method: 'POST' }), createBody('x'), new RecordingAnswer())).verdict
+  assert.equal(await send('call-1'), { kind: 'not-run', cause: 'overloaded' })
+  assert.equal(await send('call-2'), { kind: 'may-have-run', cause: 'answer-invalid' })
+  assert.equal(await send('call-3'), { kind: 'done' })
+  assert.is(server.received.length, 2, 'the connection of the answer is closed')
+  await exchange.close()
+  await server.close()
+})
+
 exchanges.run()
