--- a/packages/sidecar/src/node/local-state.ts
+++ b/packages/sidecar/src/node/local-state.ts
@@ -2,7 +2,7 @@
 import type { Logger } from 'auburnturn/core/logger'
 import type { Random } from 'auburnturn/core/random'
 import { CurrentConfiguration } from '../core/configuration/index.js'
-import { applyChanges } from '../core/following/index.js'
+import { applyChanges, UnusableEntries } from '../core/following/index.js'
 import type { SharedState } from '../core/following/index.js'
 import type { Subscribers } from '../core/reports/index.js'
 import type { Change } from '../core/store/index.js'
@@ -18,6 +18,7 @@
   readonly directory: Directory
   readonly selection: PeerSelection
   private readonly options: LocalStateOptions
+  private readonly unusableEntries = UnusableEntries.create()
   /** Whether the full list of targets was received, from the store or from another node. */
   private hasTargetList = false
 
@@ -94,8 +95,8 @@
   }
 
   private applyChanges (changes: readonly Change[], fullList: boolean): void {
-    const { directory, configuration, options: { logger } } = this
-    applyChanges(changes, fullList, { directory, configuration, logger })
+    const { directory, configuration, unusableEntries, options: { logger } } = this
+    applyChanges(changes, fullList, { directory, configuration, unusableEntries, logger })
   }
 
   private finishChange (): void {
--- a/packages/sidecar/src/platform/http-store-client.ts
+++ b/packages/sidecar/src/platform/http-store-client.ts
@@ -1,12 +1,12 @@
 import type { Clock } from 'auburnturn/core/clock'
 import { isEarly, isItemOf, isListPage, isWatchPage, SeenContent } from '../core/attribution/index.js'
 import type { Configuration } from '../core/configuration/index.js'
+import { asJsonObject, asNonEmptyString, parseJson } from '../core/decoding/index.js'
+import type { JsonObject } from '../core/decoding/index.js'
 import { ConnectionPool, exchange } from '../core/exchange/index.js'
 import type { BodyMemory, ExchangeResult } from '../core/exchange/index.js'
 import type { Change, StoreAnswer, StoreClient } from '../core/store/index.js'
 import { configurationKey, decodeConfiguration } from './configuration.js'
-import { asJsonObject, parseJson, asNonEmptyString } from './json-values.js'
-import type { JsonObject } from './json-values.js'
 import { parsePage } from './store-page.js'
 import type { Page } from './store-page.js'
 import { decodeTarget, targetKeyPrefix } from './targets.js'
@@ -66,7 +66,8 @@
     while (pages.length < maxListPages) {
       const last = pages.at(-1)
       const after = last?.keys.at(-1) ?? ''
-      if (last !== undefined && (!last.hasMore || last.keys.length === 0)) return this.completeList(pages)
+      if (last?.hasMore === false) return this.completeList(pages)
+      if (last?.keys.length === 0) return { kind: 'failed', cause: 'list does not advance' }
       const page = await this.fetchListPage(mode, after)
       if (page.kind !== 'page') return page
       if (!isListPage({ prefix: '', after }, page)) return this.refuse('page of another call')
