--- a/packages/auburnturn/test/http/exchange.test.ts
+++ b/packages/auburnturn/test/http/exchange.test.ts
@@ -312,4 +312,18 @@
   await server.close()
 })
 
+// Guards against an answer that comes while a connection is idle, and that the next call would begin to read.
+exchanges('an answer on an idle connection of another node closes it, and the next call gets its own', async () => {
+  const server = await RawServer.create((socket, text) => { socket.write(`${answerHead}${findSendLine(text)}\r\n`) })
+  const exchange = Exchange.create({ origin: server.origin, maxConnections: 1, clock: ManualClock.create(), isPeer: true })
+  const send = async (): Promise<unknown> => (await exchange.send(createCall({ method: 'POST' }), createBody('x'), new RecordingAnswer())).verdict
+  assert.equal(await send(), { kind: 'done' })
+  for (const socket of server.sockets) socket.write(`${refusalHead}auburnturn-send: 2\r\n\r\n`)
+  await waitFor(() => server.closedConnections.has(0))
+  assert.equal(await send(), { kind: 'done' })
+  assert.is(server.received.length, 2)
+  await exchange.close()
+  await server.close()
+})
+
 exchanges.run()
