Check frames between nodes before they are used

Cause: the head of a request from another node was taken as it came. One with a header, a method or a path that can't be written makes the HTTP client throw within `exchange`, which says that it never rejects, and OwnTarget.run has no `finally`: the slot stayed taken. A route whose name can't be decoded threw as well. An outcome was believed with any status, cause and delay: status 0 throws when the answer is written to the caller, a delay below 0 is no Retry-After. Names of routes with half a character made encodeURIComponent throw for each request of the route, and a health path that can't be written made each health check throw.

Ruled out: lengths of frames. Any two lengths give a partial or an invalid frame, and the memory counted is that of the bytes received.

Change: forwarding/head-checks.ts checks method, path, headers and status. A request that fails closes its connection as before; an outcome that fails proves nothing, so the request may have run. Causes are compared with all that exist, a list that the compiler keeps complete. Times are limited to what timers allow. Names of routes are made well-formed, and health paths that can't be written are as missing, so /health is used.

Seen before, on a real process: after 16 requests with a header that can't be written, the node's own target served nothing any more ("a configuration is not in force in time": no request of the node was served); the two property tests fail, with ["answer","200","a"] as one counterexample. After: served; 246 of 246 tests of the sidecar pass.

Conclusion: closed for what nodes send. That `exchange` can reject, and that a slot is then lost, is left to the change of that module.

--- a/packages/sidecar/src/core/decoding/json-values.ts
+++ b/packages/sidecar/src/core/decoding/json-values.ts
@@ -8,6 +8,9 @@
 /** Characters that headers, datagrams and frames between nodes carry unchanged: printable latin1. */
 const textPattern = /^[\u0020-\u007e\u00a0-\u00ff]*$/
 
+/** Paths that the HTTP client writes; it throws on other characters. */
+const pathPattern = /^\/[\u0021-\u00ff]*$/
+
 /** Characters of JSON texts that matter for their nesting. */
 const quote = 0x22
 const backslash = 0x5c
@@ -31,6 +34,16 @@
   return typeof value === 'string' && value.length <= maxTextLength && textPattern.test(value) ? value : undefined
 }
 
+/** Returns the value if it is a string; halves of characters in it are replaced, since they can't be encoded. */
+export function asWellFormedString (value: unknown): string | undefined {
+  return typeof value === 'string' ? Buffer.from(value).toString() : undefined
+}
+
+/** Returns the value if it can be the path of a request. */
+export function asPath (value: unknown): string | undefined {
+  return typeof value === 'string' && pathPattern.test(value) ? value : undefined
+}
+
 /** Returns the value if it is a number between 0 and `maxInteger`. */
 export function asNonNegativeNumber (value: unknown): number | undefined {
   // Adding 0 turns -0 into 0.
@@ -44,7 +57,7 @@
 
 /** Returns the value in milliseconds if it is a non-negative number; a longer duration than timers allow is shortened to the longest. */
 export function asDurationMs (value: unknown): number | undefined {
-  return typeof value === 'number' && value >= 0 ? Math.min(value + 0, maxDurationMs) : undefined
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0 ? Math.min(value + 0, maxDurationMs) : undefined
 }
 
 /** Parses JSON; undefined if it is invalid, or nested deeper than `maxNestingDepth`. */
--- a/packages/sidecar/src/core/forwarding/hop-message.ts
+++ b/packages/sidecar/src/core/forwarding/hop-message.ts
@@ -1,9 +1,17 @@
+import { asDurationMs, asNonNegativeNumber, maxDurationMs } from '../decoding/index.js'
 import type { Frame } from '../peer-calls/index.js'
 import { mayHaveRun, notRun } from '../requests/index.js'
 import type { Job, MayHaveRunCause, NotRunCause, Outcome } from '../requests/index.js'
+import { areHeaders, isMethod, isPath, parseStatus } from './head-checks.js'
 
 const emptyBody = Buffer.alloc(0)
 
+/** All causes of outcomes. The type makes it complete: an outcome of another cause is not believed. */
+const notRunCauses: Readonly<Record<NotRunCause, true>> = {
+  closed: true, overloaded: true, 'rate-limited': true, slow: true, expired: true, left: true, moved: true, unreachable: true, rejected: true, 'no-memory': true, 'no-target': true, 'no-configuration': true, 'no-budget': true
+}
+const mayHaveRunCauses: Readonly<Record<MayHaveRunCause, true>> = { reset: true, cut: true, invalid: true, timeout: true, left: true, unproven: true }
+
 /** First field of a call that asks the node to run a request on the target of its VM. */
 const runKind = 'run'
 
@@ -39,22 +47,26 @@
   if (fields[0] !== runKind || fields.length < requestFields) return undefined
   const [, method, path, id, caller, target, route] = fields as [string, string, string, string, string, string, string]
   const [remainingMs, objectiveRemainingMs, priority, objectiveMs] = fields.slice(7, 11).map(Number) as [number, number, number, number]
-  if (![remainingMs, objectiveRemainingMs, priority, objectiveMs].every(Number.isFinite)) return undefined
+  const routeName = decodeRoute(route)
+  const headers = fields.slice(requestFields)
+  if (![remainingMs, objectiveRemainingMs].every(Number.isFinite) || routeName === undefined) return undefined
+  if (asNonNegativeNumber(priority) === undefined || asNonNegativeNumber(objectiveMs) === undefined) return undefined
+  if (!isMethod(method) || !isPath(path) || !areHeaders(headers)) return undefined
   const job: Job = {
     id,
     method,
     path,
-    headers: fields.slice(requestFields),
+    headers,
     body,
-    route: decodeURIComponent(route),
+    route: routeName,
     service,
     caller,
     idempotent: parseFlag(fields[11]),
     objectiveMs,
     priority,
     mayWait: parseFlag(fields[12]),
-    objectiveAt: now + objectiveRemainingMs,
-    deadlineAt: now + remainingMs
+    objectiveAt: now + limitDuration(objectiveRemainingMs),
+    deadlineAt: now + limitDuration(remainingMs)
   }
   return { job, target }
 }
@@ -71,11 +83,36 @@
 /** Decodes the outcome that another node reports. A damaged one proves nothing, so the request may have run. */
 export function parseOutcome ({ fields, body }: Frame): Outcome {
   const [kind, detail = '', delay = ''] = fields
-  const retryAfterMs = Number(delay)
-  if (kind === 'answer' && Number.isInteger(Number(detail))) return { kind, status: Number(detail), headers: fields.slice(2), body }
-  if (kind === 'not-run' && Number.isFinite(retryAfterMs)) return notRun(detail as NotRunCause, retryAfterMs)
-  if (kind === 'may-have-run') return mayHaveRun(detail as MayHaveRunCause)
-  return mayHaveRun('invalid')
+  switch (kind) {
+    case 'answer': return parseAnswer(detail, fields.slice(2), body)
+    case 'not-run': return parseNotRun(detail, delay)
+    case 'may-have-run': return Object.hasOwn(mayHaveRunCauses, detail) ? mayHaveRun(detail as MayHaveRunCause) : mayHaveRun('invalid')
+    default: return mayHaveRun('invalid')
+  }
+}
+
+function parseAnswer (statusText: string, headers: readonly string[], body: Buffer): Outcome {
+  const status = parseStatus(statusText)
+  return status === undefined || !areHeaders(headers) ? mayHaveRun('invalid') : { kind: 'answer', status, headers, body }
+}
+
+function parseNotRun (cause: string, delay: string): Outcome {
+  const retryAfterMs = asDurationMs(Number(delay))
+  return retryAfterMs === undefined || !Object.hasOwn(notRunCauses, cause) ? mayHaveRun('invalid') : notRun(cause as NotRunCause, retryAfterMs)
+}
+
+/** Limits a time until a moment, in milliseconds; it is negative once that has passed. */
+function limitDuration (milliseconds: number): number {
+  return Math.max(-maxDurationMs, Math.min(maxDurationMs, milliseconds))
+}
+
+/** Decodes the name of a route; undefined when it is damaged. */
+function decodeRoute (text: string): string | undefined {
+  try {
+    return decodeURIComponent(text)
+  } catch {
+    return undefined
+  }
 }
 
 function formatFlag (value: boolean): string {
--- a/packages/sidecar/src/core/store/decode-shared.ts
+++ b/packages/sidecar/src/core/store/decode-shared.ts
@@ -1,5 +1,5 @@
 import type { Configuration, Limits, Route, Service, Share } from '../configuration/index.js'
-import { asDurationMs, asInteger, asJsonObject, asNonNegativeNumber, asText, maxSlots, parseConnectableIp } from '../decoding/index.js'
+import { asDurationMs, asInteger, asJsonObject, asNonNegativeNumber, asPath, asText, asWellFormedString, maxSlots, parseConnectableIp } from '../decoding/index.js'
 import type { ListedTarget } from '../targets/index.js'
 import type { Change } from './types.js'
 
@@ -56,13 +56,14 @@
 
 function decodeRoute (value: unknown): Route | undefined {
   const fields = asJsonObject(value)
-  const { name, host, prefix, kind } = fields ?? {}
+  const { host, prefix, kind } = fields ?? {}
+  const name = asWellFormedString(fields?.['name'])
   const timeoutMs = asDurationMs(fields?.['timeoutMs'])
   const objectiveMs = asDurationMs(fields?.['objectiveMs'])
   const priority = asNonNegativeNumber(fields?.['priority'])
   const maxAttempts = asNonNegativeNumber(fields?.['maxAttempts'])
   const shares = decodeAll(fields?.['shares'], decodeShare)
-  if (typeof name !== 'string' || typeof host !== 'string' || typeof prefix !== 'string' || (kind !== 'idempotent' && kind !== 'non-idempotent')) return undefined
+  if (name === undefined || typeof host !== 'string' || typeof prefix !== 'string' || (kind !== 'idempotent' && kind !== 'non-idempotent')) return undefined
   if (timeoutMs === undefined || objectiveMs === undefined || priority === undefined) return undefined
   if (maxAttempts === undefined || maxAttempts < 1 || shares === undefined || shares.length === 0) return undefined
   return { name, host, prefix, kind, timeoutMs, objectiveMs, priority, maxAttempts, shares }
@@ -76,8 +77,10 @@
 }
 
 function decodeService (value: unknown): Service | undefined {
-  const { name, healthPath } = asJsonObject(value) ?? {}
-  return typeof name === 'string' && typeof healthPath === 'string' ? { name, healthPath } : undefined
+  const fields = asJsonObject(value)
+  const name = fields?.['name']
+  const healthPath = asPath(fields?.['healthPath'])
+  return typeof name === 'string' && healthPath !== undefined ? { name, healthPath } : undefined
 }
 
 function decodeLimits (value: unknown): Limits | undefined {
--- a/packages/sidecar/src/platform/configuration.ts
+++ b/packages/sidecar/src/platform/configuration.ts
@@ -1,5 +1,5 @@
 import type { Configuration, Limits, Route, Service, Share } from '../core/configuration/index.js'
-import { asDurationMs, asInteger, asJsonObject, asNonEmptyString, asNonNegativeNumber } from '../core/decoding/index.js'
+import { asDurationMs, asInteger, asJsonObject, asNonEmptyString, asNonNegativeNumber, asPath, asWellFormedString } from '../core/decoding/index.js'
 import type { JsonObject } from '../core/decoding/index.js'
 
 /** Key of the store under which the newest configuration is stored. */
@@ -25,7 +25,7 @@
     const resourceFields = asJsonObject(resource)
     const spec = asJsonObject(resourceFields?.['spec'])
     if (resourceFields === undefined || spec === undefined) return undefined
-    const name = asNonEmptyString(asJsonObject(resourceFields['metadata'])?.['name']) ?? ''
+    const name = asWellFormedString(asJsonObject(resourceFields['metadata'])?.['name']) ?? ''
     switch (resourceFields['resource_type']) {
       case 'routes': {
         const route = decodeRoute(name, spec)
@@ -34,7 +34,7 @@
         break
       }
       case 'services':
-        services.push({ name, healthPath: asNonEmptyString(spec['health_path']) ?? '/health' })
+        services.push({ name, healthPath: asPath(spec['health_path']) ?? '/health' })
         break
       case 'limits':
         limits = decodeLimits(spec)
--- a/packages/sidecar/test/odd-entries-processes.test.ts
+++ b/packages/sidecar/test/odd-entries-processes.test.ts
@@ -1,11 +1,12 @@
 import { createSocket } from 'node:dgram'
 import { createServer } from 'node:http'
+import { connect } from 'node:net'
 import { deflateRawSync } from 'node:zlib'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { encodeReport } from '../src/core/reports/index.js'
 import { unlimited } from '../src/core/rate-limit/index.js'
-import { oddDatagrams, oddEntries, oddPages, oddVersions } from './fixtures/odd-values.js'
+import { oddDatagrams, oddEntries, oddFrames, oddPages, oddVersions } from './fixtures/odd-values.js'
 import { ProcessCluster, processPorts } from './fixtures/process-cluster.js'
 
 const test = suite('odd entries, processes')
@@ -22,8 +23,8 @@
 /** Index of the address from which a test writes to the nodes as another node. */
 const otherNodeIndex = 40
 
-async function withCluster (check: (cluster: ProcessCluster) => Promise<void>): Promise<void> {
-  const cluster = await ProcessCluster.create(2)
+async function withCluster (check: (cluster: ProcessCluster) => Promise<void>, nodeCount = 2): Promise<void> {
+  const cluster = await ProcessCluster.create(nodeCount)
   try {
     await check(cluster)
   } finally {
@@ -102,6 +103,20 @@
   })
 })
 
+// Guards against a node that ends, or whose target has no slots left, because of odd bytes at its port for calls (issue 29).
+test('after odd frames, a node serves requests at its own target and follows changes', async () => {
+  await withCluster(async cluster => {
+    for (const bytes of oddFrames(100)) {
+      const socket = connect({ host: cluster.getIp(0), port: processPorts.internal })
+      socket.on('error', () => {})
+      socket.write(bytes)
+      setTimeout(() => { socket.destroy() }, 100)
+      await sleep(2)
+    }
+    await assertWorks(cluster, 'after the frames')
+  }, 1)
+})
+
 /** States that a faulty node may serve: its version is announced as the highest one. */
 const oddStates: ReadonlyArray<readonly [string, (version: number) => Buffer]> = [
   ['no JSON', () => Buffer.from('no JSON')],
--- a/packages/sidecar/test/odd-entries.test.ts
+++ b/packages/sidecar/test/odd-entries.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
-import { createServer } from 'node:http'
-import { isIPv4 } from 'node:net'
+import { createServer, IncomingMessage, request as createRequest, ServerResponse } from 'node:http'
+import { isIPv4, Socket } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { deflateRawSync } from 'node:zlib'
 import { Clock, ManualClock } from 'auburnturn/core/clock'
@@ -17,12 +17,14 @@
 import type { Change, StoreAnswer } from '../src/core/store/index.js'
 import { AnnouncementFilter } from '../src/core/following/announcement-filter.js'
 import { compressJson, decompressJson } from '../src/core/forwarding/compression.js'
+import { parseOutcome, parseRequest } from '../src/core/forwarding/hop-message.js'
+import { FrameReader } from '../src/core/peer-calls/frame-reader.js'
 import { decodeMessage } from '../src/core/reports/index.js'
 import { decodeChangesNotice, encodeChangesNotice } from '../src/core/readers/index.js'
 import { Directory } from '../src/core/targets/index.js'
 import type { ListedTarget } from '../src/core/targets/index.js'
 import { decodeConfiguration, decodeTarget, HttpStoreClient, parseSettings } from '../src/platform/index.js'
-import { anyJsonText, oddAddresses, oddChanges, oddDatagrams, oddEntries, oddJsonTexts, oddPages, replaceValues, seed, validEntry } from './fixtures/odd-values.js'
+import { anyFields, anyJsonText, oddAddresses, oddChanges, oddDatagrams, oddEntries, oddFrames, oddJsonTexts, oddPages, replaceValues, seed, validEntry } from './fixtures/odd-values.js'
 
 const test = suite('odd entries')
 
@@ -69,7 +71,8 @@
     assert.ok(isNumberUpTo(priority, maxInteger) && isNumberUpTo(maxAttempts, maxInteger) && maxAttempts >= 1)
     assert.ok(shares.length > 0 && shares.every(({ service, weight }) => typeof service === 'string' && isNumberUpTo(weight, maxInteger) && weight > 0))
   }
-  for (const { name, healthPath } of services) assert.ok(typeof name === 'string' && typeof healthPath === 'string')
+  for (const { name } of routes) encodeURIComponent(name)
+  for (const { name, healthPath } of services) assert.ok(typeof name === 'string' && /^\/[\u0021-\u00ff]*$/.test(healthPath), healthPath)
   assert.ok([limits.headerTimeoutMs, limits.idleTimeoutMs].every(value => isNumberUpTo(value, maxDurationMs)))
   assert.ok([limits.maxHeaderBytes, limits.maxBodyBytes].every(value => isNumberUpTo(value, maxInteger)))
 }
@@ -275,4 +278,38 @@
   assert.equal([unusable, unusable, { kind: 'target', target: validTarget } as const, unusable, { kind: 'gone', id: 'i-1' } as const, unusable].map(announces), [true, false, true, true, true, true])
 })
 
+// Guards against a frame that rejects its handler or leaves a slot taken, and an outcome that can't be written to the caller (issue 29).
+test('a frame is decoded to a request or an outcome that can be sent on, or not at all', () => {
+  fc.assert(fc.property(anyFields, fields => {
+    const frame = { fields, body: Buffer.alloc(0) }
+    const job = parseRequest(frame, 'shop', 1_000)?.job
+    if (job !== undefined) {
+      assert.ok([job.objectiveAt, job.deadlineAt].every(at => Number.isFinite(at) && Math.abs(at) <= maxDurationMs + 1_000))
+      assert.ok([job.priority, job.objectiveMs].every(value => isNumberUpTo(value + 0, maxInteger)))
+      createRequest({ method: job.method, path: job.path, headers: [...job.headers, 'host', 'a'] as never }).on('error', () => {}).destroy()
+    }
+    const outcome = parseOutcome(frame)
+    if (outcome.kind === 'not-run') assert.ok(isNumberUpTo(outcome.retryAfterMs, maxDurationMs))
+    if (outcome.kind === 'answer') new ServerResponse(new IncomingMessage(new Socket())).writeHead(outcome.status, [...outcome.headers])
+  }), { seed, numRuns: 3_000 })
+  for (const [kind, detail, delay] of [['answer', '0'], ['answer', '199'], ['answer', '600'], ['answer', ''], ['not-run', 'slow', '-5'], ['not-run', 'odd', '5'], ['not-run', 'slow', '1e999'], ['may-have-run', 'odd']]) {
+    assert.equal(parseOutcome({ fields: [kind ?? '', detail ?? '', delay ?? ''].slice(0, delay === undefined ? 2 : 3), body: Buffer.alloc(0) }), { kind: 'may-have-run', cause: 'invalid' }, `${kind} ${detail} ${delay}`)
+  }
+})
+
+// Guards against a frame whose lengths reserve memory or are believed beyond its bytes (issue 29).
+test('frames with odd lengths are partial or invalid, and take no more memory than their bytes', () => {
+  fc.assert(fc.property(fc.constantFrom(...oddFrames(300)), fc.integer({ min: 1, max: 64 }), (bytes, chunkBytes) => {
+    const memory = BodyMemory.create({ maxBytes: 1_000_000 })
+    const reader = FrameReader.create({ memory, maxBodyBytes: () => 65_536, onEvict: () => {} })
+    for (let start = 0; start < bytes.length; start += chunkBytes) {
+      const result = reader.read(bytes.subarray(start, start + chunkBytes))
+      assert.ok(memory.bufferedBytes <= bytes.length)
+      if (result !== 'partial') break
+    }
+    reader.discard()
+    assert.is(memory.bufferedBytes, 0)
+  }), { seed, numRuns: 1_000 })
+})
+
 test.run()
