Follow the platform past odd members, lists and entries

Cause: a page of members or of the configuration was checked as a whole, so one odd member made the read fail, on each reader and each time: the daemons kept what they had and followed nothing more. An entry whose version is above the platform's revision was taken, sent on to the others, and outranked all that came later for its key. A member's address could be any text and its ports 0. A version from another node could be 2^64, which can't be encoded for the next one.

Change: platform/decode-members.ts and schemas.ts decode each element; those that can't be used are left out. Versions are at most the page's revision. Members have IP numbers, ports from 1, and names of at most 200 characters. The list of another node is decoded by the same function, so odd members in it are not used either, while its text stays as it is for the digests. `entries-left-out` and `members-left-out` say how many, once for each revision. The stand-in platform lets a test change its answers.

Conclusion: closed for elements of pages. A page of 64 MB that is nested very deep still takes memory and time to parse.

--- a/packages/auburnturn/src/core/node/configuration-updater.ts
+++ b/packages/auburnturn/src/core/node/configuration-updater.ts
@@ -76,7 +76,7 @@
       logger: logger.createChild('platform'),
       metrics,
       schedule,
-      applyList: list => { this.memberLists.acceptList(list) },
+      applyList: list => this.memberLists.acceptList(list) === 'accepted',
       isReader: () => this.relay.readerElection.role === 'reader',
       hasMemberList: () => this.memberLists.size > 0
     })
--- a/packages/auburnturn/src/core/platform/platform-reader.ts
+++ b/packages/auburnturn/src/core/platform/platform-reader.ts
@@ -18,8 +18,8 @@
   readonly logger: Logger
   readonly metrics: Metrics
   readonly schedule: FollowerReadSchedule
-  /** Called with each member list that was read. */
-  readonly applyList: (list: MemberList) => void
+  /** Called with each member list that was read; returns whether it was new. */
+  readonly applyList: (list: MemberList) => boolean
   /** Whether this node is an elected reader of its failure domain. */
   readonly isReader: () => boolean
   /** Whether this node has received a member list, from the platform or from peers. */
@@ -45,6 +45,8 @@
   private configurationRevision = 0
   private membersRevision = 0
   private lastFullReadAt = 0
+  /** Highest revision at which entries or lists that can't be used were logged, by kind of read. */
+  private readonly leftOutRevisions = new Map<string, number>()
   private consecutiveFailures = 0
   private failingSince: number | undefined
   private outageReported = false
@@ -151,6 +153,7 @@
     const page = await platform.readConfiguration(isFullRead ? 0 : this.configurationRevision, waitMs, signal)
     const versionsBehind = Math.max(0, Math.max(storedVersion, this.configurationRevision) - page.revision)
     for (const entry of page.entries) store.accept(entry, 'platform')
+    this.logLeftOut('configuration', page.revision, page.leftOut)
     this.recordVersionsBehind(versionsBehind, page.revision)
     // A rolled-back platform continues from its older revision. All entries are read again, and the store rejects older ones.
     this.configurationRevision = versionsBehind > 0 ? 0 : page.revision
@@ -161,10 +164,22 @@
   private readonly readMembers: PageRead = async (waitMs, signal) => {
     const { platform, applyList } = this.options
     const page = await platform.readMembers(this.membersRevision, waitMs, signal)
-    for (const list of page.lists) applyList(list)
+    for (const list of page.lists) {
+      const isNew = applyList(list)
+      if (isNew && list.leftOut > 0) this.options.logger.warn('members-left-out', { service: list.service, version: list.version, count: list.leftOut })
+    }
+    this.logLeftOut('members', page.revision, page.leftOut)
     this.membersRevision = page.revision < this.membersRevision ? 0 : page.revision
   }
 
+  /** Logs once how many entries or lists of a page can't be used; they come again when all are read again. */
+  private logLeftOut (kind: string, revision: number, count: number): void {
+    const previous = this.leftOutRevisions.get(kind) ?? -1
+    if (count === 0 || revision <= previous) return
+    this.leftOutRevisions.set(kind, revision)
+    this.options.logger.warn('entries-left-out', { kind, revision, count })
+  }
+
   private recordVersionsBehind (behindBy: number, revision: number): void {
     const { store, logger, metrics } = this.options
     const previous = store.freshness.versionsBehind
--- a/packages/auburnturn/src/core/platform/schemas.ts
+++ b/packages/auburnturn/src/core/platform/schemas.ts
@@ -1,44 +1,38 @@
 import { z } from 'zod'
-import type { Member } from '../membership/types.js'
+import type { Entry } from '../configuration/types.js'
+import { decodeMembers } from './decode-members.js'
+import type { ConfigurationPage, ListedMembers, MemberPage } from './types.js'
 
-/** Schema of a page of configuration entries in a response of the platform. */
-export const configurationPageSchema = z.object({
-  revision: z.int().min(0),
-  entries: z.array(z.object({
-    key: z.string(),
-    version: z.int().min(0),
-    text: z.string().nullish().transform(text => text ?? undefined)
-  }))
-})
+const version = z.int().min(0)
 
-const port = z.int().min(0).max(65_535)
+const entrySchema = z.object({
+  key: z.string(),
+  version,
+  text: z.string().nullish().transform(text => text ?? undefined)
+})
 
-const membersSchema = z.array(z.object({
-  id: z.string(),
-  service: z.string(),
-  region: z.string(),
-  failureDomain: z.string(),
-  ip: z.string(),
-  peerPort: port,
-  controlPort: port,
-  state: z.enum(['live', 'leaving'])
-}))
+const listSchema = z.object({
+  service: z.string().min(1),
+  version,
+  members: z.unknown().transform(decodeMembers)
+})
 
-/** Schema of a page of member lists in a response of the platform. */
-export const memberPageSchema = z.object({
-  revision: z.int().min(0),
-  lists: z.array(z.object({
-    service: z.string(),
-    version: z.int().min(0),
-    members: membersSchema
-  }))
+/** Schema of a page of configuration entries in a response of the platform. Entries that can't be used are left out. */
+export const configurationPageSchema = z.object({ revision: version, entries: z.array(z.unknown()) }).transform(({ revision, entries }): ConfigurationPage => {
+  const decoded = entries.flatMap((entry): Entry[] => {
+    const { data } = entrySchema.safeParse(entry)
+    return data === undefined ? [] : [data]
+  })
+  // Versions are revisions of the platform. A later one would outrank all that the platform publishes for that key.
+  const usable = decoded.filter(entry => entry.version <= revision)
+  return { revision, entries: usable, leftOut: entries.length - usable.length }
 })
 
-/** Parses a JSON list of members; returns `undefined` if the text is not one. */
-export function parseMembers (text: string): Member[] | undefined {
-  try {
-    return membersSchema.safeParse(JSON.parse(text)).data
-  } catch {
-    return undefined
-  }
-}
+/** Schema of a page of member lists in a response of the platform. Lists and members that can't be used are left out. */
+export const memberPageSchema = z.object({ revision: version, lists: z.array(z.unknown()) }).transform(({ revision, lists }): MemberPage => {
+  const usable = lists.flatMap((list): ListedMembers[] => {
+    const { data } = listSchema.safeParse(list)
+    return data?.members === undefined || data.version > revision ? [] : [{ service: data.service, version: data.version, ...data.members }]
+  })
+  return { revision, lists: usable, leftOut: lists.length - usable.length }
+})
--- a/packages/auburnturn/src/core/relay/member-list-store.ts
+++ b/packages/auburnturn/src/core/relay/member-list-store.ts
@@ -63,6 +63,7 @@
   }
 
   accept (entry: Entry, _source: EntrySource): AcceptResult {
+    if (!Number.isSafeInteger(entry.version) || entry.version < 0) return 'rejected'
     const previous = this.lists.get(entry.key)
     const order = compareEditions(previous?.entry, entry)
     if (order === 'same') return 'known'
--- a/packages/stand-ins/src/fleet.ts
+++ b/packages/stand-ins/src/fleet.ts
@@ -48,6 +48,12 @@
     return this.faultControlServer?.port ?? 0
   }
 
+  /** The platform that the daemons follow. */
+  get platformService (): PlatformService {
+    if (this.platform === undefined) throw new Error('the platform is not started')
+    return this.platform
+  }
+
   /** Drains and ends the daemons, then closes the upstreams, the fault control server and the platform. */
   async close (): Promise<void> {
     this.closing ??= this.closeAll()
--- a/packages/stand-ins/src/platform-service.ts
+++ b/packages/stand-ins/src/platform-service.ts
@@ -23,6 +23,8 @@
   down = false
   /** Delay before every response, in milliseconds. */
   delayMs = 0
+  /** Changes the text of each answer, by the path of its request; unchanged by default. */
+  changeAnswer: (path: string, text: string) => string = (_path, text) => text
   /** While set, reads return these entries and hide later publications, as a service that lags does. */
   private frozenEntries: ReadonlyMap<string, Entry> | undefined
   private frozenRevision = 0
@@ -121,10 +123,10 @@
     const after = Number(url.searchParams.get('after') ?? 0)
     const waitMs = Number(url.searchParams.get('waitMs') ?? 0)
     if (url.pathname === '/v1/configuration') {
-      return this.respondWhen(response, waitMs, () => this.visibleRevision > after, () => this.readConfiguration(after))
+      return this.respondWhen(url.pathname, response, waitMs, () => this.visibleRevision > after, () => this.readConfiguration(after))
     }
     if (url.pathname === '/v1/members') {
-      return this.respondWhen(response, waitMs, () => this.membersRevision > after, () => this.readMembers(after))
+      return this.respondWhen(url.pathname, response, waitMs, () => this.membersRevision > after, () => this.readMembers(after))
     }
     response.writeHead(404).end()
   }
@@ -149,13 +151,13 @@
   }
 
   /** Responds with `read()` when `ready()` holds or after `waitMs`, whichever comes first. */
-  private respondWhen (response: ServerResponse, waitMs: number, ready: () => boolean, read: () => unknown): void {
+  private respondWhen (path: string, response: ServerResponse, waitMs: number, ready: () => boolean, read: () => unknown): void {
     const respond = (): void => {
       cancel()
       this.watches.delete(watch)
       if (response.destroyed) return
       response.writeHead(200, { 'content-type': 'application/json' })
-      response.end(JSON.stringify(read()))
+      response.end(this.changeAnswer(path, JSON.stringify(read())))
     }
     const watch: PendingWatch = { respond }
     const cancel = this.schedule(waitMs, respond)
