--- a/packages/sidecar/src/core/forwarding/hop-message.ts
+++ b/packages/sidecar/src/core/forwarding/hop-message.ts
@@ -1,6 +1,6 @@
 import { asDurationMs, asNonNegativeNumber, maxDurationMs } from '../decoding/index.js'
 import type { Frame } from '../peer-calls/index.js'
-import { mayHaveRun, notRun } from '../requests/index.js'
+import { formatEvidence, mayHaveRun, parseEvidence } from '../requests/index.js'
 import type { Job, MayHaveRunCause, NotRunCause, Outcome } from '../requests/index.js'
 import { areHeaders, isMethod, isPath, parseStatus } from './head-checks.js'
 
@@ -75,7 +75,7 @@
 export function formatOutcome (outcome: Outcome): Frame {
   switch (outcome.kind) {
     case 'answer': return { fields: ['answer', String(outcome.status), ...outcome.headers], body: outcome.body }
-    case 'not-run': return { fields: ['not-run', outcome.cause, String(Math.round(outcome.retryAfterMs))], body: emptyBody }
+    case 'not-run': return { fields: ['not-run', outcome.cause, String(Math.round(outcome.retryAfterMs)), ...formatEvidence(outcome.evidence)], body: emptyBody }
     case 'may-have-run': return { fields: ['may-have-run', outcome.cause], body: emptyBody }
   }
 }
@@ -85,7 +85,7 @@
   const [kind, detail = '', delay = ''] = fields
   switch (kind) {
     case 'answer': return parseAnswer(detail, fields.slice(2), body)
-    case 'not-run': return parseNotRun(detail, delay)
+    case 'not-run': return parseNotRun(detail, delay, fields.slice(3))
     case 'may-have-run': return Object.hasOwn(mayHaveRunCauses, detail) ? mayHaveRun(detail as MayHaveRunCause) : mayHaveRun('invalid')
     default: return mayHaveRun('invalid')
   }
@@ -96,9 +96,11 @@
   return status === undefined || !areHeaders(headers) ? mayHaveRun('invalid') : { kind: 'answer', status, headers, body }
 }
 
-function parseNotRun (cause: string, delay: string): Outcome {
+function parseNotRun (cause: string, delay: string, evidenceFields: readonly string[]): Outcome {
   const retryAfterMs = asDurationMs(Number(delay))
-  return retryAfterMs === undefined || !Object.hasOwn(notRunCauses, cause) ? mayHaveRun('invalid') : notRun(cause as NotRunCause, retryAfterMs)
+  const evidence = parseEvidence(evidenceFields)
+  if (retryAfterMs === undefined || evidence === undefined || !Object.hasOwn(notRunCauses, cause)) return mayHaveRun('invalid')
+  return { kind: 'not-run', cause: cause as NotRunCause, retryAfterMs, evidence }
 }
 
 /** Limits a time until a moment, in milliseconds; it is negative once that has passed. */
--- a/packages/sidecar/src/platform/readiness.ts
+++ b/packages/sidecar/src/platform/readiness.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http'
 import type { Server } from 'node:http'
+import { closeServer, listen } from '../core/listening/index.js'
 
 /** Path that the platform requests for its readiness check. */
 const readinessPath = '/api/ready'
@@ -19,12 +20,11 @@
       const status = request.url !== readinessPath ? 404 : isReady() ? 200 : 503
       response.writeHead(status, { 'content-length': 0 }).end()
     })
-    await new Promise<void>((resolve, reject) => { server.once('error', reject).listen(port, ip, resolve) })
+    await listen(server, ip, port)
     return new ReadinessServer(server)
   }
 
   async close (): Promise<void> {
-    this.server.close()
-    this.server.closeAllConnections()
+    closeServer(this.server)
   }
 }
--- a/packages/sidecar/test/odd-entries-processes.test.ts
+++ b/packages/sidecar/test/odd-entries-processes.test.ts
@@ -2,8 +2,10 @@
 import { createServer } from 'node:http'
 import { connect } from 'node:net'
 import { deflateRawSync } from 'node:zlib'
+import { Random } from 'auburnturn/core/random'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { DatagramStamps, formatReadAnswer, parseRead } from '../src/core/attribution/index.js'
 import { encodeReport } from '../src/core/reports/index.js'
 import { unlimited } from '../src/core/rate-limit/index.js'
 import { oddDatagrams, oddEntries, oddFrames, oddPages, oddVersions } from './fixtures/odd-values.js'
@@ -93,8 +95,11 @@
   await withCluster(async cluster => {
     const socket = createSocket('udp4')
     await new Promise<void>(resolve => { socket.bind(0, cluster.getIp(otherNodeIndex), resolve) })
+    const stamps = DatagramStamps.create({ random: Random.create(1) })
     for (const bytes of oddDatagrams(100)) {
-      for (const [index] of cluster.nodes.entries()) socket.send(bytes, processPorts.internal, cluster.getIp(index))
+      for (const datagram of [bytes, Buffer.concat([stamps.stamp(bytes), bytes])]) {
+        for (const [index] of cluster.nodes.entries()) socket.send(datagram, processPorts.internal, cluster.getIp(index))
+      }
       await sleep(1)
     }
     await sleep(200)
@@ -134,20 +139,24 @@
     let createState = oddStates[0]?.[1] ?? (() => Buffer.alloc(0))
     let version = 1_000
     let reads = 0
-    const server = createServer((_request, response) => {
-      reads++
-      response.writeHead(200).end(createState(version))
+    const server = createServer((request, response) => {
+      const read = parseRead(request.url ?? '', request.rawHeaders)
+      if (read !== undefined) reads++
+      response.writeHead(200, read === undefined ? [] : formatReadAnswer(read)).end(createState(version))
     })
     await new Promise<void>(resolve => { server.listen(processPorts.nodes, ip, resolve) })
     const socket = createSocket('udp4')
     await new Promise<void>(resolve => { socket.bind(0, ip, resolve) })
     const target = { id: 'odd', service: 'odd', failureDomain: 'a', state: 'up' as const, fresh: true, running: 0, waiting: 0, limit: 1, slowness: 1, failures: 0, rateLimit: unlimited, rateAllowance: unlimited }
+    const stamps = DatagramStamps.create({ random: Random.create(1) })
     for (const [name, create] of oddStates) {
       createState = create
       reads = 0
       version += 1_000
       for (let times = 0; times < 3; times++) {
-        for (const [index] of cluster.nodes.entries()) socket.send(encodeReport({ kind: 'full', target, configurationVersion: version }), processPorts.internal, cluster.getIp(index))
+        const report = encodeReport({ kind: 'full', target, configurationVersion: version })
+        const datagram = Buffer.concat([stamps.stamp(report), report])
+        for (const [index] of cluster.nodes.entries()) socket.send(datagram, processPorts.internal, cluster.getIp(index))
         await sleep(300)
       }
       assert.ok(reads > 0, `${name} was read`)
--- a/packages/sidecar/test/odd-entries.test.ts
+++ b/packages/sidecar/test/odd-entries.test.ts
@@ -19,6 +19,7 @@
 import { compressJson, decompressJson } from '../src/core/forwarding/compression.js'
 import { parseOutcome, parseRequest } from '../src/core/forwarding/hop-message.js'
 import { FrameReader } from '../src/core/peer-calls/frame-reader.js'
+import { describeEvidence } from '../src/core/requests/index.js'
 import { decodeMessage } from '../src/core/reports/index.js'
 import { decodeChangesNotice, encodeChangesNotice } from '../src/core/readers/index.js'
 import { Directory } from '../src/core/targets/index.js'
@@ -289,11 +290,11 @@
       createRequest({ method: job.method, path: job.path, headers: [...job.headers, 'host', 'a'] as never }).on('error', () => {}).destroy()
     }
     const outcome = parseOutcome(frame)
-    if (outcome.kind === 'not-run') assert.ok(isNumberUpTo(outcome.retryAfterMs, maxDurationMs))
+    if (outcome.kind === 'not-run') assert.ok(isNumberUpTo(outcome.retryAfterMs, maxDurationMs) && Object.values(describeEvidence(outcome.evidence)).every(value => typeof value === 'string' || isNumberUpTo(value + 0, Infinity)))
     if (outcome.kind === 'answer') new ServerResponse(new IncomingMessage(new Socket())).writeHead(outcome.status, [...outcome.headers])
   }), { seed, numRuns: 3_000 })
   for (const [kind, detail, delay] of [['answer', '0'], ['answer', '199'], ['answer', '600'], ['answer', ''], ['not-run', 'slow', '-5'], ['not-run', 'odd', '5'], ['not-run', 'slow', '1e999'], ['may-have-run', 'odd']]) {
-    assert.equal(parseOutcome({ fields: [kind ?? '', detail ?? '', delay ?? ''].slice(0, delay === undefined ? 2 : 3), body: Buffer.alloc(0) }), { kind: 'may-have-run', cause: 'invalid' }, `${kind} ${detail} ${delay}`)
+    assert.equal(parseOutcome({ fields: delay === undefined ? [kind ?? '', detail ?? ''] : [kind ?? '', detail ?? '', delay, 'unsent'], body: Buffer.alloc(0) }), { kind: 'may-have-run', cause: 'invalid' }, `${kind} ${detail} ${delay}`)
   }
 })
 
