Close an idle connection on which bytes arrive

Cause: Node leaves an idle socket flowing without a listener, so bytes on it are read and discarded, and the check of unread bytes at the next use never saw any. The rest of such a message then stood before the next answer on that connection. Change: an idle connection has a listener that closes it, as those between nodes have; it replaces the check of unread bytes.

--- a/packages/sidecar/src/core/exchange/connection-pool.ts
+++ b/packages/sidecar/src/core/exchange/connection-pool.ts
@@ -116,12 +116,18 @@
     // Node has set the timeout that the server announced, if it is shorter.
     const hintedTimeoutMs = (socket as Socket).timeout
     if (kept && hintedTimeoutMs !== undefined && hintedTimeoutMs !== timeout) (socket as Socket).setTimeout(Math.max(1, hintedTimeoutMs - idleCloseMarginMs))
+    // An idle socket goes on reading, and discards what nobody listens for.
+    if (kept) socket.on('data', closeSocket)
     return kept
   }
 
   override reuseSocket (socket: Duplex, request: Parameters<Agent['reuseSocket']>[1]): void {
+    socket.removeListener('data', closeSocket)
     super.reuseSocket(socket as Socket, request)
-    // Bytes that were received while the connection was idle belong to no request.
-    if (socket.readableLength > 0) socket.destroy()
   }
 }
+
+/** Closes an idle connection on which bytes arrive: they belong to no request. */
+function closeSocket (this: Duplex): void {
+  this.destroy()
+}
--- a/packages/sidecar/test/exchange.test.ts
+++ b/packages/sidecar/test/exchange.test.ts
@@ -11,6 +11,9 @@
 /** Limit on the memory for bodies, in bytes; no test in this file reaches it. */
 const testMemoryBytes = 64 * 1024 * 1024
 
+/** Time after an answer at which a server writes bytes that belong to no request, in milliseconds. */
+const surplusDelayMs = 20
+
 /** Sends one request to a server that handles it with `answer`. */
 async function send (answer: (socket: Socket) => void, options: Partial<ExchangeOptions> = {}): Promise<ExchangeResult> {
   const server = await startRawServer(answer)
@@ -112,4 +115,23 @@
   assert.is.not(used[2], used[1])
 })
 
+// Guards against the rest of an answer on a connection of which earlier bytes were discarded while it was idle (MIXED; issue 29).
+test('bytes that arrive while a connection is idle close it', async () => {
+  const used: Socket[] = []
+  const server = await startRawServer(socket => {
+    used.push(socket)
+    socket.write('HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n')
+    setTimeout(() => { socket.write('HTTP/1.1 200 OK\r\nx-half: ') }, surplusDelayMs)
+  })
+  const connections = ConnectionPool.create({ address: server.address, limit: 4, clock: Clock.create(), memory: BodyMemory.create({ maxBytes: testMemoryBytes }) })
+  for (let count = 0; count < 2; count++) {
+    await exchange({ connections, clock: Clock.create(), method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), connectMs: 2_000, timeoutMs: 5_000, belongs: () => true })
+    await new Promise(resolve => setTimeout(resolve, 3 * surplusDelayMs))
+  }
+  connections.close()
+  server.close()
+  assert.is(used.length, 2)
+  assert.is.not(used[1], used[0])
+})
+
 test.run()
