Release the slot of a request that can't be sent

Cause: the slot was released only after the exchange had returned; one that throws, as for a header with a line feed, kept it for good.

--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -99,9 +99,11 @@
       return notRun(decision.cause, decision.retryAfterMs)
     }
     this.options.metrics.recordDuration('call_queue_seconds', decision.waitedMs)
-    const outcome = this.findNotRunOutcome(target) ?? await this.send(job, target, signal)
-    this.slots.release(request)
-    return outcome
+    try {
+      return this.findNotRunOutcome(target) ?? await this.send(job, target, signal)
+    } finally {
+      this.slots.release(request)
+    }
   }
 
   /** Records the answer to a health check. */
