Show what late notices, changes and figures of other targets do

A notice of a reader that a later one has overtaken, or a repeated one, is not handled; changes and subscriptions are, in any order; figures with the checksum of another target's id change nothing. No change of code.

--- a/packages/sidecar/test/attribution-datagram.test.ts
+++ b/packages/sidecar/test/attribution-datagram.test.ts
@@ -1,10 +1,15 @@
 import { createSocket } from 'node:dgram'
 import type { Socket } from 'node:dgram'
+import { Clock, ManualClock } from 'auburnturn/core/clock'
+import { Logger } from 'auburnturn/core/logger'
 import { Random } from 'auburnturn/core/random'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { DatagramOrder, DatagramStamps, readStamp } from '../src/core/attribution/index.js'
 import type { DatagramStamp } from '../src/core/attribution/index.js'
+import { encodeChangesNotice, encodeReaderNotice } from '../src/core/readers/index.js'
+import { computeIdChecksum, DatagramTransport, encodeSubscription } from '../src/core/reports/index.js'
+import { Directory } from '../src/core/targets/index.js'
 import type { TargetReport } from '../src/core/targets/index.js'
 import { TestCluster } from './fixtures/test-cluster.js'
 
@@ -148,4 +153,34 @@
   assert.is(readStamp(Buffer.alloc(3)), undefined)
 })
 
+// Guards against a reader that counts after it has stopped, and against a change that is lost because a later one overtook it.
+test('datagrams: an overtaken notice of a reader changes nothing, while changes and subscriptions count in any order', async () => {
+  const ip = '127.0.0.1'
+  const kinds: string[] = []
+  const transport = await DatagramTransport.create({ ip, port: 27_420, clock: Clock.create(), random: Random.create(1), logger: Logger.createSilent(), onMessage: (_ip, { kind }) => { kinds.push(kind) } })
+  const sender = await bind(ip, 0)
+  const notice = encodeReaderNotice({ kind: 'reader', state: 'reading', failureDomain: 'a', revision: 7, configurationVersion: 3 })
+  const changes = encodeChangesNotice({ kind: 'changes', from: 7, to: 8, changes: [] }) ?? Buffer.alloc(0)
+  for (const [message, bytes] of [[2, notice], [1, notice], [2, notice], [2, changes], [1, changes], [1, encodeSubscription()], [3, notice]] as const) {
+    sender.send([Buffer.from([9, 0, message, 0]), bytes], 27_420, ip)
+  }
+  const deadlineAt = Date.now() + 2_000
+  while (kinds.length < 5 && Date.now() < deadlineAt) await new Promise(resolve => setTimeout(resolve, 5))
+  await new Promise(resolve => setTimeout(resolve, 20))
+  assert.equal(kinds, ['reader', 'changes', 'changes', 'subscription', 'reader'])
+  sender.close()
+  transport.close()
+})
+
+// Guards against the load of another target, which has used the address before or uses it now.
+test('datagrams: the figures of another target at the address change nothing', () => {
+  const directory = Directory.create({ clock: ManualClock.create() })
+  directory.recordReport('10.0.0.1', { id: 'i-1', service: 's', failureDomain: 'a', state: 'up', fresh: true, running: 1, waiting: 0, limit: 4, slowness: 1, failures: 0, rateLimit: Infinity, rateAllowance: Infinity })
+  const readRunning = (): number | undefined => directory.findCandidates('s').at(0)?.running
+  directory.recordFigures('10.0.0.1', { running: 3 }, id => computeIdChecksum(id) === computeIdChecksum('i-2'))
+  assert.is(readRunning(), 1)
+  directory.recordFigures('10.0.0.1', { running: 3 }, id => computeIdChecksum(id) === computeIdChecksum('i-1'))
+  assert.is(readRunning(), 3)
+})
+
 test.run()
