--- a/packages/bench/src/scene/scene-node.ts
+++ b/packages/bench/src/scene/scene-node.ts
@@ -5,10 +5,9 @@
 import { BodyMemory } from 'auburnturn-sidecar/core/exchange'
 import type { ExchangeOptions, ExchangeResult } from 'auburnturn-sidecar/core/exchange'
 import { Forwarder } from 'auburnturn-sidecar/core/forwarding'
-import type { AnswerHead, Protocol } from 'auburnturn-sidecar/core/forwarding'
 import { OwnTarget, Prober } from 'auburnturn-sidecar/core/own-target'
-import type { Job, Outcome } from 'auburnturn-sidecar/core/own-target'
 import { computeIdChecksum, decodeMessage, Reporter } from 'auburnturn-sidecar/core/reports'
+import type { AnswerHead, Job, Outcome, Protocol } from 'auburnturn-sidecar/core/requests'
 import { Directory } from 'auburnturn-sidecar/core/targets'
 import type { ListedTarget } from 'auburnturn-sidecar/core/targets'
 import type { VirtualTime } from '../routing/virtual-time.js'
@@ -163,7 +162,7 @@
   private answer (status: number, id: string): ExchangeResult {
     const { id: targetId, running, queued, group, slowness, rateLimit } = this.target
     const named = rateLimit === undefined ? [] : [String(rateLimit)]
-    return { kind: 'answer', status, headers: [id, targetId, String(running), String(queued), String(group.slots), String(slowness), ...named], body: emptyBody }
+    return { kind: 'answer', status, headers: [id, targetId, String(running), String(queued), String(group.slots), String(slowness), ...named], body: emptyBody, connection: { earlierRequests: 0, ageMs: 0 } }
   }
 }
 
--- a/packages/sidecar/src/core/following/store-monitor.ts
+++ b/packages/sidecar/src/core/following/store-monitor.ts
@@ -1,6 +1,6 @@
 import type { Cancel, Clock } from 'auburnturn/core/clock'
+import type { StoreClient } from '../store/index.js'
 import { checkIntervalMs } from './constants.js'
-import type { StoreClient } from './types.js'
 
 /**
  * While this node reads the store, checks at short intervals whether the store still answers it. A watch can't show that: it
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -5,16 +5,15 @@
 import type { AdmissionDecision, SlotRequest } from '../admission/index.js'
 import { ConnectionPool, exchange } from '../exchange/index.js'
 import type { BodyMemory, Exchange, ExchangeResult } from '../exchange/index.js'
-import type { AnswerHead, Protocol } from '../forwarding/types.js'
 import type { RateLimit } from '../rate-limit/index.js'
+import { mayHaveRun, notRun, rejected } from '../requests/index.js'
+import type { AnswerHead, Job, Outcome, Protocol } from '../requests/index.js'
 import { FailureRate, usableSlotShare } from '../targets/index.js'
 import type { Directory, TargetReport, TargetState } from '../targets/index.js'
 import { classifyAnswer, isTargetFailure } from './classify-answer.js'
 import { connectTimeoutMs, defaultSlots, freshDurationMs, initialWorkShare, maxConnections, maxLoadAgeMs, maxNonIdempotentIdleMs, unhealthyFailureShare } from './constants.js'
 import { Demands } from './demands.js'
 import { SpeedEstimate } from './speed-estimate.js'
-import { mayHaveRun, notRun } from './types.js'
-import type { Job, Outcome } from './types.js'
 import { WorkEstimate } from './work-estimate.js'
 
 /** The target on this VM: its slots and its state. All requests to it go through this class. */
@@ -235,10 +234,10 @@
       if (result.cause === 'timeout') this.connections.closeIdle()
       return mayHaveRun(result.cause)
     }
-    const { status, headers, body } = result
+    const { status, headers, body, connection } = result
     const head = this.options.protocol.readAnswer(status, headers)
     this.updateFromAnswer(head)
-    if (head.notRun) return notRun('rejected', this.slots.estimateRetryAfterMs())
+    if (head.notRun) return rejected({ kind: 'refusal', status, attempt: head.id, target: head.targetId, connection }, this.slots.estimateRetryAfterMs())
     return classifyAnswer({ status, headers: this.options.protocol.filterAnswer(headers), body, head })
   }
 }
