--- a/packages/sidecar/src/node/request-path.ts
+++ b/packages/sidecar/src/node/request-path.ts
@@ -41,10 +41,11 @@
 
   /** Starts the health checks of the target on this VM; replaces the previous prober after a failure. */
   startProber (onFailure: (error: unknown) => void): Part {
-    const { clock, memory, bounds, state: { configuration }, settings: { upstream, service } } = this.options
+    const { clock, random, memory, bounds, state: { configuration }, settings: { upstream, service } } = this.options
     const prober = Prober.create({
       address: upstream,
       clock,
+      random,
       memory,
       protocol,
       target: this.target,
--- a/packages/sidecar/src/platform/store-page.ts
+++ b/packages/sidecar/src/platform/store-page.ts
@@ -1,6 +1,6 @@
 import type { WatchPage } from '../core/attribution/index.js'
-import { asJsonObject, asNonEmptyString, asNonNegativeNumber, parseJson } from './json-values.js'
-import type { JsonObject } from './json-values.js'
+import { asInteger, asJsonObject, asNonEmptyString, parseJson } from '../core/decoding/index.js'
+import type { JsonObject } from '../core/decoding/index.js'
 
 /** A page of items or changes, and what of it shows whose answer it is. */
 export interface Page extends WatchPage {
@@ -16,7 +16,7 @@
 /** Parses the body of an answer to a list ('items') or a watch ('events'); undefined if it is neither, or damaged. */
 export function parsePage (bytes: Buffer, listField: 'items' | 'events', tookMs: number): Page | undefined {
   const body = asJsonObject(parseJson(bytes))
-  const revision = asNonNegativeNumber(body?.['current_rev'])
+  const revision = asInteger(body?.['current_rev'])
   const entries: unknown = body?.[listField]
   if (body === undefined || revision === undefined || !Array.isArray(entries)) return undefined
   const items = entries.flatMap((entry: unknown): JsonObject[] => {
@@ -29,7 +29,7 @@
     hasMore: body['has_more'] === true,
     tookMs,
     keys: items.flatMap(item => asNonEmptyString(item['key']) ?? []),
-    eventRevisions: items.flatMap(item => asNonNegativeNumber(item['revision']) ?? []),
+    eventRevisions: items.flatMap(item => asInteger(item['revision']) ?? []),
     removedKeys: items.flatMap(item => item['tombstone'] === true ? asNonEmptyString(item['key']) ?? [] : [])
   }
 }
