--- a/packages/sidecar/src/platform/http-store-client.ts
+++ b/packages/sidecar/src/platform/http-store-client.ts
@@ -75,7 +75,8 @@
     while (pages.length < maxListPages) {
       const last = pages.at(-1)
       const after = last?.keys.at(-1) ?? ''
-      if (last !== undefined && (!last.hasMore || last.keys.length === 0)) return this.completeList(pages)
+      if (last?.hasMore === false) return this.completeList(pages)
+      if (last?.keys.length === 0) return { kind: 'failed', cause: 'list does not advance' }
       const page = await this.fetchListPage(mode, after)
       if (page.kind !== 'page') return page
       if (!isListPage({ prefix: '', after }, page)) return this.refuse('page of another call')
@@ -160,7 +161,7 @@
 
   private async sendGet (path: string, timeoutMs: number, connections: ConnectionPool, signal?: CancelSignal): Promise<ExchangeResult> {
     const { clock, host } = this
-    return await exchange({ connections, clock, method: 'GET', path, headers: ['host', host], body: Buffer.alloc(0), connectMs: connectTimeoutMs, timeoutMs, signal })
+    return await exchange({ connections, clock, method: 'GET', path, headers: ['host', host], body: Buffer.alloc(0), connectMs: connectTimeoutMs, timeoutMs, signal, belongs: bearsNoId })
   }
 
   private async fetchListPage (mode: 'cheap' | 'newest', after: string): Promise<PageResult> {
@@ -181,6 +182,9 @@
   }
 }
 
+/** The store's answers bear no id; the content of each is checked after it was received whole. */
+const bearsNoId = (): boolean => true
+
 function decodeEntries (entries: readonly unknown[]): Change[] {
   return entries.flatMap(entry => {
     const fields = asJsonObject(entry)
--- a/packages/sidecar/test/odd-entries-processes.test.ts
+++ b/packages/sidecar/test/odd-entries-processes.test.ts
@@ -1,11 +1,14 @@
 import { createSocket } from 'node:dgram'
 import { createServer } from 'node:http'
+import { connect } from 'node:net'
 import { deflateRawSync } from 'node:zlib'
+import { Random } from 'auburnturn/core/random'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { DatagramStamps, formatReadAnswer, parseRead } from '../src/core/attribution/index.js'
 import { encodeReport } from '../src/core/reports/index.js'
 import { unlimited } from '../src/core/rate-limit/index.js'
-import { oddDatagrams, oddEntries, oddPages, oddVersions } from './fixtures/odd-values.js'
+import { oddDatagrams, oddEntries, oddFrames, oddPages, oddVersions } from './fixtures/odd-values.js'
 import { ProcessCluster, processPorts } from './fixtures/process-cluster.js'
 
 const test = suite('odd entries, processes')
@@ -22,8 +25,8 @@
 /** Index of the address from which a test writes to the nodes as another node. */
 const otherNodeIndex = 40
 
-async function withCluster (check: (cluster: ProcessCluster) => Promise<void>): Promise<void> {
-  const cluster = await ProcessCluster.create(2)
+async function withCluster (check: (cluster: ProcessCluster) => Promise<void>, nodeCount = 2): Promise<void> {
+  const cluster = await ProcessCluster.create(nodeCount)
   try {
     await check(cluster)
   } finally {
@@ -92,8 +95,11 @@
   await withCluster(async cluster => {
     const socket = createSocket('udp4')
     await new Promise<void>(resolve => { socket.bind(0, cluster.getIp(otherNodeIndex), resolve) })
+    const stamps = DatagramStamps.create({ random: Random.create(1) })
     for (const bytes of oddDatagrams(100)) {
-      for (const [index] of cluster.nodes.entries()) socket.send(bytes, processPorts.internal, cluster.getIp(index))
+      for (const datagram of [bytes, Buffer.concat([stamps.stamp(bytes), bytes])]) {
+        for (const [index] of cluster.nodes.entries()) socket.send(datagram, processPorts.internal, cluster.getIp(index))
+      }
       await sleep(1)
     }
     await sleep(200)
@@ -102,6 +108,20 @@
   })
 })
 
+// Guards against a node that ends, or whose target has no slots left, because of odd bytes at its port for calls (issue 29).
+test('after odd frames, a node serves requests at its own target and follows changes', async () => {
+  await withCluster(async cluster => {
+    for (const bytes of oddFrames(100)) {
+      const socket = connect({ host: cluster.getIp(0), port: processPorts.internal })
+      socket.on('error', () => {})
+      socket.write(bytes)
+      setTimeout(() => { socket.destroy() }, 100)
+      await sleep(2)
+    }
+    await assertWorks(cluster, 'after the frames')
+  }, 1)
+})
+
 /** States that a faulty node may serve: its version is announced as the highest one. */
 const oddStates: ReadonlyArray<readonly [string, (version: number) => Buffer]> = [
   ['no JSON', () => Buffer.from('no JSON')],
@@ -119,20 +139,24 @@
     let createState = oddStates[0]?.[1] ?? (() => Buffer.alloc(0))
     let version = 1_000
     let reads = 0
-    const server = createServer((_request, response) => {
-      reads++
-      response.writeHead(200).end(createState(version))
+    const server = createServer((request, response) => {
+      const read = parseRead(request.url ?? '', request.rawHeaders)
+      if (read !== undefined) reads++
+      response.writeHead(200, read === undefined ? [] : formatReadAnswer(read)).end(createState(version))
     })
     await new Promise<void>(resolve => { server.listen(processPorts.nodes, ip, resolve) })
     const socket = createSocket('udp4')
     await new Promise<void>(resolve => { socket.bind(0, ip, resolve) })
     const target = { id: 'odd', service: 'odd', failureDomain: 'a', state: 'up' as const, fresh: true, running: 0, waiting: 0, limit: 1, slowness: 1, failures: 0, rateLimit: unlimited, rateAllowance: unlimited }
+    const stamps = DatagramStamps.create({ random: Random.create(1) })
     for (const [name, create] of oddStates) {
       createState = create
       reads = 0
       version += 1_000
       for (let times = 0; times < 3; times++) {
-        for (const [index] of cluster.nodes.entries()) socket.send(encodeReport({ kind: 'full', target, configurationVersion: version }), processPorts.internal, cluster.getIp(index))
+        const report = encodeReport({ kind: 'full', target, configurationVersion: version })
+        const datagram = Buffer.concat([stamps.stamp(report), report])
+        for (const [index] of cluster.nodes.entries()) socket.send(datagram, processPorts.internal, cluster.getIp(index))
         await sleep(300)
       }
       assert.ok(reads > 0, `${name} was read`)
--- a/packages/sidecar/test/odd-entries.test.ts
+++ b/packages/sidecar/test/odd-entries.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
-import { createServer } from 'node:http'
-import { isIPv4 } from 'node:net'
+import { createServer, IncomingMessage, request as createRequest, ServerResponse } from 'node:http'
+import { isIPv4, Socket } from 'node:net'
 import type { AddressInfo } from 'node:net'
 import { deflateRawSync } from 'node:zlib'
 import { Clock, ManualClock } from 'auburnturn/core/clock'
@@ -17,12 +17,15 @@
 import type { Change, StoreAnswer } from '../src/core/store/index.js'
 import { AnnouncementFilter } from '../src/core/following/announcement-filter.js'
 import { compressJson, decompressJson } from '../src/core/forwarding/compression.js'
+import { parseOutcome, parseRequest } from '../src/core/forwarding/hop-message.js'
+import { FrameReader } from '../src/core/peer-calls/frame-reader.js'
+import { describeEvidence } from '../src/core/requests/index.js'
 import { decodeMessage } from '../src/core/reports/index.js'
 import { decodeChangesNotice, encodeChangesNotice } from '../src/core/readers/index.js'
 import { Directory } from '../src/core/targets/index.js'
 import type { ListedTarget } from '../src/core/targets/index.js'
 import { decodeConfiguration, decodeTarget, HttpStoreClient, parseSettings } from '../src/platform/index.js'
-import { anyJsonText, oddAddresses, oddChanges, oddDatagrams, oddEntries, oddJsonTexts, oddPages, replaceValues, seed, validEntry } from './fixtures/odd-values.js'
+import { anyFields, anyJsonText, oddAddresses, oddChanges, oddDatagrams, oddEntries, oddFrames, oddJsonTexts, oddPages, replaceValues, seed, validEntry } from './fixtures/odd-values.js'
 
 const test = suite('odd entries')
 
@@ -69,7 +72,8 @@
     assert.ok(isNumberUpTo(priority, maxInteger) && isNumberUpTo(maxAttempts, maxInteger) && maxAttempts >= 1)
     assert.ok(shares.length > 0 && shares.every(({ service, weight }) => typeof service === 'string' && isNumberUpTo(weight, maxInteger) && weight > 0))
   }
-  for (const { name, healthPath } of services) assert.ok(typeof name === 'string' && typeof healthPath === 'string')
+  for (const { name } of routes) encodeURIComponent(name)
+  for (const { name, healthPath } of services) assert.ok(typeof name === 'string' && /^\/[\u0021-\u00ff]*$/.test(healthPath), healthPath)
   assert.ok([limits.headerTimeoutMs, limits.idleTimeoutMs].every(value => isNumberUpTo(value, maxDurationMs)))
   assert.ok([limits.maxHeaderBytes, limits.maxBodyBytes].every(value => isNumberUpTo(value, maxInteger)))
 }
@@ -143,12 +147,49 @@
   const bodies = [...oddPages(), ...oddJsonTexts, ...fc.sample(replaceValues(page), { numRuns: 200, seed })]
   await readStore(bodies, async (client, body) => {
     assertStoreAnswer(await client.watch(1, 1_000))
-    if (!body.includes('"has_more"')) assertStoreAnswer(await client.list('newest'))
+    assertStoreAnswer(await client.list('newest'))
     const configuration = await client.readConfiguration()
     if (configuration !== undefined) assertConfiguration(configuration)
   })
 })
 
+/** Lists a store whose pages are chosen by the key after which they begin; returns the answer and the number of pages read. */
+async function listPages (choosePage: (after: string) => unknown): Promise<{ answer: StoreAnswer, pages: number }> {
+  let pages = 0
+  const server = createServer((request, response) => {
+    pages++
+    response.end(JSON.stringify(choosePage(new URL(request.url ?? '/', 'http://store').searchParams.get('after') ?? '')))
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const client = HttpStoreClient.create({ address: `127.0.0.1:${(server.address() as AddressInfo).port}`, clock: Clock.create(), memory: BodyMemory.create({ maxBytes: 64 * 1024 * 1024 }), onCall: () => {} })
+  const answer = await client.list('newest')
+  client.close()
+  server.close()
+  server.closeAllConnections()
+  return { answer, pages }
+}
+
+function createItem (id: string): unknown {
+  return { key: `servers/${id}`, value: Buffer.from(JSON.stringify(validEntry)).toString('base64') }
+}
+
+// Guards against a full list without the targets that come after an odd entry at the end of a page (issue 29).
+test('an entry without a key at the end of a page does not end the list', async () => {
+  const { answer } = await listPages(after => after === '' ? { items: [createItem('a'), { key: 7 }], has_more: true, current_rev: 5 } : { items: [createItem('b')], has_more: false, current_rev: 5 })
+  assert.equal(answer.kind === 'changes' ? answer.changes.map(change => change.kind === 'target' ? change.target.id : change.kind) : answer, ['a', 'b'])
+})
+
+// Guards against a node that spends the reads of all nodes on a list without end (issue 29).
+test('a list that does not advance fails after few pages', async () => {
+  for (const items of [[], [{}], [createItem('a')], [createItem('a'), {}]]) {
+    const { answer, pages } = await listPages(() => ({ items, has_more: true, current_rev: 5 }))
+    assert.equal([answer.kind, pages <= 2], ['failed', true])
+  }
+  let next = 0
+  const { answer, pages } = await listPages(() => ({ items: [createItem(['a', 'b', 'c'][next++ % 3] ?? '')], has_more: true, current_rev: 5 }))
+  assert.equal([answer.kind, pages], ['failed', 4])
+})
+
 const validTarget: ListedTarget = { id: 'i-1', service: 'shop', address: '10.0.0.9:8080', ip: '10.0.0.9', failureDomain: 'a', slots: 8, state: 'ready', coldMs: 0 }
 const sharedState = { configuration: decodeConfiguration(validConfiguration), targets: [validTarget, { ...validTarget, id: 'i-2', coldMs: 20 }], revision: 40 }
 
@@ -223,9 +264,10 @@
   const unusableConfiguration: Change = { kind: 'unusable', key: 'op/config', id: undefined }
   assert.equal([countLines([unusable, unusableConfiguration], true), countLines([unusable, unusableConfiguration], true), countLines([unusable, unusable], false)], [2, 0, 0])
   assert.equal([countLines([{ kind: 'target', target: validTarget }], false), countLines([unusable], false), countLines([{ kind: 'gone', id: 'i-1' }], false), countLines([unusable], false)], [0, 1, 0, 1])
-  assert.equal([countLines([], true), countLines([unusable], true)], [0, 1])
+  // The full list of another node contains no entries that can't be used.
+  assert.equal([countLines([], true), countLines([unusable], true)], [0, 0])
   const configuration: Change = { kind: 'configuration', configuration: { version: 1, routes: [], services: [], limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } } }
-  assert.equal([countLines([unusableConfiguration], false), countLines([configuration], false), countLines([unusableConfiguration], false)], [1, 0, 1])
+  assert.equal([countLines([unusableConfiguration], false), countLines([configuration], false), countLines([unusableConfiguration], false)], [0, 0, 1])
   const many = Array.from({ length: 12_000 }, (_, index): Change => ({ kind: 'unusable', key: `servers/odd-${index}`, id: `odd-${index}` }))
   assert.is(countLines(many, false), many.length)
 })
@@ -237,4 +279,38 @@
   assert.equal([unusable, unusable, { kind: 'target', target: validTarget } as const, unusable, { kind: 'gone', id: 'i-1' } as const, unusable].map(announces), [true, false, true, true, true, true])
 })
 
+// Guards against a frame that rejects its handler or leaves a slot taken, and an outcome that can't be written to the caller (issue 29).
+test('a frame is decoded to a request or an outcome that can be sent on, or not at all', () => {
+  fc.assert(fc.property(anyFields, fields => {
+    const frame = { fields, body: Buffer.alloc(0) }
+    const job = parseRequest(frame, 'shop', 1_000)?.job
+    if (job !== undefined) {
+      assert.ok([job.objectiveAt, job.deadlineAt].every(at => Number.isFinite(at) && Math.abs(at) <= maxDurationMs + 1_000))
+      assert.ok([job.priority, job.objectiveMs].every(value => isNumberUpTo(value + 0, maxInteger)))
+      createRequest({ method: job.method, path: job.path, headers: [...job.headers, 'host', 'a'] as never }).on('error', () => {}).destroy()
+    }
+    const outcome = parseOutcome(frame)
+    if (outcome.kind === 'not-run') assert.ok(isNumberUpTo(outcome.retryAfterMs, maxDurationMs) && Object.values(describeEvidence(outcome.evidence)).every(value => typeof value === 'string' || isNumberUpTo(value + 0, Infinity)))
+    if (outcome.kind === 'answer') new ServerResponse(new IncomingMessage(new Socket())).writeHead(outcome.status, [...outcome.headers])
+  }), { seed, numRuns: 3_000 })
+  for (const [kind, detail, delay] of [['answer', '0'], ['answer', '199'], ['answer', '600'], ['answer', ''], ['not-run', 'slow', '-5'], ['not-run', 'odd', '5'], ['not-run', 'slow', '1e999'], ['may-have-run', 'odd']]) {
+    assert.equal(parseOutcome({ fields: delay === undefined ? [kind ?? '', detail ?? ''] : [kind ?? '', detail ?? '', delay, 'unsent'], body: Buffer.alloc(0) }), { kind: 'may-have-run', cause: 'invalid' }, `${kind} ${detail} ${delay}`)
+  }
+})
+
+// Guards against a frame whose lengths reserve memory or are believed beyond its bytes (issue 29).
+test('frames with odd lengths are partial or invalid, and take no more memory than their bytes', () => {
+  fc.assert(fc.property(fc.constantFrom(...oddFrames(300)), fc.integer({ min: 1, max: 64 }), (bytes, chunkBytes) => {
+    const memory = BodyMemory.create({ maxBytes: 1_000_000 })
+    const reader = FrameReader.create({ memory, maxBodyBytes: () => 65_536, onEvict: () => {} })
+    for (let start = 0; start < bytes.length; start += chunkBytes) {
+      const result = reader.read(bytes.subarray(start, start + chunkBytes))
+      assert.ok(memory.bufferedBytes <= bytes.length)
+      if (result !== 'partial') break
+    }
+    reader.discard()
+    assert.is(memory.bufferedBytes, 0)
+  }), { seed, numRuns: 1_000 })
+})
+
 test.run()
