--- a/packages/bench/src/scene/scene-node.ts
+++ b/packages/bench/src/scene/scene-node.ts
@@ -1,14 +1,15 @@
 import { Cancellation } from 'auburnturn/core/clock'
 import { Logger } from 'auburnturn/core/logger'
 import { Metrics } from 'auburnturn/core/metrics'
-import type { Random } from 'auburnturn/core/random'
-import { BodyMemory } from 'auburnturn-sidecar/core/exchange'
+import { Random } from 'auburnturn/core/random'
+import { AttributedHead } from 'auburnturn-sidecar/core/attribution'
+import type { Ownership } from 'auburnturn-sidecar/core/attribution'
+import { Answer, BodyMemory } from 'auburnturn-sidecar/core/exchange'
 import type { ExchangeOptions, ExchangeResult } from 'auburnturn-sidecar/core/exchange'
 import { Forwarder } from 'auburnturn-sidecar/core/forwarding'
-import type { AnswerHead, Protocol } from 'auburnturn-sidecar/core/forwarding'
 import { OwnTarget, Prober } from 'auburnturn-sidecar/core/own-target'
-import type { Job, Outcome } from 'auburnturn-sidecar/core/own-target'
 import { computeIdChecksum, decodeMessage, Reporter } from 'auburnturn-sidecar/core/reports'
+import type { AnswerHead, Job, Outcome, Protocol } from 'auburnturn-sidecar/core/requests'
 import { Directory } from 'auburnturn-sidecar/core/targets'
 import type { ListedTarget } from 'auburnturn-sidecar/core/targets'
 import type { VirtualTime } from '../routing/virtual-time.js'
@@ -29,6 +30,9 @@
 /** Retries that a service allows: a share of its requests, and a number besides. */
 const retryBudget = { ratio: 0.2, allowance: 58 }
 
+/** Seed of the ids of health checks; it is apart from that of the scene, whose figures they don't change. */
+const checkIdSeed = 1
+
 const emptyBody = Buffer.alloc(0)
 
 /** What the nodes of a scene share. */
@@ -77,7 +81,7 @@
     const exchange = async (sent: ExchangeOptions): Promise<ExchangeResult> => await this.exchange(sent)
     const loadMonitor = { refresh: async () => { await this.prober.refresh() }, useShortInterval: () => { this.prober.useShortInterval() } }
     this.ownTarget = OwnTarget.create({ address: `${ip}:1`, service: target.group.service, failureDomain, clock, memory, logger, metrics, protocol, directory, loadMonitor, exchange, onChange: () => { this.reporter?.reportChanges() } })
-    this.prober = Prober.create({ address: `${ip}:1`, clock, memory, protocol, target: this.ownTarget, exchange, healthPath: () => '/health', probesPerSecond: () => probesPerSecond, onFailure: error => { throw error } })
+    this.prober = Prober.create({ address: `${ip}:1`, clock, random: Random.create(checkIdSeed), memory, protocol, target: this.ownTarget, exchange, healthPath: () => '/health', probesPerSecond: () => probesPerSecond, onFailure: error => { throw error } })
     this.reporter = Reporter.create({
       clock,
       describe: () => ({ kind: 'full', target: this.ownTarget.describe(), configurationVersion: 1 }),
@@ -144,26 +148,28 @@
   }
 
   /** Stands for the HTTP exchange with the target: health checks and requests. */
-  private async exchange ({ path, headers, timeoutMs }: ExchangeOptions): Promise<ExchangeResult> {
+  private async exchange ({ path, headers, timeoutMs, belongs }: ExchangeOptions): Promise<ExchangeResult> {
     const { time, runAtTarget } = this.options
     await time.clock.sleep(exchangeMs)
     if (this.down) return { kind: 'unsent', cause: 'connect-failed' }
-    if (path === '/health') return this.answer(200, 'health')
-    const id = headers[1] as string
+    const id = headers.at(-1) as string
+    if (path === '/health') return this.answer(200, id, belongs)
     const result = await runAtTarget(this, id, time.now() + timeoutMs)
     switch (result) {
-      case 'done': return this.answer(200, id)
-      case 'rejected': return this.answer(503, id)
-      case 'call-failed': return this.answer(500, id)
-      case 'expired': return this.answer(504, id)
+      case 'done': return this.answer(200, id, belongs)
+      case 'rejected': return this.answer(503, id, belongs)
+      case 'call-failed': return this.answer(500, id, belongs)
+      case 'expired': return this.answer(504, id, belongs)
     }
   }
 
   /** The answer head as headers: id of the request, id of the target, load. */
-  private answer (status: number, id: string): ExchangeResult {
+  private answer (status: number, id: string, belongs: Ownership): ExchangeResult {
     const { id: targetId, running, queued, group, slowness, rateLimit } = this.target
     const named = rateLimit === undefined ? [] : [String(rateLimit)]
-    return { kind: 'answer', status, headers: [id, targetId, String(running), String(queued), String(group.slots), String(slowness), ...named], body: emptyBody }
+    const headers = [id, targetId, String(running), String(queued), String(group.slots), String(slowness), ...named]
+    const head = AttributedHead.create({ status, reason: '', headers }, belongs)
+    return head === undefined ? { kind: 'lost', cause: 'foreign' } : Answer.create({ head, body: emptyBody, connection: { earlierRequests: 0, ageMs: 0 } })
   }
 }
 
@@ -172,6 +178,7 @@
   readRequest: () => ({ id: '', timeoutMs: undefined }),
   filterRequest: headers => [...headers],
   writeRequest: (_headers, { id }) => ['id', id],
+  writeHealthCheck: id => ['id', id],
   readAnswer: (status, headers): AnswerHead => {
     const [id = '', targetId = '', ...figures] = headers
     const [running = 0, waiting = 0, slots = 1, slowness = 1, rateLimit = 'none'] = figures.map(Number)
--- a/packages/sidecar/src/core/exchange/types.ts
+++ b/packages/sidecar/src/core/exchange/types.ts
@@ -1,4 +1,6 @@
 import type { CancelSignal, Clock } from 'auburnturn/core/clock'
+import type { Ownership } from '../attribution/index.js'
+import type { Answer } from './answer.js'
 import type { ConnectionPool } from './connection-pool.js'
 
 /** Alternating header names and values. */
@@ -8,13 +10,22 @@
 export type LossCause =
   | 'reset' // the connection ended before the answer
   | 'cut' // the connection ended within the answer
-  | 'invalid' // not a valid HTTP answer, too large, or the answer to another request
+  | 'invalid' // not a valid HTTP answer, or too large
+  | 'foreign' // the answer to another request, or one that was read from the bytes of two answers
   | 'timeout'
   | 'left' // the caller cancelled the request
 
+/** How a connection was used before a request. */
+export interface ConnectionUse {
+  /** Number of earlier requests; 0 on a new connection. */
+  readonly earlierRequests: number
+  /** Milliseconds since it was opened. */
+  readonly ageMs: number
+}
+
 /** Result of one request on one connection. */
 export type ExchangeResult =
-  | { readonly kind: 'answer', readonly status: number, readonly headers: Headers, readonly body: Buffer }
+  | Answer
   /** No part of the request was written. */
   | { readonly kind: 'unsent', readonly cause: 'connect-failed' | 'connect-timeout' | 'timeout' | 'left' }
   /** The server may have read the request. */
@@ -36,7 +47,7 @@
   /** Aborts the exchange. */
   readonly signal?: CancelSignal | undefined
   /** Whether an answer head belongs to the request; if not, the connection is closed. */
-  readonly matchesRequest?: ((status: number, headers: Headers) => boolean) | undefined
+  readonly belongs: Ownership
 }
 
 /** Sends one request and receives its whole answer. Never rejects. */
--- a/packages/sidecar/src/core/forwarding/forwarder.ts
+++ b/packages/sidecar/src/core/forwarding/forwarder.ts
@@ -3,9 +3,11 @@
 import type { Metrics } from 'auburnturn/core/metrics'
 import type { Random } from 'auburnturn/core/random'
 import type { Route } from '../configuration/index.js'
-import { notRun, WorkEstimate } from '../own-target/index.js'
-import type { Job, Outcome, OwnTarget } from '../own-target/index.js'
+import { WorkEstimate } from '../own-target/index.js'
+import type { OwnTarget } from '../own-target/index.js'
 import { computeRateWaitMs, MoveLog } from '../rate-limit/index.js'
+import { describeEvidence, notRun } from '../requests/index.js'
+import type { Job, Outcome } from '../requests/index.js'
 import { RetryWindow } from '../retries/index.js'
 import type { RetryBudget } from '../retries/index.js'
 import { chooseTarget, estimateCost, findAvoidedTarget, slowFactor, widenAboveCost } from '../targets/index.js'
@@ -57,6 +59,7 @@
       if (!mayWait && outcome.kind === 'not-run' && (outcome.cause === 'slow' || outcome.cause === 'rate-limited')) {
         progress.tried.delete(target.id)
         directory.markRefusing(target.id, outcome.cause)
+        this.logFailure(outcome, job, target, attempts)
         continue
       }
       this.logFailure(outcome, job, target, attempts)
@@ -175,7 +178,8 @@
       waiting: target.waiting,
       limit: target.limit,
       rateWaitMs: Math.round(target.rateWaitMs),
-      slowness: target.slowness
+      slowness: target.slowness,
+      ...outcome.kind === 'not-run' ? describeEvidence(outcome.evidence) : {}
     })
   }
 
--- a/packages/sidecar/src/core/forwarding/ingress.ts
+++ b/packages/sidecar/src/core/forwarding/ingress.ts
@@ -5,14 +5,13 @@
 import type { Metrics } from 'auburnturn/core/metrics'
 import type { CurrentConfiguration, Route } from '../configuration/index.js'
 import type { BodyMemory } from '../exchange/index.js'
-import { mayHaveRun, notRun } from '../own-target/index.js'
-import type { Job, Outcome } from '../own-target/index.js'
+import { describeEvidence, mayHaveRun, notRun } from '../requests/index.js'
+import type { Job, Outcome, Protocol, RequestHead } from '../requests/index.js'
 import { maxRetryAfterShare, defaultRetryAfterMs } from './constants.js'
 import type { Forwarder } from './forwarder.js'
 import { formatRetryAfter } from './retry-after.js'
 import { readBody } from './request-body.js'
 import { respond, chooseStatus } from './respond.js'
-import type { Protocol, RequestHead } from './types.js'
 
 const emptyBody = Buffer.alloc(0)
 
@@ -126,7 +125,8 @@
     }
     metrics.count('calls_total', { verdict: outcome.kind, cause: outcome.cause })
     const status = chooseStatus(outcome)
-    logger.info('request-failed', { request: head.id, status, cause: outcome.cause, route: job?.route, service: job?.service, tookMs: Math.round(now - arrivedAt), gone: response.destroyed, version: configuration.version })
+    const evidence = outcome.kind === 'not-run' ? describeEvidence(outcome.evidence) : {}
+    logger.info('request-failed', { request: head.id, status, cause: outcome.cause, route: job?.route, service: job?.service, tookMs: Math.round(now - arrivedAt), gone: response.destroyed, version: configuration.version, ...evidence })
     const remainingMs = (head.timeoutMs ?? 0) - (now - arrivedAt)
     const headers = outcome.kind === 'not-run' ? ['retry-after', formatRetryAfter(Math.min(outcome.retryAfterMs, remainingMs * maxRetryAfterShare))] : []
     respond(response, status, headers, emptyBody)
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -3,18 +3,18 @@
 import type { Metrics } from 'auburnturn/core/metrics'
 import { Slots } from '../admission/index.js'
 import type { AdmissionDecision, SlotRequest } from '../admission/index.js'
+import { isAnswerToAttempt } from '../attribution/index.js'
 import { ConnectionPool, exchange } from '../exchange/index.js'
 import type { BodyMemory, Exchange, ExchangeResult } from '../exchange/index.js'
-import type { AnswerHead, Protocol } from '../forwarding/types.js'
 import type { RateLimit } from '../rate-limit/index.js'
+import { mayHaveRun, notRun, rejected } from '../requests/index.js'
+import type { AnswerHead, Job, Outcome, Protocol } from '../requests/index.js'
 import { FailureRate, usableSlotShare } from '../targets/index.js'
 import type { Directory, TargetReport, TargetState } from '../targets/index.js'
 import { classifyAnswer, isTargetFailure } from './classify-answer.js'
 import { connectTimeoutMs, defaultSlots, freshDurationMs, initialWorkShare, maxConnections, maxLoadAgeMs, maxNonIdempotentIdleMs, unhealthyFailureShare } from './constants.js'
 import { Demands } from './demands.js'
 import { SpeedEstimate } from './speed-estimate.js'
-import { mayHaveRun, notRun } from './types.js'
-import type { Job, Outcome } from './types.js'
 import { WorkEstimate } from './work-estimate.js'
 
 /** The target on this VM: its slots and its state. All requests to it go through this class. */
@@ -209,7 +209,7 @@
       timeoutMs,
       // A request that isn't idempotent runs to its end, even if its caller disconnects.
       signal: job.idempotent ? signal : undefined,
-      matchesRequest: (status, headers) => protocol.readAnswer(status, headers).id === job.id
+      belongs: ({ status, headers }) => isAnswerToAttempt(job.id, protocol.readAnswer(status, headers).id)
     })
     const outcome = this.processResult(result)
     if (outcome.kind === 'answer') this.workEstimate.record(job.route, clock.now() - startedAt, slowness)
@@ -238,7 +238,7 @@
     const { status, headers, body } = result
     const head = this.options.protocol.readAnswer(status, headers)
     this.updateFromAnswer(head)
-    if (head.notRun) return notRun('rejected', this.slots.estimateRetryAfterMs())
+    if (head.notRun) return rejected(result, head, this.slots.estimateRetryAfterMs())
     return classifyAnswer({ status, headers: this.options.protocol.filterAnswer(headers), body, head })
   }
 }
--- a/packages/sidecar/src/core/own-target/prober.ts
+++ b/packages/sidecar/src/core/own-target/prober.ts
@@ -1,8 +1,10 @@
 import { Cancellation } from 'auburnturn/core/clock'
 import type { Clock } from 'auburnturn/core/clock'
+import type { Random } from 'auburnturn/core/random'
+import { CheckIds, isHealthAnswer } from '../attribution/index.js'
 import { ConnectionPool, exchange } from '../exchange/index.js'
 import type { BodyMemory, Exchange } from '../exchange/index.js'
-import type { Protocol } from '../forwarding/types.js'
+import type { Protocol } from '../requests/index.js'
 import { connectTimeoutMs, idleProbeIntervalMs, minProbeIntervalMs, probeTimeoutMs, refreshTimeoutMs, slowTargetProbeIntervalMs, unansweredProbesUntilDown, usableProbeShare } from './constants.js'
 import type { OwnTarget } from './own-target.js'
 
@@ -10,6 +12,7 @@
 export class Prober {
   private readonly options: ProberOptions
   private readonly connections: ConnectionPool
+  private readonly checkIds: CheckIds
   private unansweredProbes = 0
   private lastProbeAt = -Infinity
   private probeInFlight: Promise<void> | undefined
@@ -19,6 +22,7 @@
 
   private constructor (options: ProberOptions) {
     this.options = options
+    this.checkIds = CheckIds.create(options)
     this.connections = ConnectionPool.create({ address: options.address, limit: 1, clock: options.clock, memory: options.memory })
   }
 
@@ -91,10 +95,21 @@
 
   private async probe (path: string): Promise<void> {
     const { clock, target, protocol, address } = this.options
+    const id = this.checkIds.next()
     this.lastProbeAt = clock.now()
     const result = await (this.options.exchange ?? exchange)({
-      connections: this.connections, clock, method: 'GET', path, headers: ['host', address], body: Buffer.alloc(0), connectMs: connectTimeoutMs, timeoutMs: probeTimeoutMs
+      connections: this.connections,
+      clock,
+      method: 'GET',
+      path,
+      headers: ['host', address, ...protocol.writeHealthCheck(id)],
+      body: Buffer.alloc(0),
+      connectMs: connectTimeoutMs,
+      timeoutMs: probeTimeoutMs,
+      belongs: ({ status, headers }) => isHealthAnswer(id, status, protocol.readAnswer(status, headers))
     })
+    // The answer to another check or to a request shows neither the state of the target nor that it does not answer.
+    if (result.kind === 'lost' && result.cause === 'foreign') return
     if (result.kind === 'answer') {
       this.unansweredProbes = 0
       target.recordHealthCheck(result.status === 200, protocol.readAnswer(result.status, result.headers))
@@ -111,6 +126,8 @@
   /** `IP:PORT`. */
   readonly address: string
   readonly clock: Clock
+  /** Chooses the ids of the checks. */
+  readonly random: Random
   readonly memory: BodyMemory
   readonly protocol: Protocol
   readonly target: OwnTarget
--- a/packages/sidecar/src/core/own-target/types.ts
+++ b/packages/sidecar/src/core/requests/outcome.ts
@@ -1,31 +1,7 @@
-import type { Headers } from '../exchange/index.js'
-
-/** A request to be forwarded, with the inputs of routing and admission. Times are clock milliseconds. */
-export interface Job {
-  /** Id of the caller's attempt. */
-  readonly id: string
-  readonly method: string
-  /** Path and query. */
-  readonly path: string
-  /** Headers of the caller that are forwarded. */
-  readonly headers: Headers
-  readonly body: Buffer
-  readonly route: string
-  readonly service: string
-  /** Service on the VM where the request originated. */
-  readonly caller: string
-  readonly idempotent: boolean
-  /** Latency objective of the route, in milliseconds. */
-  readonly objectiveMs: number
-  /** Lower numbers are more urgent; 0 is served first. */
-  readonly priority: number
-  /** Whether the request may wait for the target's usual speed or its rate limit; otherwise it is refused. */
-  readonly mayWait: boolean
-  /** When the latency objective of the request ends; an answer after this has less value. */
-  readonly objectiveAt: number
-  /** When the caller stops waiting for the answer. */
-  readonly deadlineAt: number
-}
+import type { Answer, Headers } from '../exchange/index.js'
+import type { AnswerHead } from './answer-head.js'
+import { unsent } from './evidence.js'
+import type { Evidence } from './evidence.js'
 
 /** Why a request did not run. */
 export type NotRunCause =
@@ -47,17 +23,26 @@
  * Why it is unknown whether a request ran: a `LossCause`, or 'unproven' for an answer whose status claims that the request did
  * not run, without the header that proves it.
  */
-export type MayHaveRunCause = 'reset' | 'cut' | 'invalid' | 'timeout' | 'left' | 'unproven'
+export type MayHaveRunCause = 'reset' | 'cut' | 'invalid' | 'foreign' | 'timeout' | 'left' | 'unproven'
 
 /** Result of a request at one target. */
 export type Outcome =
   | { readonly kind: 'answer', readonly status: number, readonly headers: Headers, readonly body: Buffer }
-  | { readonly kind: 'not-run', readonly cause: NotRunCause, readonly retryAfterMs: number }
+  | { readonly kind: 'not-run', readonly cause: NotRunCause, readonly retryAfterMs: number, readonly evidence: Evidence }
   | { readonly kind: 'may-have-run', readonly cause: MayHaveRunCause }
 
-/** The outcome of a request that did not run, with the delay before a retry in milliseconds. */
+/** The outcome of a request of which this node has written no byte, with the delay before a retry in milliseconds. */
 export function notRun (cause: NotRunCause, retryAfterMs = 0): Extract<Outcome, { kind: 'not-run' }> {
-  return { kind: 'not-run', cause, retryAfterMs }
+  return { kind: 'not-run', cause, retryAfterMs, evidence: unsent }
+}
+
+/**
+ * The outcome of a request that a target refused, with the delay before a retry in milliseconds.
+ * @param answer the refusal
+ * @param head what its head names
+ */
+export function rejected ({ status, connection }: Answer, { id: attempt, targetId: target }: AnswerHead, retryAfterMs: number): Extract<Outcome, { kind: 'not-run' }> {
+  return { kind: 'not-run', cause: 'rejected', retryAfterMs, evidence: { kind: 'refusal', status, attempt, target, connection } }
 }
 
 /** The outcome of a request that may have run. */
--- a/packages/sidecar/src/platform/protocol.ts
+++ b/packages/sidecar/src/platform/protocol.ts
@@ -1,6 +1,6 @@
-import { findHeader, filterEndToEndHeaders } from 'auburnturn/core/http'
+import { countHeader, findHeader, filterEndToEndHeaders } from 'auburnturn/core/http'
 import type { Headers } from '../core/exchange/index.js'
-import type { AnswerHead, NamedRateLimit, Protocol, RequestHead, TargetLoad, TargetRequestHead } from '../core/forwarding/index.js'
+import type { AnswerHead, NamedRateLimit, Protocol, RequestHead, TargetLoad, TargetRequestHead } from '../core/requests/index.js'
 
 /** Names of headers of requests and answers on the platform. */
 const headerNames = {
@@ -37,7 +37,7 @@
 const unforwardedAnswerHeaders = new Set<string>(['content-length', headerNames.serverLoad])
 
 /** Reads and writes the headers of the platform. */
-export const protocol: Protocol = { readRequest, filterRequest, writeRequest, readAnswer, filterAnswer }
+export const protocol: Protocol = { readRequest, filterRequest, writeRequest, writeHealthCheck, readAnswer, filterAnswer }
 
 function readRequest (headers: Headers): RequestHead {
   const timeoutMs = Number(findHeader(headers, headerNames.timeoutMs) ?? Number.NaN)
@@ -56,9 +56,13 @@
   return [...headers, headerNames.timeoutMs, remainingMs, headerNames.expectedTarget, target, headerNames.callerService, caller]
 }
 
+function writeHealthCheck (id: string): string[] {
+  return [headerNames.attemptId, id]
+}
+
 function readAnswer (status: number, headers: Headers): AnswerHead {
   return {
-    id: findHeader(headers, headerNames.attemptId) ?? '',
+    id: countHeader(headers, headerNames.attemptId) === 1 ? findHeader(headers, headerNames.attemptId) ?? '' : '',
     sealed: findHeader(headers, headerNames.responseSeal) !== undefined,
     notRun: findHeader(headers, headerNames.notExecuted) !== undefined || status === misdirectedStatus,
     encoded: findHeader(headers, 'content-encoding') !== undefined,
--- a/packages/sidecar/test/prober.test.ts
+++ b/packages/sidecar/test/prober.test.ts
@@ -1,11 +1,12 @@
 import { Cancellation, ManualClock } from 'auburnturn/core/clock'
 import { Logger } from 'auburnturn/core/logger'
 import { Metrics } from 'auburnturn/core/metrics'
+import { Random } from 'auburnturn/core/random'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import { BodyMemory } from '../src/core/exchange/index.js'
 import { OwnTarget, Prober } from '../src/core/own-target/index.js'
-import type { Job, Outcome } from '../src/core/own-target/index.js'
+import type { Job, Outcome } from '../src/core/requests/index.js'
 import { Directory } from '../src/core/targets/index.js'
 import { protocol } from '../src/platform/index.js'
 import { createJob } from './fixtures/create-job.js'
@@ -92,6 +93,7 @@
     this.prober = Prober.create({
       address: server.address,
       clock,
+      random: Random.create(1),
       memory: this.memory,
       protocol,
       target: this.ownTarget,
