--- a/packages/sidecar/src/platform/http-store-client.ts
+++ b/packages/sidecar/src/platform/http-store-client.ts
@@ -1,4 +1,4 @@
-import type { Clock } from 'auburnturn/core/clock'
+import type { CancelSignal, Clock } from 'auburnturn/core/clock'
 import { isEarly, isItemOf, isListPage, isWatchPage, SeenContent } from '../core/attribution/index.js'
 import type { Configuration } from '../core/configuration/index.js'
 import { asJsonObject, asNonEmptyString, parseJson } from '../core/decoding/index.js'
@@ -20,6 +20,12 @@
 /** Timeout for reading one item, in milliseconds. It is shorter since other nodes provide the item as well. */
 const keyReadTimeoutMs = 700
 
+/**
+ * Timeout for checking whether the store answers, in milliseconds. It equals the margin of a watch, so that a slow store fails
+ * neither sooner.
+ */
+const checkTimeoutMs = 600
+
 /** A watch times out this long after its requested wait, in milliseconds. */
 const watchTimeoutMarginMs = 600
 
@@ -27,7 +33,7 @@
 const maxListPages = 1_000
 
 /** Kinds of calls to the store; each has a different cost. */
-type StoreCallKind = 'list' | 'cheap-list' | 'watch' | 'read'
+type StoreCallKind = 'list' | 'cheap-list' | 'watch' | 'check' | 'read'
 
 /** Result of a call for a page of items or changes. */
 type PageResult =
@@ -43,6 +49,8 @@
   private readonly memory: BodyMemory
   private readonly seen = SeenContent.create({ key: configurationKey })
   private connections: ConnectionPool
+  /** The connection for checks: an answer to a check can't be taken for that to another call. */
+  private readonly checkConnections: ConnectionPool
   private readonly onCall: (kind: StoreCallKind) => void
 
   private constructor ({ address, clock, memory, onCall }: HttpStoreClientOptions) {
@@ -51,6 +59,7 @@
     this.memory = memory
     this.onCall = onCall
     this.connections = this.createConnections()
+    this.checkConnections = ConnectionPool.create({ address, limit: 1, clock, memory })
   }
 
   static create (options: HttpStoreClientOptions): HttpStoreClient {
@@ -77,11 +86,14 @@
     return { kind: 'failed', cause: 'list has too many pages' }
   }
 
-  /** Watches for changes after a revision; answers at the first change, or after `waitMs` milliseconds without one. */
-  async watch (revision: number, waitMs: number): Promise<StoreAnswer> {
+  /**
+   * Watches for changes after a revision; answers at the first change, or after `waitMs` milliseconds without one. Fails once
+   * `signal` aborts.
+   */
+  async watch (revision: number, waitMs: number, signal?: CancelSignal): Promise<StoreAnswer> {
     const call = { prefix: '', after: revision, waitMs: Math.round(waitMs) }
     this.onCall('watch')
-    const page = await this.fetchPage(`/api/kv-watch?prefix=&after=${revision}&wait_ms=${call.waitMs}`, waitMs + watchTimeoutMarginMs, 'events')
+    const page = await this.fetchPage(`/api/kv-watch?prefix=&after=${revision}&wait_ms=${call.waitMs}`, waitMs + watchTimeoutMarginMs, 'events', signal)
     if (page.kind !== 'page') return page
     if (!isWatchPage(call, page)) return this.refuse('changes of another watch')
     if (isEarly(call, page, page.tookMs)) this.renewConnections()
@@ -89,10 +101,18 @@
     return { kind: 'changes', changes: decodeEntries(page.entries), revision: page.revision }
   }
 
+  /** Returns whether the store answers; the call lists what follows the only item with a prefix, stale items allowed. */
+  async check (): Promise<boolean> {
+    this.onCall('check')
+    const key = encodeURIComponent(configurationKey)
+    const result = await this.sendGet(`/api/kv-range?prefix=${key}&after=${key}&allow_stale=1`, checkTimeoutMs, this.checkConnections)
+    return result.kind === 'answer' && result.status === 200
+  }
+
   /** Reads the newest configuration; undefined if the call failed or the configuration is invalid. */
   async readConfiguration (): Promise<Configuration | undefined> {
     this.onCall('read')
-    const result = await this.sendGet(`/api/kv-key?key=${encodeURIComponent(configurationKey)}`, keyReadTimeoutMs)
+    const result = await this.sendGet(`/api/kv-key?key=${encodeURIComponent(configurationKey)}`, keyReadTimeoutMs, this.connections)
     if (result.kind !== 'answer' || result.status !== 200) return undefined
     const item = asJsonObject(parseJson(result.body))
     if (item === undefined || !isItemOf(configurationKey, item['key'])) {
@@ -105,6 +125,7 @@
 
   close (): void {
     this.connections.close()
+    this.checkConnections.close()
   }
 
   private createConnections (): ConnectionPool {
@@ -138,9 +159,9 @@
     return { kind: 'changes', changes: decodeEntries(pages.flatMap(({ entries }) => entries)), revision }
   }
 
-  private async sendGet (path: string, timeoutMs: number): Promise<ExchangeResult> {
-    const { connections, clock, host } = this
-    return await exchange({ connections, clock, method: 'GET', path, headers: ['host', host], body: Buffer.alloc(0), connectMs: connectTimeoutMs, timeoutMs, belongs: bearsNoId })
+  private async sendGet (path: string, timeoutMs: number, connections: ConnectionPool, signal?: CancelSignal): Promise<ExchangeResult> {
+    const { clock, host } = this
+    return await exchange({ connections, clock, method: 'GET', path, headers: ['host', host], body: Buffer.alloc(0), connectMs: connectTimeoutMs, timeoutMs, signal, belongs: bearsNoId })
   }
 
   private async fetchListPage (mode: 'cheap' | 'newest', after: string): Promise<PageResult> {
@@ -150,9 +171,9 @@
     return await this.fetchPage(`/api/kv-range?prefix=${afterParameter}${staleParameter}`, listTimeoutMs, 'items')
   }
 
-  private async fetchPage (path: string, timeoutMs: number, listField: 'items' | 'events'): Promise<PageResult> {
+  private async fetchPage (path: string, timeoutMs: number, listField: 'items' | 'events', signal?: CancelSignal): Promise<PageResult> {
     const startedAt = this.clock.now()
-    const result = await this.sendGet(path, timeoutMs)
+    const result = await this.sendGet(path, timeoutMs, this.connections, signal)
     if (result.kind !== 'answer') return { kind: 'failed', cause: result.cause }
     if (result.status === 410) return listField === 'events' ? { kind: 'forgotten' } : this.refuse('answer of a watch')
     if (result.status !== 200) return { kind: 'failed', cause: `status ${result.status}` }
