Test all variants of a broken earlier message, and a 101 that nobody asked for

Cause: Node.js gives a 101 without the headers of an upgrade as a final answer, and any sealed status is passed on. With these headers the exchange has no end before its deadline, since nothing listens for `upgrade`. That the first is what the soak saw is supposed: the node logged no failure of that request. Change: a test over every variant, cut at each fifth byte, and one of a 101 with and without the headers of an upgrade.

--- a/packages/sidecar/test/cut-repetitions.test.ts
+++ b/packages/sidecar/test/cut-repetitions.test.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net'
-import { insertIdHeader, serializeMessage } from '@auburnturn/stand-ins'
-import type { Framing, IdPosition, WrittenMessage } from '@auburnturn/stand-ins'
+import { insertIdHeader, messageVariants, serializeMessage } from '@auburnturn/stand-ins'
+import type { Framing, IdPosition, MessageVariant, VariantWriter, WrittenMessage } from '@auburnturn/stand-ins'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
 import type { Outcome } from '../src/core/own-target/index.js'
@@ -128,4 +128,44 @@
   })
 }
 
+/** Offsets between two cuts of a variant, in bytes: shorter than every header value that matters. */
+const variantCutStep = 5
+
+/** Longest time until the outcome of an exchange whose bytes have all arrived, in milliseconds; far below the deadline of 2 s. */
+const maxOutcomeMs = 1_000
+
+/** Creates a case for some cuts of both messages in a variant, with the answer after them; ids begin with the variant. */
+function createVariantCases (variant: MessageVariant, write: VariantWriter): SpliceCase[] {
+  const cases: SpliceCase[] = []
+  for (const message of [createRefusal(503, 'last'), createAnswer(earlierId, 200, 'last', 'length')]) {
+    const { length } = write(message, earlierId)
+    for (let cut = 1; cut <= length; cut += variantCutStep) {
+      const id = `${variant}-${cases.length}`
+      const answer = createAnswer(id, 200, 'first', 'length')
+      cases.push({ name: `${message.kind} at ${cut}`, id, answer, segments: [Buffer.concat([write(message, id).subarray(0, cut), serializeMessage(answer)])] })
+    }
+  }
+  return cases
+}
+
+// Guards against an earlier message that, changed in some way and broken off, is believed (REFUSED, TWICE, MIXED; issue 29).
+test('a refusal or an answer in any variant, broken off before the answer, is believed by nobody', async () => {
+  const cases = Object.entries(messageVariants).flatMap(([variant, write]) => createVariantCases(variant as MessageVariant, write))
+  const faults = await findFaults(cases)
+  assert.is(faults.length, 0, `${faults.length} of ${cases.length}; the first: ${faults.at(-1) ?? ''}`)
+})
+
+// Guards against a 101 that is passed on as an answer, or after which nothing ends the exchange (LOST; issue 29).
+test('a 101 that nobody asked for ends the exchange at once, with and without the headers of an upgrade', async () => {
+  for (const upgrade of ['', 'Connection: upgrade\r\nUpgrade: other\r\n']) {
+    const target = await RawOwnTarget.create()
+    const startedAt = performance.now()
+    target.answer = (socket, id) => { socket.write(`HTTP/1.1 101 Switching Protocols\r\nX-Attempt-Id: ${id}\r\nX-Response-Seal: s\r\n${upgrade}\r\n`) }
+    const outcome = await target.send('r-1')
+    target.close()
+    assert.is(outcome.kind, 'may-have-run', upgrade)
+    assert.ok(performance.now() - startedAt < maxOutcomeMs, `took ${Math.round(performance.now() - startedAt)} ms ${upgrade}`)
+  }
+})
+
 test.run()
