End an exchange at once when a target switches protocols unasked

What callers saw in a soak: no answer until their time ended, after a target wrote 101 into a kept connection. Cause: Node gives a 101 without the headers of an upgrade as a final answer, which was passed on; with them it waits for a listener. Evidence: the test of a 101 that nobody asked for failed before ('answer' for 'may-have-run'). Change: a final answer has a status from 200 to 599, and an upgrade is an invalid answer.

--- a/packages/sidecar/src/core/exchange/constants.ts
+++ b/packages/sidecar/src/core/exchange/constants.ts
@@ -13,5 +13,9 @@
  */
 export const idleCloseMarginMs = 1_000
 
+/** Statuses of final answers (RFC 9110, 15): the first and the last one. */
+export const firstFinalStatus = 200
+export const lastFinalStatus = 599
+
 /** Maximum number of interim answers (1xx) before the final one; a server that sends more is considered faulty. */
 export const maxInterimAnswers = 8
--- a/packages/sidecar/src/core/exchange/exchange.ts
+++ b/packages/sidecar/src/core/exchange/exchange.ts
@@ -7,7 +7,7 @@
 import { Answer } from './answer.js'
 import type { BufferedBody } from './body-memory.js'
 import { wasReset } from './connection-pool.js'
-import { maxAnswerBytes, maxAnswerHeadBytes, maxInterimAnswers } from './constants.js'
+import { firstFinalStatus, lastFinalStatus, maxAnswerBytes, maxAnswerHeadBytes, maxInterimAnswers } from './constants.js'
 import type { ConnectionUse, ExchangeOptions, ExchangeResult } from './types.js'
 
 /** Sends one request and receives its whole answer. Never rejects. */
@@ -48,6 +48,8 @@
       .on('socket', socket => { active.useSocket(socket) })
       .on('information', () => { active.countInterimAnswer() })
       .on('response', answer => { active.readAnswer(answer) })
+      // No request asks for another protocol.
+      .on('upgrade', () => { active.abort('invalid') })
       .on('error', error => { active.handleError(error) })
       .end(options.body)
   }
@@ -76,6 +78,7 @@
   private readAnswer (answer: IncomingMessage): void {
     const { statusCode: status = 0, statusMessage: reason = '', rawHeaders: headers } = answer
     const head = AttributedHead.create({ status, reason, headers }, this.options.belongs)
+    if (status < firstFinalStatus || status > lastFinalStatus) return this.abort('invalid')
     if (head === undefined) return this.abort('foreign')
     const chunks: Buffer[] = []
     const { memory } = this.options.connections
