Use no connection again whose answer was a 421

A target that was replaced at its address answers 421, and the same attempt goes to its successor on the same connection. A repeated 421 then refuses what the successor runs (REFUSED).

--- a/packages/sidecar/src/core/exchange/exchange.ts
+++ b/packages/sidecar/src/core/exchange/exchange.ts
@@ -7,7 +7,7 @@
 import { Answer } from './answer.js'
 import type { BufferedBody } from './body-memory.js'
 import { wasReset } from './connection-pool.js'
-import { firstFinalStatus, lastFinalStatus, maxAnswerBytes, maxAnswerHeadBytes, maxInterimAnswers } from './constants.js'
+import { firstFinalStatus, lastFinalStatus, maxAnswerBytes, maxAnswerHeadBytes, maxInterimAnswers, misdirectedStatus } from './constants.js'
 import type { ConnectionUse, ExchangeOptions, ExchangeResult } from './types.js'
 
 /** Sends one request and receives its whole answer. Never rejects. */
@@ -102,6 +102,8 @@
     const { socket, options } = this
     const truncated = socket !== undefined && wasReset(socket) && !isFramed(options.method, head.status, head.headers)
     if (truncated) return this.finish({ kind: 'lost', cause: 'cut' })
+    // The same request may be sent again, and its id does not tell an answer to the second sending from a repeated one to the first.
+    if (head.status === misdirectedStatus) socket?.destroy()
     const body = chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks)
     this.finish(Answer.create({ head, body, connection: this.connection }))
   }
--- a/packages/sidecar/test/exchange.test.ts
+++ b/packages/sidecar/test/exchange.test.ts
@@ -134,4 +134,22 @@
   assert.is.not(used[1], used[0])
 })
 
+// Guards against a repeated 421 that refuses the same request at the next target at that address, which runs it (REFUSED; issue 29).
+test('a connection whose answer was a 421 is not used again', async () => {
+  const used: Socket[] = []
+  const server = await startRawServer(socket => {
+    used.push(socket)
+    socket.write('HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n')
+  })
+  const connections = ConnectionPool.create({ address: server.address, limit: 4, clock: Clock.create(), memory: BodyMemory.create({ maxBytes: testMemoryBytes }) })
+  for (let count = 0; count < 2; count++) {
+    const { kind } = await exchange({ connections, clock: Clock.create(), method: 'GET', path: '/', headers: [], body: Buffer.alloc(0), connectMs: 2_000, timeoutMs: 5_000, belongs: () => true })
+    assert.is(kind, 'answer')
+    await new Promise(resolve => setImmediate(resolve))
+  }
+  connections.close()
+  server.close()
+  assert.is.not(used[1], used[0])
+})
+
 test.run()
