Believe the mark of a refusal only together with the status of one

The last lines of an earlier refusal in the head of a true answer made 'not run' of an answer with status 200, 404 or 500 (REFUSED). That targets write such heads was not seen; no placement of ours does it. Change: mark and status have to agree; otherwise the request may have run.

--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -11,7 +11,7 @@
 import type { AnswerHead, Job, Outcome, Protocol } from '../requests/index.js'
 import { FailureRate, usableSlotShare } from '../targets/index.js'
 import type { Directory, TargetReport, TargetState } from '../targets/index.js'
-import { classifyAnswer, isTargetFailure } from './classify-answer.js'
+import { classifyAnswer, isRefusal, isTargetFailure } from './classify-answer.js'
 import { connectTimeoutMs, defaultSlots, freshDurationMs, initialWorkShare, maxConnections, maxLoadAgeMs, maxNonIdempotentIdleMs, unhealthyFailureShare } from './constants.js'
 import { Demands } from './demands.js'
 import { SpeedEstimate } from './speed-estimate.js'
@@ -240,7 +240,7 @@
     const { status, headers, body } = result
     const head = this.options.protocol.readAnswer(status, headers)
     this.updateFromAnswer(head)
-    if (head.notRun) return rejected(result, head, this.slots.estimateRetryAfterMs())
+    if (isRefusal(status, head)) return rejected(result, head, this.slots.estimateRetryAfterMs())
     return classifyAnswer({ status, headers: this.options.protocol.filterAnswer(headers), body, head })
   }
 }
