Refuse the late datagrams of a replaced process as long as its successor is heard

The old line 'back after the longest transit' asked for the wrong thing: it let the replaced process return while its successor was heard. Two lines replace it, one of them for a successor that has fallen silent. Change: all processes that were replaced are remembered until the address is silent for the longest transit.

--- a/packages/sidecar/src/core/attribution/datagram.ts
+++ b/packages/sidecar/src/core/attribution/datagram.ts
@@ -48,8 +48,8 @@
 /** The newest stamp from one address. Times are clock milliseconds. */
 interface NewestStamp extends DatagramStamp {
   readonly receivedAt: number
-  /** The process that used the address before, and when its successor was first heard. */
-  readonly replaced: { readonly process: number, readonly at: number } | undefined
+  /** The processes that used the address before, since it was last silent. */
+  readonly replaced: ReadonlySet<number>
 }
 
 /**
@@ -83,12 +83,13 @@
 }
 
 function isOutdated ({ process, message }: DatagramStamp, last: NewestStamp, now: number): boolean {
-  if (process !== last.process) return last.replaced?.process === process && now - last.replaced.at <= maxTransitMs
+  if (now - last.receivedAt > maxTransitMs) return false
+  if (process !== last.process) return last.replaced.has(process)
   const advance = (message - last.message + numberCount) % numberCount
-  return (advance === 0 || advance >= numberCount / 2) && now - last.receivedAt <= maxTransitMs
+  return advance === 0 || advance >= numberCount / 2
 }
 
-function findReplaced (stamp: DatagramStamp, last: NewestStamp | undefined, now: number): NewestStamp['replaced'] {
-  if (last === undefined) return undefined
-  return last.process === stamp.process ? last.replaced : { process: last.process, at: now }
+function findReplaced ({ process }: DatagramStamp, last: NewestStamp | undefined, now: number): ReadonlySet<number> {
+  if (last === undefined || now - last.receivedAt > maxTransitMs) return new Set()
+  return process === last.process ? last.replaced : new Set([...last.replaced, last.process])
 }
--- a/packages/sidecar/test/attribution-datagram.test.ts
+++ b/packages/sidecar/test/attribution-datagram.test.ts
@@ -140,7 +140,9 @@
   assert.equal(acceptAll([1, 65_535, 0], [1, 0, 1], [1, 65_535, 2]), [true, true, false], 'numbers wrap around')
   assert.equal(acceptAll([1, 5, 0], [1, 4, 5_001]), [true, true], 'no datagram is under way for that long')
   assert.equal(acceptAll([1, 5, 0], [2, 1, 1], [1, 6, 2], [2, 2, 3]), [true, true, false, true], 'replaced by another process')
-  assert.equal(acceptAll([1, 5, 0], [2, 1, 1], [2, 2, 4_000], [1, 6, 5_002]), [true, true, true, true], 'back after the longest transit')
+  assert.equal(acceptAll([1, 5, 0], [2, 1, 1], [2, 2, 4_000], [1, 6, 5_002], [2, 3, 5_003]), [true, true, true, false, true], 'late, while its successor is heard')
+  assert.equal(acceptAll([1, 5, 0], [2, 1, 1], [3, 1, 2], [1, 6, 3], [3, 2, 4]), [true, true, true, false, true], 'replaced twice')
+  assert.equal(acceptAll([1, 5, 0], [2, 1, 1], [1, 6, 5_002]), [true, true, true], 'back after its successor fell silent')
 })
 
 // Guards against numbers that are used up within one report, since all copies of it have one.
