Tell a frame of another call from one that is not valid

The lines of attempts named both 'invalid'; a frame of another call is now 'foreign', as an answer of a target is. Its test asks for the cause of each misplacement, which is stricter.

--- a/packages/sidecar/src/core/peer-calls/peer-call.ts
+++ b/packages/sidecar/src/core/peer-calls/peer-call.ts
@@ -69,8 +69,9 @@
   private receive (chunk: Buffer): void {
     const result = this.reader.read(chunk)
     if (result === 'partial') return
-    const fields = result === 'invalid' ? undefined : attributeAnswer(this.options.mark, result.fields)
-    if (result === 'invalid' || fields === undefined) return this.abort('invalid')
+    if (result === 'invalid') return this.abort('invalid')
+    const fields = attributeAnswer(this.options.mark, result.fields)
+    if (fields === undefined) return this.abort('foreign')
     this.finish({ kind: 'answer', frame: { fields, body: result.body } })
     this.connections.release(this.socket)
   }
@@ -81,7 +82,7 @@
   }
 
   /** Ends the call immediately and closes its connection. */
-  private abort (cause: 'timeout' | 'left' | 'invalid'): void {
+  private abort (cause: 'timeout' | 'left' | 'invalid' | 'foreign'): void {
     if (this.stage === 'sent') this.finish({ kind: 'lost', cause })
     else if (cause === 'left') this.finish({ kind: 'unsent', cause })
     else this.finish({ kind: 'unsent', cause: this.deadlineAt > this.options.clock.now() ? 'connect-timeout' : 'timeout' })
--- a/packages/sidecar/test/attribution-frame.test.ts
+++ b/packages/sidecar/test/attribution-frame.test.ts
@@ -68,16 +68,17 @@
   }
 }
 
-const misplacements: readonly Misplacement[] = ['on-request', 'in-halves', 'with-answer']
+/** Cause of the outcome for each misplacement: two frames at once are no valid answer, whose ever they are. */
+const causes: Readonly<Record<Exclude<Misplacement, 'none'>, string>> = { 'on-request': 'foreign', 'in-halves': 'foreign', 'with-answer': 'invalid' }
 
-for (const misplacement of misplacements) {
+for (const [misplacement, cause] of Object.entries(causes) as Array<[Misplacement, string]>) {
   // Guards against a request that runs and whose caller is told "not run", with the refusal of another request.
   test(`frames: an outcome that belongs to another request changes nothing, repeated ${misplacement}`, async () => {
     const node = await MisplacingNode.create()
     try {
       assert.is(await node.send('refused-1'), 'not-run slow')
       node.proxy.misplacement = misplacement
-      assert.is(await node.send('order-2'), 'may-have-run invalid')
+      assert.is(await node.send('order-2'), `may-have-run ${cause}`)
       await clock.sleep(30)
       assert.is(node.proxy.open, 0, 'the connection is closed')
       node.proxy.misplacement = 'none'
@@ -96,7 +97,7 @@
   try {
     assert.is(await node.send('order-1'), 'answer order-1')
     node.proxy.misplacement = 'on-request'
-    assert.is(await node.send('order-1'), 'may-have-run invalid')
+    assert.is(await node.send('order-1'), 'may-have-run foreign')
   } finally {
     await node.close()
   }
