Guard the outcome of two attempts, and heads that name no attempt or two

The review undid parts of the fix: without the rule that an earlier 'may have run' is kept no test failed, and the rule of a single id was guarded by one slow test only. No logic changes.

--- a/packages/sidecar/test/forwarder.test.ts
+++ b/packages/sidecar/test/forwarder.test.ts
@@ -7,7 +7,7 @@
 import type { Route } from '../src/core/configuration/index.js'
 import { Forwarder } from '../src/core/forwarding/index.js'
 import type { OwnTarget } from '../src/core/own-target/index.js'
-import { notRun } from '../src/core/requests/index.js'
+import { mayHaveRun, notRun } from '../src/core/requests/index.js'
 import type { Job, Outcome } from '../src/core/requests/index.js'
 import { Directory } from '../src/core/targets/index.js'
 import { createJob } from './fixtures/create-job.js'
@@ -67,4 +67,12 @@
   assert.ok(offers.at(-1) === 'i-2')
 })
 
+// Guards against a promise 'not run' of the last attempt for a request that an earlier attempt may have run.
+test('an earlier attempt that may have run: a refusal of the last one does not hide it', async () => {
+  let attempts = 0
+  const { outcome, offers } = await forward(2, () => attempts++ === 0 ? mayHaveRun('reset') : notRun('overloaded', 120))
+  assert.is(new Set(offers).size, 2)
+  assert.equal(outcome, mayHaveRun('reset'))
+})
+
 test.run()
--- a/packages/sidecar/test/platform.test.ts
+++ b/packages/sidecar/test/platform.test.ts
@@ -1,6 +1,7 @@
 import { isFault } from 'auburnturn/core/errors'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { isAnswerToAttempt } from '../src/core/attribution/index.js'
 import { decodeConfiguration, decodeTarget, parseSettings, protocol } from '../src/platform/index.js'
 
 const test = suite('platform')
@@ -69,6 +70,15 @@
   assert.not(protocol.readAnswer(503, []).notRun)
 })
 
+// Guards against the answer to another request in a head that names two (REFUSED, TWICE, MIXED; issue 29).
+test('an answer head that names no attempt, or two, belongs to none', () => {
+  assert.is(protocol.readAnswer(200, ['X-Attempt-Id', 'r-1']).id, 'r-1')
+  for (const headers of [[], ['x-attempt-id', ''], ['X-Attempt-Id', 'r-1', 'x-attempt-id', 'r-2'], ['X-Attempt-Id', 'r-1', 'X-Attempt-Id', 'r-1']]) {
+    assert.is(protocol.readAnswer(503, headers).id, '', headers.join())
+  }
+  assert.not(isAnswerToAttempt('', ''))
+})
+
 test('the error for invalid settings has the key, the value found and the values allowed', () => {
   try {
     parseSettings('{ "name": "n", "ip": "10.0.0.1", "failureDomain": "a", "service": "s", "upstream": "nowhere" }', 'file')
