--- a/packages/sidecar/src/core/exchange/constants.ts
+++ b/packages/sidecar/src/core/exchange/constants.ts
@@ -13,10 +13,6 @@
  */
 export const idleCloseMarginMs = 1_000
 
-/** Statuses of final answers (RFC 9110, 15): the first and the last one. */
-export const firstFinalStatus = 200
-export const lastFinalStatus = 599
-
 /** Status of an answer to a request that was sent to the wrong server, and may be sent again (RFC 9110, 15.5.20). */
 export const misdirectedStatus = 421
 
--- a/packages/sidecar/src/core/exchange/exchange.ts
+++ b/packages/sidecar/src/core/exchange/exchange.ts
@@ -7,7 +7,8 @@
 import { Answer } from './answer.js'
 import type { BufferedBody } from './body-memory.js'
 import { wasReset } from './connection-pool.js'
-import { firstFinalStatus, lastFinalStatus, maxAnswerBytes, maxAnswerHeadBytes, maxInterimAnswers, misdirectedStatus } from './constants.js'
+import { maxAnswerBytes, maxAnswerHeadBytes, maxInterimAnswers, misdirectedStatus } from './constants.js'
+import { isFinalStatus } from './final-status.js'
 import type { ConnectionUse, ExchangeOptions, ExchangeResult } from './types.js'
 
 /** Sends one request and receives its whole answer. Never rejects. */
@@ -77,8 +78,8 @@
 
   private readAnswer (answer: IncomingMessage): void {
     const { statusCode: status = 0, statusMessage: reason = '', rawHeaders: headers } = answer
+    if (!isFinalStatus(status)) return this.abort('invalid')
     const head = AttributedHead.create({ status, reason, headers }, this.options.belongs)
-    if (status < firstFinalStatus || status > lastFinalStatus) return this.abort('invalid')
     if (head === undefined) return this.abort('foreign')
     const chunks: Buffer[] = []
     const { memory } = this.options.connections
