Close a connection that ends already, where a test resets it

Cause: Node.js marks a socket as closing when it is reset, but the reset fails while the end of the socket is under way, so its handle is never closed, and the process waits for it for ever. Change: resetConnection in the stand-ins closes such a socket instead; proxies of soak and matrix, and tests, use it. The library resets a caller of HTTP/1.0 only if its answer has not ended.

--- a/packages/auburnturn/src/core/http/response-answer.ts
+++ b/packages/auburnturn/src/core/http/response-answer.ts
@@ -41,7 +41,9 @@
 
   cut (): void {
     // Without chunked coding, an HTTP/1.0 caller interprets a close as the end of the answer, but not a reset.
-    if (this.response.req.httpVersionMinor === 0) this.response.socket?.resetAndDestroy()
+    const { socket, req } = this.response
+    // Node never closes a socket that is reset while its end is under way.
+    if (req.httpVersionMinor === 0 && socket?.writableEnded === false) socket.resetAndDestroy()
     this.response.destroy()
   }
 
--- a/packages/bench/src/matrix/tcp-proxy.ts
+++ b/packages/bench/src/matrix/tcp-proxy.ts
@@ -1,5 +1,6 @@
 import { connect, createServer } from 'node:net'
 import type { AddressInfo, Server, Socket } from 'node:net'
+import { resetConnection } from '@auburnturn/stand-ins'
 
 /** Receives the traffic of a proxy before it is forwarded; text is decoded as Latin-1. */
 export interface TrafficObserver {
@@ -43,7 +44,7 @@
   /** Resets every open connection and drops the held-back traffic; new connections are still accepted. */
   resetConnections (): void {
     this.heldActions = this.heldActions === undefined ? undefined : []
-    for (const socket of this.sockets) socket.resetAndDestroy()
+    for (const socket of this.sockets) resetConnection(socket)
   }
 
   /** Stops listening, so that new connections are refused; open connections continue. */
--- a/packages/bench/src/soak/tcp-proxy.ts
+++ b/packages/bench/src/soak/tcp-proxy.ts
@@ -1,5 +1,6 @@
 import { connect, createServer } from 'node:net'
 import type { Server, Socket } from 'node:net'
+import { resetConnection } from '@auburnturn/stand-ins'
 
 /** Which bytes a proxy discards: none, those of one direction, or all. */
 export type ProxyState = 'open' | 'swallow-requests' | 'swallow-answers' | 'swallow-all'
@@ -28,8 +29,8 @@
   /** Resets all open connections; new ones are forwarded. */
   resetConnections (): void {
     for (const [clientSocket, serverSocket] of this.serverSockets) {
-      clientSocket.resetAndDestroy()
-      serverSocket.resetAndDestroy()
+      resetConnection(clientSocket)
+      resetConnection(serverSocket)
     }
   }
 
@@ -64,7 +65,7 @@
     from.setNoDelay(true)
     from.on('data', chunk => { runDelayed(() => { if (!isDiscarded()) to.write(chunk) }) })
     from.on('end', () => { runDelayed(() => { if (!isDiscarded()) to.end() }) })
-    from.on('error', () => { if (!isDiscarded()) to.resetAndDestroy() })
+    from.on('error', () => { if (!isDiscarded()) resetConnection(to) })
     from.on('close', hadError => { if (!isDiscarded() && !hadError) runDelayed(() => { to.destroySoon() }) })
   }
 }
--- a/packages/sidecar/test/exchange.test.ts
+++ b/packages/sidecar/test/exchange.test.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { resetConnection } from '@auburnturn/stand-ins'
 import { BodyMemory, ConnectionPool, exchange } from '../src/core/exchange/index.js'
 import type { ExchangeOptions, ExchangeResult } from '../src/core/exchange/index.js'
 import { startRawServer } from './fixtures/raw-server.js'
@@ -42,7 +43,7 @@
 
 test('an answer without a length is cut when its connection is reset', async () => {
   const result = await send(socket => {
-    socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf', () => { setImmediate(() => { socket.resetAndDestroy() }) })
+    socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf', () => { setImmediate(() => { resetConnection(socket) }) })
   })
   assert.equal(result, { kind: 'lost', cause: 'cut' })
 })
@@ -59,7 +60,7 @@
     for (let length = 0; length < head.length; length++) {
       const result = await send(socket => {
         if (ending === 'closed') socket.end(head.slice(0, length))
-        else socket.write(head.slice(0, length), () => { setImmediate(() => { socket.resetAndDestroy() }) })
+        else socket.write(head.slice(0, length), () => { setImmediate(() => { resetConnection(socket) }) })
       })
       assert.is(result.kind, 'lost', `${length} bytes: ${JSON.stringify(result)}`)
     }
--- a/packages/sidecar/test/peer-calls.test.ts
+++ b/packages/sidecar/test/peer-calls.test.ts
@@ -6,6 +6,7 @@
 import { Random } from 'auburnturn/core/random'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { resetConnection } from '@auburnturn/stand-ins'
 import { CallNumbers } from '../src/core/attribution/index.js'
 import { BodyMemory } from '../src/core/exchange/index.js'
 import { formatOutcome, formatRequest, parseOutcome, parseRequest } from '../src/core/forwarding/hop-message.js'
@@ -112,7 +113,7 @@
   await withRawServer(() => {}, async pool => {
     assert.equal(await call(pool, createFrame(['a']), { timeoutMs: 50 }), { kind: 'lost', cause: 'timeout' })
   })
-  await withRawServer(socket => { socket.resetAndDestroy() }, async pool => {
+  await withRawServer(socket => { resetConnection(socket) }, async pool => {
     assert.equal(await call(pool, createFrame(['a'])), { kind: 'lost', cause: 'reset' })
   })
   await withRawServer(socket => { socket.end(encodeFrame(createFrame(['a'], 'half')).subarray(0, 10)) }, async pool => {
--- a/packages/sidecar/test/unsent.test.ts
+++ b/packages/sidecar/test/unsent.test.ts
@@ -4,6 +4,7 @@
 import { Random } from 'auburnturn/core/random'
 import { suite } from 'uvu'
 import * as assert from 'uvu/assert'
+import { resetConnection } from '@auburnturn/stand-ins'
 import { BodyMemory, ConnectionPool, exchange } from '../src/core/exchange/index.js'
 import { encodeFrame } from '../src/core/peer-calls/frame.js'
 import { callPeer, PeerConnectionPool } from '../src/core/peer-calls/index.js'
@@ -36,7 +37,7 @@
   function react (socket: Socket, id: string, reaction: typeof reactions[number]): void {
     if (reaction.startsWith('answer')) socket.write(createAnswer(id))
     if (reaction.endsWith('close')) setTimeout(() => { socket.destroy() }, random.integerBelow(3))
-    if (reaction.endsWith('reset')) setTimeout(() => { if (!socket.destroyed) socket.resetAndDestroy() }, random.integerBelow(3))
+    if (reaction.endsWith('reset')) setTimeout(() => { if (!socket.destroyed) resetConnection(socket) }, random.integerBelow(3))
   }
   return { address: server.address, received, close: () => { server.close() } }
 }
