--- a/packages/sidecar/src/core/exchange/exchange.ts
+++ b/packages/sidecar/src/core/exchange/exchange.ts
@@ -11,7 +11,7 @@
 import { isFinalStatus } from './final-status.js'
 import type { ConnectionUse, ExchangeOptions, ExchangeResult } from './types.js'
 
-/** Sends one request and receives its whole answer. Never rejects. */
+/** Sends one request and receives its whole answer. Rejects only if the head of the request can't be written. */
 export async function exchange (options: ExchangeOptions): Promise<ExchangeResult> {
   return await new Promise(resolve => { ActiveExchange.start(options, resolve) })
 }
