Name what a target was working on when it crashes

Callers saw a service fail as a whole. No line said which request was in flight when a target ended, and requests are logged by the id of an attempt, which is another one each time. The node beside the target now logs each unannounced end with what showed it and a fingerprint of each request in flight. The fingerprint is shared with the library (hashRequest). No change of logic.

--- a/packages/auburnturn/src/core/quarantine/fingerprint.ts
+++ b/packages/auburnturn/src/core/quarantine/fingerprint.ts
@@ -1,7 +1,7 @@
 import { headerNames } from '../call/index.js'
 import type { Body, Call } from '../call/types.js'
 import { findHeader } from '../http/headers.js'
-import { hash64Hex } from '../routing/hash.js'
+import { hash64Hex, hashBytes64Hex } from '../routing/hash.js'
 import { fingerprintBodyBytes } from './constants.js'
 
 /**
@@ -13,7 +13,12 @@
   const key = findHeader(call.headers, 'idempotency-key') ?? call.ticket ?? findHeader(call.headers, headerNames.ticket)
   if (key === undefined && !body.empty && !body.replayable) return undefined
   const keyOrBody = key ?? (body.empty ? '' : await readBodyStart(body))
-  return hash64Hex([call.service, call.method, call.path, keyOrBody].join('\n'))
+  return hashRequest([call.service, call.method, call.path], Buffer.from(keyOrBody, 'latin1'))
+}
+
+/** Hashes what identifies a request; the result is the same at all nodes. The fields contain no line ends. */
+export function hashRequest (fields: readonly string[], body: Uint8Array): string {
+  return hash64Hex([...fields, hashBytes64Hex(body)].join('\n'))
 }
 
 async function readBodyStart (body: Body): Promise<string> {
--- a/packages/auburnturn/src/core/routing/hash.ts
+++ b/packages/auburnturn/src/core/routing/hash.ts
@@ -1,7 +1,7 @@
 /** Non-cryptographic hashes (xxHash). */
 import xxhash from 'xxhash-wasm'
 
-const { h32, h64ToString } = await xxhash()
+const { h32, h64Raw, h64ToString } = await xxhash()
 
 /** Weight of `member` for `key` in rendezvous hashing; the members with the highest weights are chosen. */
 export function computeRendezvousWeight (key: string, member: string): number {
@@ -12,3 +12,8 @@
 export function hash64Hex (text: string): string {
   return h64ToString(text)
 }
+
+/** 64-bit hash of bytes in hexadecimal. */
+export function hashBytes64Hex (bytes: Uint8Array): string {
+  return h64Raw(bytes).toString(16).padStart(16, '0')
+}
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -6,6 +6,8 @@
 import { isAnswerToAttempt } from '../attribution/index.js'
 import { ConnectionPool, exchange } from '../exchange/index.js'
 import type { BodyMemory, Exchange, ExchangeResult } from '../exchange/index.js'
+import { computeFingerprint, CrashDetector } from '../quarantine/index.js'
+import type { DetectedCrash, RunningRequest } from '../quarantine/index.js'
 import type { RateLimit } from '../rate-limit/index.js'
 import { mayHaveRun, notRun, rejected } from '../requests/index.js'
 import type { AnswerHead, Job, Outcome, Protocol } from '../requests/index.js'
@@ -26,6 +28,7 @@
   private readonly failures = FailureRate.create()
   private readonly workEstimate = WorkEstimate.create()
   private readonly speedEstimate = SpeedEstimate.create()
+  private readonly crashDetector: CrashDetector
   private instanceId = ''
   private reachable = false
   private healthy = true
@@ -41,6 +44,7 @@
     this.demands = Demands.create({ clock, logger, metrics, onDraining: () => { this.slots.refuseQueued('closed') } })
     this.slots = Slots.create({ clock, rateLimit: this.demands.rateLimit })
     this.connections = ConnectionPool.create({ address: options.address, limit: maxConnections, clock: options.clock, memory: options.memory })
+    this.crashDetector = CrashDetector.create({ clock, readTarget: () => this.instanceId, isStopping: () => this.getState() === 'closing', onCrash: crash => { this.recordCrash(crash) } })
   }
 
   static create (options: OwnTargetOptions): OwnTarget {
@@ -113,6 +117,12 @@
     this.updateFromAnswer(head)
   }
 
+  /** Records that the target refuses connections. */
+  recordRefusedConnection (): void {
+    this.crashDetector.recordRefusedConnection()
+    this.markUnreachable()
+  }
+
   /** Records that the target does not answer at its address. */
   markUnreachable (): void {
     if (!this.reachable) return
@@ -161,10 +171,12 @@
     const { clock, logger, onChange } = this.options
     if (head.targetId !== '' && head.targetId !== this.instanceId) {
       logger.info('target-changed', { from: this.instanceId, to: head.targetId })
+      this.crashDetector.recordNewIncarnation()
       if (this.instanceId !== '') this.freshUntil = clock.now() + freshDurationMs
       this.instanceId = head.targetId
       this.demands.forgetDraining()
     }
+    this.crashDetector.recordAnswer()
     this.demands.update(head, this.instanceId)
     if (head.load !== undefined) {
       this.loadReceivedAt = clock.now()
@@ -200,6 +212,8 @@
     const timeoutMs = job.deadlineAt - startedAt
     if (timeoutMs <= 0) return notRun('expired')
     if (!job.idempotent) this.connections.closeIdleLongerThan(maxNonIdempotentIdleMs)
+    const running: RunningRequest = { fingerprint: computeFingerprint(job), alone: this.slots.running === 1 }
+    this.crashDetector.start(running)
     const result = await (this.options.exchange ?? exchange)({
       connections: this.connections,
       clock,
@@ -212,13 +226,31 @@
       // A request that isn't idempotent runs to its end, even if its caller disconnects.
       signal: job.idempotent ? signal : undefined,
       belongs: ({ status, headers }) => isAnswerToAttempt(job.id, protocol.readAnswer(status, headers).id)
+    }).catch(error => {
+      this.crashDetector.end(running)
+      throw error
     })
+    this.recordEnd(running, result)
     const outcome = this.processResult(result)
     if (outcome.kind === 'answer') this.workEstimate.record(job.route, clock.now() - startedAt, slowness)
     this.failures.record(clock.now(), isTargetFailure(outcome))
     return outcome
   }
 
+  /** Tells the crash detector how a request ended. */
+  private recordEnd (request: RunningRequest, result: ExchangeResult): void {
+    const cause = result.kind === 'lost' ? result.cause : undefined
+    if (cause === 'reset' || cause === 'cut') this.crashDetector.lose(request)
+    else if (cause === 'left' || cause === 'timeout') this.crashDetector.abandon(request)
+    else this.crashDetector.end(request)
+  }
+
+  private recordCrash ({ target, at, sign, requests }: DetectedCrash): void {
+    const { clock, logger, metrics } = this.options
+    metrics.count('target_crashes_total')
+    logger.warn('target-crashed', { target, agoMs: Math.round(clock.now() - at), sign, requests: requests.map(({ fingerprint }) => fingerprint).join(), alone: requests.some(({ alone }) => alone) })
+  }
+
   private logRefusal (job: Job, { cause, retryAfterMs }: Extract<AdmissionDecision, { kind: 'refused' }>): void {
     const { running, waiting, limit } = this.slots
     const remainingMs = Math.round(job.deadlineAt - this.options.clock.now())
@@ -229,7 +261,7 @@
   /** Decides whether a request ran, and updates the state of the target. */
   private processResult (result: ExchangeResult): Outcome {
     if (result.kind === 'unsent') {
-      if (result.cause === 'connect-failed') this.markUnreachable()
+      if (result.cause === 'connect-failed') this.recordRefusedConnection()
       return result.cause === 'left' ? notRun('left') : notRun('unreachable')
     }
     if (result.kind === 'lost') {
--- a/packages/sidecar/src/core/own-target/prober.ts
+++ b/packages/sidecar/src/core/own-target/prober.ts
@@ -117,7 +117,8 @@
     }
     this.unansweredProbes++
     const connectFailed = result.kind === 'unsent' && result.cause === 'connect-failed'
-    if (connectFailed || this.unansweredProbes >= unansweredProbesUntilDown) target.markUnreachable()
+    if (connectFailed) target.recordRefusedConnection()
+    else if (this.unansweredProbes >= unansweredProbesUntilDown) target.markUnreachable()
     else this.useShortInterval()
   }
 }
