Run requests alone under which targets have crashed, and refuse those that crash one again

Ruled out: load, and our second attempts alone (a POST took all four targets as well).

The node beside a target tells a crash from a lost connection (refused connection, or new incarnation without an answer of the old one) and makes all that was in flight suspect, but for what a target has answered of late. Suspects run alone, one at a time, on the trial target of their service, while a crash would leave half of the targets. An answer clears. A crash alone after an earlier crash convicts: refused with 503 for 30 s, then tried again, each further crash four times as long. The nodes of the service share what they know by datagrams: at once, and by comparing checksums every 0.5 s while anything is known. The decision is that of the library (chooseTreatment), which the quarantine of the library uses too.

--- a/packages/auburnturn/src/core/quarantine/suspect-list.ts
+++ b/packages/auburnturn/src/core/quarantine/suspect-list.ts
@@ -1,7 +1,9 @@
 import { subscribe } from '../clock/index.js'
 import type { Cancel, Clock } from '../clock/index.js'
 import type { Notice, Notices } from '../notices/index.js'
+import { chooseTreatment } from './choose-treatment.js'
 import { maxClearedFingerprints } from './constants.js'
+import type { TreatmentKind } from './types.js'
 
 /**
  * Suffix of the subject of a notice about a request that was in flight together with others at a crash.
@@ -35,12 +37,11 @@
     return this.clock.now() < this.lastExpiryAt
   }
 
-  /** Returns `refused` only for a request that crashed an upstream while it ran alone; shared crashes are not enough. */
-  classify (fingerprint: string, crashes: number): 'usual' | 'alone' | 'refused' {
+  /** Returns how a request is handled that is refused after `crashes` crashes. */
+  classify (fingerprint: string, crashes: number): TreatmentKind {
     const loneCrashes = this.countLoneCrashes(fingerprint, crashes)
     const sharedCrash = this.notices.has('suspect', `${fingerprint}/${sharedSuffix}`)
-    if (loneCrashes > 0) return loneCrashes + (sharedCrash ? 1 : 0) >= crashes ? 'refused' : 'alone'
-    return sharedCrash && !this.cleared.has(fingerprint) ? 'alone' : 'usual'
+    return chooseTreatment({ loneCrashes, sharedCrash, cleared: this.cleared.has(fingerprint) }, crashes)
   }
 
   addSharedCrash (fingerprint: string, expiryMs: number): void {
--- a/packages/bench/src/scene/scene-node.ts
+++ b/packages/bench/src/scene/scene-node.ts
@@ -8,6 +8,7 @@
 import type { ExchangeOptions, ExchangeResult } from 'auburnturn-sidecar/core/exchange'
 import { Forwarder } from 'auburnturn-sidecar/core/forwarding'
 import { OwnTarget, Prober } from 'auburnturn-sidecar/core/own-target'
+import { Quarantine } from 'auburnturn-sidecar/core/quarantine'
 import { computeIdChecksum, decodeMessage, Reporter } from 'auburnturn-sidecar/core/reports'
 import type { AnswerHead, Job, Outcome, Protocol } from 'auburnturn-sidecar/core/requests'
 import { Directory } from 'auburnturn-sidecar/core/targets'
@@ -80,7 +81,9 @@
     const { directory } = this
     const exchange = async (sent: ExchangeOptions): Promise<ExchangeResult> => await this.exchange(sent)
     const loadMonitor = { refresh: async () => { await this.prober.refresh() }, useShortInterval: () => { this.prober.useShortInterval() } }
-    this.ownTarget = OwnTarget.create({ address: `${ip}:1`, service: target.group.service, failureDomain, clock, memory, logger, metrics, protocol, directory, loadMonitor, exchange, onChange: () => { this.reporter?.reportChanges() } })
+    // No target of a scene crashes.
+    const quarantine = Quarantine.create({ clock, logger, metrics, ip, onChange: () => {} })
+    this.ownTarget = OwnTarget.create({ address: `${ip}:1`, service: target.group.service, failureDomain, clock, memory, logger, metrics, protocol, directory, loadMonitor, quarantine, exchange, onChange: () => { this.reporter?.reportChanges() } })
     this.prober = Prober.create({ address: `${ip}:1`, clock, random: Random.create(checkIdSeed), memory, protocol, target: this.ownTarget, exchange, healthPath: () => '/health', probesPerSecond: () => probesPerSecond, onFailure: error => { throw error } })
     this.reporter = Reporter.create({
       clock,
--- a/packages/sidecar/src/core/admission/constants.ts
+++ b/packages/sidecar/src/core/admission/constants.ts
@@ -6,3 +6,6 @@
 
 /** Maximum Retry-After of a target that takes no requests at present, in milliseconds. */
 export const maxRetryAfterMs = 60_000
+
+/** How long a request that runs alone waits for those that run before it, in milliseconds, while no other request starts. */
+export const maxDrainMs = 300
--- a/packages/sidecar/src/core/admission/request-queue.ts
+++ b/packages/sidecar/src/core/admission/request-queue.ts
@@ -63,12 +63,23 @@
       if (isHeldBack(queued.request)) continue
       if (first === undefined || compareSlotRequests(queued.request, first.request, context) < 0) first = queued
     }
-    if (first === undefined) return undefined
-    this.queue.splice(this.queue.indexOf(first), 1)
-    first.timer?.cancel()
+    if (first !== undefined) this.take(first)
     return first
   }
 
+  /** Returns the requests in the order of their arrival. */
+  listAll (): readonly QueuedRequest[] {
+    return this.queue
+  }
+
+  /** Takes out a request to start it; does nothing if it has left the queue. */
+  take (queued: QueuedRequest): void {
+    const index = this.queue.indexOf(queued)
+    if (index < 0) return
+    this.queue.splice(index, 1)
+    queued.timer?.cancel()
+  }
+
   /** Refuses a request; does nothing if it has left the queue. */
   refuse (queued: QueuedRequest, cause: RefusalCause): void {
     const index = this.queue.indexOf(queued)
--- a/packages/sidecar/src/core/admission/slots.ts
+++ b/packages/sidecar/src/core/admission/slots.ts
@@ -3,6 +3,7 @@
 import { maxQueuedPerSlot, maxRetryAfterMs, meanWorkWeight } from './constants.js'
 import { computeMaxWaitMs, createOrderingContext, estimateWaitMs, isHeld, isSlow } from './forecast.js'
 import type { TargetWork } from './forecast.js'
+import { LoneRuns } from './lone-runs.js'
 import { isShort } from './order.js'
 import { RequestQueue } from './request-queue.js'
 import type { AdmissionDecision, RefusalCause, ServiceSpeed, SlotAcquisition, SlotRequest } from './types.js'
@@ -12,6 +13,7 @@
   private readonly clock: Clock
   private readonly rateLimit: RateLimit
   private readonly queue: RequestQueue
+  private readonly loneRuns: LoneRuns
   private runningCount = 0
   private runningWorkMs = 0
   private slotLimit = 1
@@ -24,7 +26,9 @@
   private constructor ({ clock, rateLimit = RateLimit.create({ clock }) }: SlotsOptions) {
     this.clock = clock
     this.rateLimit = rateLimit
-    this.queue = RequestQueue.create({ clock, createRefusal: cause => this.createRefusal(cause) })
+    const createRefusal = (cause: RefusalCause): AdmissionDecision => this.createRefusal(cause)
+    this.queue = RequestQueue.create({ clock, createRefusal })
+    this.loneRuns = LoneRuns.create({ clock, createRefusal, onTurnEnd: () => { this.startNext() } })
   }
 
   static create (options: SlotsOptions): Slots {
@@ -36,9 +40,14 @@
     return this.runningCount
   }
 
+  /** Number of slots that other requests can't get now: all while the target is kept free for a request that runs alone. */
+  get taken (): number {
+    return this.loneRuns.blocking ? this.slotLimit : this.runningCount
+  }
+
   /** Number of requests in the queue. */
   get waiting (): number {
-    return this.queue.length
+    return this.queue.length + this.loneRuns.waiting
   }
 
   /** Whether queued requests wait for a slot or for the usual speed, which answers of the target report; not for the rate limit alone. */
@@ -66,7 +75,7 @@
   /** Refuses all queued and all later requests; running requests continue. */
   close (): void {
     this.accepting = false
-    this.queue.refuseAll('closed')
+    this.refuseQueued('closed')
   }
 
   /** Requests a slot; it is granted or refused immediately unless the request has to be queued. */
@@ -80,16 +89,32 @@
     return createDecidedAcquisition({ kind: 'admitted', waitedMs: 0 })
   }
 
+  /**
+   * Requests the whole target for a request that must not run beside others. It is refused if it would have to wait too long, also if
+   * the requests that run do not end soon.
+   */
+  acquireAlone (request: SlotRequest): SlotAcquisition {
+    const maxWaitMs = request.deadlineAt - this.clock.now() - request.workMs
+    const expectedWaitMs = 2 * this.loneRuns.waiting * request.workMs
+    const cause = this.accepting ? expectedWaitMs > maxWaitMs ? 'overloaded' : undefined : 'closed'
+    if (cause !== undefined || maxWaitMs <= 0) return createDecidedAcquisition(this.createRefusal(cause ?? 'expired'))
+    const { decision, cancel } = this.loneRuns.add(request, maxWaitMs)
+    this.startNext()
+    return { decision, waitsForRate: false, cancel }
+  }
+
   /** Releases the slot that was acquired for `request`. */
   release (request: SlotRequest): void {
     this.runningCount--
     this.runningWorkMs -= request.workMs
+    this.loneRuns.release(request)
     this.startNext()
   }
 
   /** Refuses all queued requests, while later ones are accepted. */
   refuseQueued (cause: RefusalCause): void {
     this.queue.refuseAll(cause)
+    this.loneRuns.refuseAll(cause)
   }
 
   /** Expected milliseconds until a request that comes back can start, after all that are queued now. */
@@ -99,7 +124,7 @@
 
   /** Whether a request that arrives now can start: a slot is free, the rate limit lets it through, and none is queued. */
   private get canStart (): boolean {
-    return this.runningCount < this.slotLimit && this.queue.length === 0 && this.rateLimit.allowance >= 1
+    return this.runningCount < this.slotLimit && this.queue.length === 0 && !this.loneRuns.blocking && this.rateLimit.allowance >= 1
   }
 
   /** What runs now and how fast, for forecasts. */
@@ -150,7 +175,8 @@
   private startNext (): void {
     const now = this.clock.now()
     this.rateTimer?.cancel()
-    while (this.accepting && this.runningCount < this.slotLimit && this.queue.length > 0) {
+    this.startAlone(now)
+    while (this.accepting && !this.loneRuns.blocking && this.runningCount < this.slotLimit && this.queue.length > 0) {
       if (this.rateLimit.allowance < 1) return this.awaitRateLimit()
       const { work } = this
       const next = this.queue.takeFirst(createOrderingContext(work, now), ({ workMs }) => isHeld(workMs, work))
@@ -160,6 +186,14 @@
     }
   }
 
+  /** Starts the next request that runs alone if it is its turn, the target is idle and the rate limit lets it through. */
+  private startAlone (now: number): void {
+    const next = this.loneRuns.takeNext(this.runningCount === 0 && this.rateLimit.allowance >= 1)
+    if (next === undefined) return
+    this.occupy(next.request)
+    next.resolve({ kind: 'admitted', waitedMs: now - next.queuedAt })
+  }
+
   /** Starts the next queued request when the rate limit lets it through; a target that takes none has no such time. */
   private awaitRateLimit (): void {
     const waitMs = this.rateLimit.computeWaitMs(0)
--- a/packages/sidecar/src/core/forwarding/forwarder.ts
+++ b/packages/sidecar/src/core/forwarding/forwarder.ts
@@ -5,6 +5,7 @@
 import type { Route } from '../configuration/index.js'
 import { WorkEstimate } from '../own-target/index.js'
 import type { OwnTarget } from '../own-target/index.js'
+import { findTrialTarget } from '../quarantine/index.js'
 import { computeRateWaitMs, MoveLog } from '../rate-limit/index.js'
 import { describeEvidence, notRun } from '../requests/index.js'
 import type { Job, Outcome } from '../requests/index.js'
@@ -22,6 +23,8 @@
   readonly tried: Set<string>
   /** Number of targets that the request may have reached. */
   reachedTargets: number
+  /** Whether targets have crashed under the request: only the trial target of its service may run it. */
+  suspect: boolean
   /** Outcome for the caller unless a later attempt yields a better one. */
   outcome: Outcome
 }
@@ -46,10 +49,10 @@
   /** Attempts a request until its outcome is final or no further attempt is allowed. Never rejects. */
   async run (job: Job, route: Route, signal: CancelSignal): Promise<Outcome> {
     const { clock, directory } = this.options
-    const progress: Progress = { tried: new Set(), reachedTargets: 0, outcome: notRun('no-target', defaultRetryAfterMs) }
+    const progress: Progress = { tried: new Set(), reachedTargets: 0, suspect: false, outcome: notRun('no-target', defaultRetryAfterMs) }
     this.getRetryWindow(job.service).countFirstAttempt(clock.now())
     for (let attempts = 0; attempts < maxTargetAttempts; attempts++) {
-      const target = this.chooseCandidate(job, progress.tried, 'attempt')
+      const target = progress.suspect ? this.findTrialTarget(job.service, progress.tried) : this.chooseCandidate(job, progress.tried, 'attempt')
       if (target === undefined || !this.mayAttempt(job, route, progress)) break
       if (attempts > 0) this.options.metrics.count('retries_total')
       progress.tried.add(target.id)
@@ -82,6 +85,12 @@
     return best ?? chooseTarget({ candidates: directory.findCandidates(job.service, 'any'), failureDomain, tried, workMs, random })
   }
 
+  /** Finds the target that runs the suspects of a service; undefined if none may now, or if the request was already sent there. */
+  private findTrialTarget (service: string, tried: ReadonlySet<string>): Candidate | undefined {
+    const target = findTrialTarget(this.withOwnTarget(this.options.directory.findCandidates(service, 'any'), service))
+    return target === undefined || tried.has(target.id) ? undefined : target
+  }
+
   private recordMove (choice: TargetChoice, chosen: Candidate): void {
     const avoided = findAvoidedTarget(choice, chosen)
     if (avoided !== undefined) this.moveLog.record(avoided, chosen.id)
@@ -101,7 +110,7 @@
    * expected to answer in time.
    */
   private async attemptWithHedge (job: Job, route: Route, target: Candidate, progress: Progress, signal: CancelSignal): Promise<Outcome> {
-    if (!job.idempotent || progress.reachedTargets > 0) return await this.attempt(job, target, signal)
+    if (!job.idempotent || progress.reachedTargets > 0 || progress.suspect) return await this.attempt(job, target, signal)
     const { clock, logger, metrics } = this.options
     const workMs = this.readWorkMs(job)
     const cancellations = [createLinkedCancellation(signal), createLinkedCancellation(signal)] as const
@@ -159,7 +168,7 @@
     if (signal.aborted || this.options.clock.now() >= job.deadlineAt) return true
     switch (outcome.kind) {
       case 'answer': return outcome.status < 500 || outcome.status === 504 || !job.idempotent
-      case 'not-run': return outcome.cause === 'expired' || outcome.cause === 'left'
+      case 'not-run': return outcome.cause === 'expired' || outcome.cause === 'left' || outcome.cause === 'quarantined'
       case 'may-have-run': return !job.idempotent
     }
   }
@@ -195,6 +204,7 @@
 /** Records the outcome of an attempt that is not final. */
 function recordOutcome (progress: Progress, outcome: Outcome): void {
   if (outcome.kind !== 'not-run' || outcome.cause === 'rejected') progress.reachedTargets++
+  if (outcome.kind !== 'answer' && (outcome.cause === 'crashed' || outcome.cause === 'suspect')) progress.suspect = true
   progress.outcome = mergeOutcomes(progress.outcome, outcome)
 }
 
--- a/packages/sidecar/src/core/forwarding/hop-message.ts
+++ b/packages/sidecar/src/core/forwarding/hop-message.ts
@@ -8,9 +8,9 @@
 
 /** All causes of outcomes. The type makes it complete: an outcome of another cause is not believed. */
 const notRunCauses: Readonly<Record<NotRunCause, true>> = {
-  closed: true, overloaded: true, 'rate-limited': true, slow: true, expired: true, left: true, moved: true, unreachable: true, rejected: true, 'no-memory': true, 'no-target': true, 'no-configuration': true, 'no-budget': true
+  closed: true, overloaded: true, 'rate-limited': true, slow: true, expired: true, left: true, moved: true, unreachable: true, rejected: true, 'no-memory': true, 'no-target': true, 'no-configuration': true, 'no-budget': true, quarantined: true, suspect: true
 }
-const mayHaveRunCauses: Readonly<Record<MayHaveRunCause, true>> = { reset: true, cut: true, invalid: true, foreign: true, timeout: true, left: true, unproven: true }
+const mayHaveRunCauses: Readonly<Record<MayHaveRunCause, true>> = { reset: true, cut: true, invalid: true, foreign: true, timeout: true, left: true, crashed: true, unproven: true }
 
 /** First field of a call that asks the node to run a request on the target of its VM. */
 const runKind = 'run'
--- a/packages/sidecar/src/core/own-target/constants.ts
+++ b/packages/sidecar/src/core/own-target/constants.ts
@@ -28,6 +28,9 @@
 /** Maximum time to open a connection to the target on this VM, in milliseconds. */
 export const connectTimeoutMs = 300
 
+/** Maximum time to check whether the target still accepts connections after it has lost one, in milliseconds. */
+export const connectionCheckTimeoutMs = 100
+
 /** Maximum number of connections to the target on this VM; the target accepts far more connections than it has slots. */
 export const maxConnections = 64
 
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -6,8 +6,8 @@
 import { isAnswerToAttempt } from '../attribution/index.js'
 import { ConnectionPool, exchange } from '../exchange/index.js'
 import type { BodyMemory, Exchange, ExchangeResult } from '../exchange/index.js'
-import { computeFingerprint, CrashDetector } from '../quarantine/index.js'
-import type { DetectedCrash, RunningRequest } from '../quarantine/index.js'
+import { computeFingerprint, findTrialTarget, suspectRetryAfterMs } from '../quarantine/index.js'
+import type { Quarantine, RunningRequest, Treatment } from '../quarantine/index.js'
 import type { RateLimit } from '../rate-limit/index.js'
 import { mayHaveRun, notRun, rejected } from '../requests/index.js'
 import type { AnswerHead, Job, Outcome, Protocol } from '../requests/index.js'
@@ -15,6 +15,7 @@
 import type { Directory, TargetReport, TargetState } from '../targets/index.js'
 import { classifyAnswer, isRefusal, isTargetFailure } from './classify-answer.js'
 import { connectTimeoutMs, defaultSlots, freshDurationMs, initialWorkShare, maxConnections, maxLoadAgeMs, maxNonIdempotentIdleMs, unhealthyFailureShare } from './constants.js'
+import { CrashMonitor } from './crash-monitor.js'
 import { Demands } from './demands.js'
 import { SpeedEstimate } from './speed-estimate.js'
 import { WorkEstimate } from './work-estimate.js'
@@ -28,7 +29,7 @@
   private readonly failures = FailureRate.create()
   private readonly workEstimate = WorkEstimate.create()
   private readonly speedEstimate = SpeedEstimate.create()
-  private readonly crashDetector: CrashDetector
+  private readonly crashMonitor: CrashMonitor
   private instanceId = ''
   private reachable = false
   private healthy = true
@@ -44,7 +45,7 @@
     this.demands = Demands.create({ clock, logger, metrics, onDraining: () => { this.slots.refuseQueued('closed') } })
     this.slots = Slots.create({ clock, rateLimit: this.demands.rateLimit })
     this.connections = ConnectionPool.create({ address: options.address, limit: maxConnections, clock: options.clock, memory: options.memory })
-    this.crashDetector = CrashDetector.create({ clock, readTarget: () => this.instanceId, isStopping: () => this.getState() === 'closing', onCrash: crash => { this.recordCrash(crash) } })
+    this.crashMonitor = CrashMonitor.create({ ...options, readTarget: () => this.instanceId, isStopping: () => this.getState() === 'closing', onRefused: () => { this.recordRefusedConnection() } })
   }
 
   static create (options: OwnTargetOptions): OwnTarget {
@@ -74,7 +75,7 @@
   /** The state of the target that is reported to other nodes. */
   describe (): TargetReport {
     const { service, failureDomain, clock } = this.options
-    const { running, waiting, limit } = this.slots
+    const { taken: running, waiting, limit } = this.slots
     const now = clock.now()
     const failures = Math.min(1, this.failures.read(now) + (this.healthy ? 0 : unhealthyFailureShare))
     const { perSecond: rateLimit, allowance } = this.rateLimit
@@ -87,10 +88,13 @@
    */
   async run (job: Job, target: string, signal: CancelSignal): Promise<Outcome> {
     if (this.loadAgeMs > maxLoadAgeMs) await this.options.loadMonitor.refresh()
-    const immediateOutcome = signal.aborted ? notRun('left') : this.findNotRunOutcome(target)
+    const fingerprint = computeFingerprint(job)
+    const treatment = await this.decideTreatment(fingerprint)
+    const immediateOutcome = signal.aborted ? notRun('left') : this.findNotRunOutcome(target) ?? this.findQuarantineOutcome(treatment)
     if (immediateOutcome !== undefined) return immediateOutcome
     const request = this.createSlotRequest(job)
-    const acquisition = this.slots.acquire(request)
+    const exclusive = treatment.kind === 'alone'
+    const acquisition = exclusive ? this.slots.acquireAlone(request) : this.slots.acquire(request)
     if (this.slots.waitsForTarget) this.options.loadMonitor.useShortInterval()
     if (acquisition.waitsForRate) this.demands.recordEffect('queued', target)
     this.options.onChange()
@@ -104,7 +108,7 @@
     }
     this.options.metrics.recordDuration('call_queue_seconds', decision.waitedMs)
     try {
-      return this.findNotRunOutcome(target) ?? await this.send(job, target, signal)
+      return this.findNotRunOutcome(target) ?? this.findChangedOutcome(fingerprint, exclusive) ?? await this.send(job, target, { fingerprint, exclusive }, signal)
     } finally {
       this.slots.release(request)
     }
@@ -119,7 +123,7 @@
 
   /** Records that the target refuses connections. */
   recordRefusedConnection (): void {
-    this.crashDetector.recordRefusedConnection()
+    this.crashMonitor.recordRefusedConnection()
     this.markUnreachable()
   }
 
@@ -171,12 +175,12 @@
     const { clock, logger, onChange } = this.options
     if (head.targetId !== '' && head.targetId !== this.instanceId) {
       logger.info('target-changed', { from: this.instanceId, to: head.targetId })
-      this.crashDetector.recordNewIncarnation()
+      this.crashMonitor.recordNewIncarnation()
       if (this.instanceId !== '') this.freshUntil = clock.now() + freshDurationMs
       this.instanceId = head.targetId
       this.demands.forgetDraining()
     }
-    this.crashDetector.recordAnswer()
+    this.crashMonitor.recordAnswer()
     this.demands.update(head, this.instanceId)
     if (head.load !== undefined) {
       this.loadReceivedAt = clock.now()
@@ -200,20 +204,49 @@
     }
   }
 
+  /** Decides how a request may run; a suspect waits until other crashes of the same moment are known. */
+  private async decideTreatment (fingerprint: string): Promise<Treatment> {
+    const { clock, quarantine } = this.options
+    const treatment = quarantine.decide(fingerprint)
+    if (treatment.kind !== 'alone' || treatment.waitMs <= 0) return treatment
+    await clock.sleep(treatment.waitMs)
+    return quarantine.decide(fingerprint)
+  }
+
+  /** The outcome of a request that may not run at this target because targets have crashed under it; undefined if it may. */
+  private findQuarantineOutcome (treatment: Treatment): Outcome | undefined {
+    switch (treatment.kind) {
+      case 'usual': return undefined
+      case 'alone': return this.isTrialTarget() ? undefined : notRun('suspect', suspectRetryAfterMs)
+      case 'refused': return notRun('quarantined', treatment.retryAfterMs)
+    }
+  }
+
+  /** The same for a request that has waited; one that has become a suspect meanwhile may not run beside others. */
+  private findChangedOutcome (fingerprint: string, exclusive: boolean): Outcome | undefined {
+    const treatment = this.options.quarantine.decide(fingerprint)
+    return treatment.kind === 'alone' && !exclusive ? notRun('suspect', suspectRetryAfterMs) : this.findQuarantineOutcome(treatment)
+  }
+
+  private isTrialTarget (): boolean {
+    const { address, service, directory } = this.options
+    const others = directory.findCandidates(service, 'any').filter(({ ip }) => !address.startsWith(`${ip}:`))
+    return findTrialTarget([...others, { id: this.instanceId, service, state: this.getState() }])?.id === this.instanceId
+  }
+
   private createSlotRequest (job: Job): SlotRequest {
     const { priority, objectiveAt, deadlineAt, objectiveMs, mayWait } = job
     return { priority, objectiveAt, deadlineAt, mayWait, workMs: this.workEstimate.read(job.route, objectiveMs * initialWorkShare) }
   }
 
-  private async send (job: Job, target: string, signal: CancelSignal): Promise<Outcome> {
+  private async send (job: Job, target: string, running: RunningRequest, signal: CancelSignal): Promise<Outcome> {
     const { clock, protocol } = this.options
     const startedAt = clock.now()
     const { slowness } = this
     const timeoutMs = job.deadlineAt - startedAt
     if (timeoutMs <= 0) return notRun('expired')
     if (!job.idempotent) this.connections.closeIdleLongerThan(maxNonIdempotentIdleMs)
-    const running: RunningRequest = { fingerprint: computeFingerprint(job), alone: this.slots.running === 1 }
-    this.crashDetector.start(running)
+    this.crashMonitor.start(running)
     const result = await (this.options.exchange ?? exchange)({
       connections: this.connections,
       clock,
@@ -227,30 +260,17 @@
       signal: job.idempotent ? signal : undefined,
       belongs: ({ status, headers }) => isAnswerToAttempt(job.id, protocol.readAnswer(status, headers).id)
     }).catch(error => {
-      this.crashDetector.end(running)
+      this.crashMonitor.cancel(running)
       throw error
     })
-    this.recordEnd(running, result)
-    const outcome = this.processResult(result)
+    const crashed = await this.crashMonitor.end(running, result)
+    const outcome = crashed ? mayHaveRun('crashed') : this.processResult(result)
+    if (outcome.kind === 'answer') this.options.quarantine.recordAnswer(running.fingerprint)
     if (outcome.kind === 'answer') this.workEstimate.record(job.route, clock.now() - startedAt, slowness)
     this.failures.record(clock.now(), isTargetFailure(outcome))
     return outcome
   }
 
-  /** Tells the crash detector how a request ended. */
-  private recordEnd (request: RunningRequest, result: ExchangeResult): void {
-    const cause = result.kind === 'lost' ? result.cause : undefined
-    if (cause === 'reset' || cause === 'cut') this.crashDetector.lose(request)
-    else if (cause === 'left' || cause === 'timeout') this.crashDetector.abandon(request)
-    else this.crashDetector.end(request)
-  }
-
-  private recordCrash ({ target, at, sign, requests }: DetectedCrash): void {
-    const { clock, logger, metrics } = this.options
-    metrics.count('target_crashes_total')
-    logger.warn('target-crashed', { target, agoMs: Math.round(clock.now() - at), sign, requests: requests.map(({ fingerprint }) => fingerprint).join(), alone: requests.some(({ alone }) => alone) })
-  }
-
   private logRefusal (job: Job, { cause, retryAfterMs }: Extract<AdmissionDecision, { kind: 'refused' }>): void {
     const { running, waiting, limit } = this.slots
     const remainingMs = Math.round(job.deadlineAt - this.options.clock.now())
@@ -298,6 +318,7 @@
   readonly protocol: Protocol
   readonly directory: Directory
   readonly loadMonitor: LoadMonitor
+  readonly quarantine: Quarantine
   /** Sends a request to the target; over HTTP by default. */
   readonly exchange?: Exchange
   /** Called when a change may have to be reported to the other nodes. */
--- a/packages/sidecar/src/core/quarantine/crash-detector.ts
+++ b/packages/sidecar/src/core/quarantine/crash-detector.ts
@@ -1,6 +1,6 @@
 import type { Clock } from 'auburnturn/core/clock'
-import { abandonedWorkMs, crashConfirmationMs, lossWindowMs, maxAbandonedRequests } from './constants.js'
-import type { CrashSign, DetectedCrash, RunningRequest } from './types.js'
+import { abandonedWorkMs, crashConfirmationMs, lossWindowMs, maxAbandonedRequests, maxSuspectsPerCrash } from './constants.js'
+import type { CrashSign, DetectedCrash, RunningRequest, Suspect } from './types.js'
 
 /** A request that this node has given up, while the target may still work on it. */
 interface AbandonedRequest {
@@ -99,7 +99,7 @@
     if (loss === undefined || loss.confirmed || clock.now() - loss.at > crashConfirmationMs) return
     if (isStopping()) return
     loss.confirmed = true
-    onCrash({ target: loss.target, at: loss.at, sign, requests: loss.requests })
+    onCrash({ target: loss.target, at: loss.at, sign, suspects: listSuspects(loss.requests) })
   }
 
   private listAbandoned (now: number): RunningRequest[] {
@@ -107,6 +107,13 @@
   }
 }
 
+/** A request is alone if the target was kept free for it, or if nothing else ran anyway. */
+function listSuspects (requests: readonly RunningRequest[]): Suspect[] {
+  const suspects = new Map<string, Suspect>()
+  for (const { fingerprint, exclusive } of requests) suspects.set(fingerprint, { fingerprint, alone: exclusive || requests.length === 1, cleared: false })
+  return [...suspects.values()].slice(0, maxSuspectsPerCrash)
+}
+
 interface CrashDetectorOptions {
   readonly clock: Clock
   /** Returns the id of the present incarnation. */
--- /dev/null
+++ b/packages/sidecar/src/core/quarantine/crash-records.ts
@@ -0,0 +1,88 @@
+import { crc32 } from 'node:zlib'
+import type { Clock } from 'auburnturn/core/clock'
+import { crashRetentionMs, maxCrashRecords } from './constants.js'
+import type { CrashRecord, Suspect } from './types.js'
+
+/** One crash under a request. */
+export interface CrashOfRequest {
+  readonly crash: CrashRecord
+  readonly suspect: Suspect
+}
+
+/** The crashes that this node knows. Records of several nodes merge in any order and any number of times to the same result. */
+export class CrashRecords {
+  private readonly clock: Clock
+  /** By the id of the incarnation. */
+  private readonly records = new Map<string, CrashRecord>()
+
+  private constructor (clock: Clock) {
+    this.clock = clock
+  }
+
+  static create ({ clock }: { readonly clock: Clock }): CrashRecords {
+    return new CrashRecords(clock)
+  }
+
+  get size (): number {
+    return this.records.size
+  }
+
+  /** When the last crash happened, in clock milliseconds; -Infinity without one. */
+  get lastAt (): number {
+    return Math.max(...[...this.records.values()].map(({ at }) => at))
+  }
+
+  /** Returns all crashes, the oldest first. */
+  list (): CrashRecord[] {
+    this.discardExpired()
+    return [...this.records.values()].sort((a, b) => a.at - b.at)
+  }
+
+  /** Returns the crashes under a request, the oldest first and without those that it was cleared of. */
+  find (fingerprint: string): CrashOfRequest[] {
+    if (this.records.size === 0) return []
+    return this.list().flatMap(crash => crash.suspects.filter(suspect => suspect.fingerprint === fingerprint && !suspect.cleared).map(suspect => ({ crash, suspect })))
+  }
+
+  /** Adds a crash, or what another node knows of it; returns the record if that changes it. */
+  merge (crash: CrashRecord): CrashRecord | undefined {
+    const known = this.records.get(crash.target)
+    const merged = known === undefined ? crash : { ...known, suspects: mergeSuspects(known.suspects, crash.suspects) }
+    if (known !== undefined && describeRecord(known) === describeRecord(merged)) return undefined
+    this.records.set(crash.target, merged)
+    this.discardExpired()
+    return merged
+  }
+
+  /** Clears a request of all crashes; returns the records that this changes. */
+  clear (fingerprint: string): CrashRecord[] {
+    return this.find(fingerprint).flatMap(({ crash }) => this.merge({ ...crash, suspects: [{ fingerprint, alone: false, cleared: true }] }) ?? [])
+  }
+
+  /** A checksum that is equal at nodes that know the same. */
+  computeChecksum (): number {
+    return crc32(this.list().map(describeRecord).sort().join('\n'))
+  }
+
+  private discardExpired (): void {
+    const now = this.clock.now()
+    for (const { target, at } of this.records.values()) if (now - at > crashRetentionMs) this.records.delete(target)
+    if (this.records.size <= maxCrashRecords) return
+    const oldest = [...this.records.values()].sort((a, b) => a.at - b.at).slice(0, this.records.size - maxCrashRecords)
+    for (const { target } of oldest) this.records.delete(target)
+  }
+}
+
+function mergeSuspects (known: readonly Suspect[], added: readonly Suspect[]): Suspect[] {
+  const merged = new Map(known.map(suspect => [suspect.fingerprint, suspect]))
+  for (const suspect of added) {
+    const { alone = false, cleared = false } = merged.get(suspect.fingerprint) ?? {}
+    merged.set(suspect.fingerprint, { fingerprint: suspect.fingerprint, alone: alone || suspect.alone, cleared: cleared || suspect.cleared })
+  }
+  return [...merged.values()]
+}
+
+/** Returns a text that is equal for equal knowledge of a crash, whatever the order of its suspects. */
+function describeRecord ({ target, suspects }: CrashRecord): string {
+  return [target, ...suspects.map(({ fingerprint, alone, cleared }) => `${fingerprint} ${String(alone)} ${String(cleared)}`).sort()].join()
+}
--- a/packages/sidecar/src/core/reports/datagram-transport.ts
+++ b/packages/sidecar/src/core/reports/datagram-transport.ts
@@ -51,8 +51,8 @@
 }
 
 /**
- * Messages of one stream replace each other, so that an outdated one changes nothing. A subscription may be repeated, and changes
- * have their order in the revisions of the store.
+ * Messages of one stream replace each other, so that an outdated one changes nothing. A subscription may be repeated, changes
+ * have their order in the revisions of the store, and what nodes know of crashes merges in any order.
  */
 function findStream (message: Message): 'report' | 'notice' | undefined {
   switch (message.kind) {
@@ -60,7 +60,9 @@
     case 'short': return 'report'
     case 'reader': return 'notice'
     case 'subscription':
-    case 'changes': return undefined
+    case 'changes':
+    case 'crash':
+    case 'crash-digest': return undefined
   }
 }
 
--- a/packages/sidecar/src/core/requests/outcome.ts
+++ b/packages/sidecar/src/core/requests/outcome.ts
@@ -18,12 +18,14 @@
   | 'no-target'
   | 'no-configuration'
   | 'no-budget' // a retry would exceed the budget
+  | 'quarantined' // targets have crashed under this request
+  | 'suspect' // it was in flight at a crash, and only the trial target of its service runs it
 
 /**
- * Why it is unknown whether a request ran: a `LossCause`, or 'unproven' for an answer whose status claims that the request did
- * not run, without the header that proves it.
+ * Why it is unknown whether a request ran: a `LossCause`, 'crashed' if the target crashed meanwhile, or 'unproven' for an answer whose
+ * status claims that the request did not run, without the header that proves it.
  */
-export type MayHaveRunCause = 'reset' | 'cut' | 'invalid' | 'foreign' | 'timeout' | 'left' | 'unproven'
+export type MayHaveRunCause = 'reset' | 'cut' | 'invalid' | 'foreign' | 'timeout' | 'left' | 'crashed' | 'unproven'
 
 /** Result of a request at one target. */
 export type Outcome =
--- a/packages/sidecar/src/node/local-state.ts
+++ b/packages/sidecar/src/node/local-state.ts
@@ -79,9 +79,11 @@
     this.selection.refresh(this.directory.locations)
   }
 
-  /** Returns the addresses of all other nodes. */
-  listOtherAddresses (): string[] {
-    return [...this.directory.locations.addresses].filter(ip => ip !== this.options.ip)
+  /** Returns the addresses of all other nodes, or of those with targets of a service. */
+  listOtherAddresses (service?: string): string[] {
+    const { locations } = this.directory
+    const addresses = service === undefined ? [...locations.addresses] : locations.getServiceLocations(service).map(({ ip }) => ip)
+    return addresses.filter(ip => ip !== this.options.ip)
   }
 
   /** Whether the node at `ip` is in the failure domain of this node. */
--- a/packages/sidecar/src/node/node.ts
+++ b/packages/sidecar/src/node/node.ts
@@ -66,6 +66,7 @@
       bounds: () => this.settings.bounds,
       isLeaving: () => this.drainState.leaving,
       admits: deadlineAt => this.drainState.admits(deadlineAt),
+      onCrash: record => { this.messaging?.crashSync.announce(record) },
       onTargetChange: onChange
     })
     this.drainState = this.createDrain()
@@ -121,7 +122,7 @@
   /** Returns the state of this node, without bodies or header values of requests. */
   dump (): unknown {
     const { settings, state, requestPath, supervisor } = this
-    return { name: settings.name, ready: this.ready, leaving: this.drainState.leaving, version: this.version, target: requestPath.target.describe(), directory: state.directory.dump(), parts: supervisor.dump() }
+    return { name: settings.name, ready: this.ready, leaving: this.drainState.leaving, version: this.version, target: requestPath.target.describe(), directory: state.directory.dump(), quarantine: requestPath.quarantine.dump(), parts: supervisor.dump() }
   }
 
   /** Starts the parts in the order of their dependencies. The supervisor restarts those that fail. */
@@ -150,7 +151,7 @@
   }
 
   private async startMessaging (ip: string): Promise<Messaging> {
-    const { clock, random, logger, state, subscribers, storeSync, requestPath, settings: { internalPorts, failureDomain } } = this
+    const { clock, random, logger, state, subscribers, storeSync, requestPath, settings: { internalPorts, failureDomain, service } } = this
     const recordSubscription = (subscriberIp: string): void => {
       if (subscribers.recordSubscription(subscriberIp)) this.messaging?.reporter.sendFullReport(subscriberIp)
     }
@@ -158,14 +159,16 @@
       ip,
       port: internalPorts[0],
       failureDomain,
+      service,
       clock,
       random,
       logger,
+      quarantine: requestPath.quarantine,
       election: storeSync.election,
       state,
       subscribers,
       describeTarget: () => requestPath.target.describe(),
-      onMessage: (senderIp, message) => { receiveMessage(senderIp, message, { state, storeSync, recordSubscription }) }
+      onMessage: (senderIp, message) => { receiveMessage(senderIp, message, { state, storeSync, crashSync: () => this.messaging?.crashSync, recordSubscription }) }
     })
     return this.messaging
   }
--- a/packages/sidecar/src/node/receive-message.ts
+++ b/packages/sidecar/src/node/receive-message.ts
@@ -1,10 +1,11 @@
+import type { CrashSync } from '../core/quarantine/index.js'
 import { computeIdChecksum } from '../core/reports/index.js'
 import type { Message } from '../core/reports/index.js'
 import type { LocalState } from './local-state.js'
 import type { StoreSync } from './store-sync.js'
 
 /** Handles a datagram of the node at `ip`. */
-export function receiveMessage (ip: string, message: Message, { state, storeSync, recordSubscription }: MessageReceivers): void {
+export function receiveMessage (ip: string, message: Message, { state, storeSync, crashSync, recordSubscription }: MessageReceivers): void {
   switch (message.kind) {
     case 'full':
       state.recordReport(ip, message.target)
@@ -17,6 +18,10 @@
       return storeSync.receiveReaderNotice(ip, message)
     case 'changes':
       return storeSync.receiveChanges(ip, message)
+    case 'crash':
+      return crashSync()?.receiveNotice(message)
+    case 'crash-digest':
+      return crashSync()?.receiveDigest(ip, message)
   }
 }
 
@@ -24,6 +29,8 @@
 export interface MessageReceivers {
   readonly state: LocalState
   readonly storeSync: StoreSync
+  /** Returns the present synchronisation of crashes; undefined before messages can be sent. */
+  readonly crashSync: () => CrashSync | undefined
   /** Called with the address of a node that subscribes to the reports of this node, or renews its subscription. */
   readonly recordSubscription: (ip: string) => void
 }
--- a/packages/sidecar/src/node/request-path.ts
+++ b/packages/sidecar/src/node/request-path.ts
@@ -8,6 +8,8 @@
 import { parsePort } from '../core/listening/index.js'
 import { OwnTarget, Prober } from '../core/own-target/index.js'
 import type { LoadMonitor } from '../core/own-target/index.js'
+import { Quarantine } from '../core/quarantine/index.js'
+import type { CrashRecord } from '../core/quarantine/index.js'
 import type { RetryBudget } from '../core/retries/index.js'
 import type { Bounds, Settings } from '../core/settings.js'
 import { protocol } from '../platform/index.js'
@@ -15,6 +17,7 @@
 
 /** The way of a request through this node: from a caller to the target on this VM, or to the node of another target. */
 export class RequestPath {
+  readonly quarantine: Quarantine
   readonly target: OwnTarget
   readonly peers: Peers
   readonly ingress: Ingress
@@ -22,7 +25,9 @@
   private prober: Prober | undefined
 
   private constructor (options: RequestPathOptions) {
+    const { clock, logger, metrics, settings: { ip }, onCrash } = options
     this.options = options
+    this.quarantine = Quarantine.create({ clock, logger, metrics, ip, onChange: onCrash })
     this.target = this.createTarget()
     this.peers = this.createPeers()
     this.ingress = this.createIngress(this.createForwarder())
@@ -82,6 +87,7 @@
       protocol,
       directory,
       loadMonitor: this.createLoadMonitor(),
+      quarantine: this.quarantine,
       onChange: onTargetChange
     })
   }
@@ -143,6 +149,8 @@
   readonly isLeaving: () => boolean
   /** Whether a request is taken whose caller waits until `deadlineAt`, in clock milliseconds. */
   readonly admits: (deadlineAt: number) => boolean
+  /** Called with each change of the known crashes that other nodes of the service have to learn from this one. */
+  readonly onCrash: (record: CrashRecord) => void
   /** Called when a change of the target may have to be reported to the other nodes. */
   readonly onTargetChange: () => void
 }
--- a/packages/sidecar/test/attribution-health.test.ts
+++ b/packages/sidecar/test/attribution-health.test.ts
@@ -12,6 +12,7 @@
 import { Directory } from '../src/core/targets/index.js'
 import type { TargetReport } from '../src/core/targets/index.js'
 import { protocol } from '../src/platform/index.js'
+import { createQuarantine } from './fixtures/create-quarantine.js'
 import { MisplacingProxy } from './fixtures/misplacing-proxy.js'
 
 const test = suite('attribution of health checks')
@@ -40,7 +41,7 @@
     const logger = Logger.createSilent()
     this.server = server
     this.proxy = proxy
-    this.ownTarget = OwnTarget.create({ address, service: 's', failureDomain: 'a', clock, memory, logger, metrics: Metrics.create({ clock }), protocol, directory: Directory.create({ clock }), loadMonitor: { refresh: async () => {}, useShortInterval: () => {} }, onChange: () => {} })
+    this.ownTarget = OwnTarget.create({ address, service: 's', failureDomain: 'a', clock, memory, logger, metrics: Metrics.create({ clock }), protocol, directory: Directory.create({ clock }), loadMonitor: { refresh: async () => {}, useShortInterval: () => {} }, quarantine: createQuarantine(clock), onChange: () => {} })
     server.on('request', (request: IncomingMessage, response) => {
       this.checks++
       const id = request.headers['x-attempt-id']
--- a/packages/sidecar/test/prober.test.ts
+++ b/packages/sidecar/test/prober.test.ts
@@ -10,6 +10,7 @@
 import { Directory } from '../src/core/targets/index.js'
 import { protocol } from '../src/platform/index.js'
 import { createJob } from './fixtures/create-job.js'
+import { createQuarantine } from './fixtures/create-quarantine.js'
 import { startRawServer } from './fixtures/raw-server.js'
 import type { RawServer } from './fixtures/raw-server.js'
 
@@ -88,6 +89,7 @@
       protocol,
       directory: Directory.create({ clock }),
       loadMonitor,
+      quarantine: createQuarantine(clock),
       onChange: () => { this.answers++ }
     })
     this.prober = Prober.create({
