--- a/packages/auburnturn/src/core/quarantine/fingerprint.ts
+++ b/packages/auburnturn/src/core/quarantine/fingerprint.ts
@@ -1,7 +1,7 @@
+import { createHash } from 'node:crypto'
 import { headerNames } from '../call/index.js'
 import type { Body, Call } from '../call/types.js'
 import { findHeader } from '../http/headers.js'
-import { hash64Hex, hashBytes64Hex } from '../routing/hash.js'
 import { fingerprintBodyBytes } from './constants.js'
 
 /**
@@ -16,9 +16,9 @@
   return hashRequest([call.service, call.method, call.path], Buffer.from(keyOrBody, 'latin1'))
 }
 
-/** Hashes what identifies a request; the result is the same at all nodes. The fields contain no line ends. */
+/** Hashes what identifies a request to 16 hexadecimal digits, the same at all nodes. The fields contain no line ends. */
 export function hashRequest (fields: readonly string[], body: Uint8Array): string {
-  return hash64Hex([...fields, hashBytes64Hex(body)].join('\n'))
+  return createHash('sha1').update(`${fields.join('\n')}\n`).update(body).digest('hex').slice(0, 16)
 }
 
 async function readBodyStart (body: Body): Promise<string> {
--- a/packages/sidecar/src/core/quarantine/trial-target.ts
+++ b/packages/sidecar/src/core/quarantine/trial-target.ts
@@ -1,4 +1,4 @@
-import { computeRendezvousWeight } from 'auburnturn/core/routing'
+import { crc32 } from 'node:zlib'
 import type { TargetState } from '../targets/index.js'
 
 /** A target of a service, as far as the choice of its trial target depends on it. */
@@ -19,6 +19,7 @@
   return up.reduce<Target | undefined>((best, target) => best === undefined || computeWeight(target) > computeWeight(best) ? target : best, undefined)
 }
 
+/** Weight of a target in rendezvous hashing. */
 function computeWeight ({ id, service }: ServiceTarget): number {
-  return computeRendezvousWeight(service, id)
+  return crc32(`${service} ${id}`)
 }
