--- a/packages/sidecar/src/core/following/follower.ts
+++ b/packages/sidecar/src/core/following/follower.ts
@@ -3,7 +3,8 @@
 import type { Logger } from 'auburnturn/core/logger'
 import type { Random } from 'auburnturn/core/random'
 import type { ChangesNotice, ReaderElection } from '../readers/index.js'
-import type { Change, StoreAnswer, StoreClient } from '../store/index.js'
+import { isLater } from '../store/index.js'
+import type { Change, StoreAnswer, StoreClient, StorePosition } from '../store/index.js'
 import { baseBackoffMs, batchDelayMs, electionIntervalMs, crossDomainGapDelayMs, gapDelayMs, maxBackoffMs, probeWatchMs, relistIntervalMs, watchMs } from './constants.js'
 import { AnnouncementFilter } from './announcement-filter.js'
 import { StoreMonitor } from './store-monitor.js'
@@ -25,7 +26,12 @@
    * once the store has lost its history, so the next list must be the newest.
    */
   private listMode: 'cheap' | 'newest' = 'cheap'
-  private revision: number | undefined
+  /** Up to which all changes are known. */
+  private position: StorePosition | undefined
+  /** Newest era that is known; content of an earlier one is not used. */
+  private era = 0
+  /** Era of the content that was applied last; undefined before the first. */
+  private contentEra: number | undefined
   private listedAt = -Infinity
   private failures = 0
   private fillingGap = false
@@ -46,12 +52,12 @@
 
   /** Whether the content of the store is known and the last call was answered. */
   get isStoreReachable (): boolean {
-    return this.revision !== undefined && this.failures === 0
+    return this.position !== undefined && this.failures === 0
   }
 
-  /** Revision of the store up to which all changes are known; undefined before the first list. */
-  get knownRevision (): number | undefined {
-    return this.revision
+  /** Position in the store up to which all changes are known; undefined before the first list. */
+  get knownPosition (): StorePosition | undefined {
+    return this.position
   }
 
   close (): void {
@@ -63,23 +69,24 @@
    * Handles changes from the reader at `ip`. `shortDelay` is whether missed changes are requested after the short delay: the
    * reader is in this failure domain, or no reader of this domain is known.
    */
-  receiveChanges (ip: string, shortDelay: boolean, { from, to, changes }: ChangesNotice): void {
-    if (this.revision === undefined || from > this.revision) return this.scheduleGapFill(ip, shortDelay, to)
-    if (to <= this.revision) return
-    this.revision = to
+  receiveChanges (ip: string, shortDelay: boolean, { era, from, to, changes }: ChangesNotice): void {
+    const end = { era, revision: to }
+    if (this.isOutdated(end)) return
+    if (this.position === undefined || isLater({ era, revision: from }, this.position)) return this.scheduleGapFill(ip, shortDelay, end)
+    this.position = end
     this.announcementFilter.forget(changes)
-    this.options.apply(changes, false)
+    this.options.apply(changes, false, false)
   }
 
-  /** Handles the notice that the reader at `ip` has announced all changes up to `revision`; `shortDelay` as for changes. */
-  receiveRevision (ip: string, shortDelay: boolean, revision: number): void {
-    if (this.revision === undefined || revision > this.revision) this.scheduleGapFill(ip, shortDelay, revision)
+  /** Handles the notice that the reader at `ip` has announced all changes up to a position; `shortDelay` as for changes. */
+  receivePosition (ip: string, shortDelay: boolean, position: StorePosition): void {
+    if (!this.isOutdated(position)) this.scheduleGapFill(ip, shortDelay, position)
   }
 
   private async run (): Promise<void> {
     const { store, clock, election } = this.options
     while (!this.closed) {
-      const known = this.revision
+      const known = this.position
       const isReader = election.update()
       if (known !== undefined && !isReader && !this.isRelistDue()) {
         await clock.sleep(electionIntervalMs)
@@ -93,10 +100,10 @@
     }
   }
 
-  private async watch (revision: number): Promise<StoreAnswer> {
+  private async watch (after: StorePosition): Promise<StoreAnswer> {
     const { store, election } = this.options
     this.watchCancellation = Cancellation.create()
-    const answer = await store.watch(revision, election.state === 'reading' ? watchMs : probeWatchMs, this.watchCancellation)
+    const answer = await store.watch(after, election.state === 'reading' ? watchMs : probeWatchMs, this.watchCancellation)
     const { aborted } = this.watchCancellation
     this.watchCancellation = undefined
     return aborted && answer.kind === 'failed' ? { kind: 'failed', cause: 'check' } : answer
@@ -115,38 +122,52 @@
   }
 
   /** Applies an answer of the store; returns the pause before the next call, in milliseconds. */
-  private applyAnswer (answer: StoreAnswer, watchedFrom: number | undefined): number {
+  private applyAnswer (answer: StoreAnswer, watchedFrom: StorePosition | undefined): number {
     switch (answer.kind) {
       case 'failed':
         return this.recordFailure(answer.cause)
       case 'forgotten':
-        this.options.logger.info('store-history-gone', { revision: this.revision })
+        this.options.logger.info('store-history-gone', { ...this.position, newEra: answer.era })
         this.options.election.recordCall(true)
         this.listMode = 'newest'
-        this.revision = undefined
+        this.position = undefined
+        this.era = Math.max(this.era, answer.era)
         return 0
       case 'changes':
         this.recordSuccess()
-        return watchedFrom === undefined ? this.applyList(answer.changes, answer.revision) : this.applyWatchedChanges(answer.changes, watchedFrom, answer.revision)
+        return watchedFrom === undefined ? this.applyList(answer.changes, answer) : this.applyWatchedChanges(answer.changes, watchedFrom, answer)
     }
   }
 
-  private applyList (changes: readonly Change[], revision: number): number {
+  private applyList (changes: readonly Change[], position: StorePosition): number {
     this.listedAt = this.options.clock.now()
-    // A 'cheap' list may be older than the revision that this node already has.
-    if (this.revision !== undefined && revision <= this.revision) return 0
-    this.revision = revision
-    this.announcementFilter.forgetAll()
-    this.options.apply(changes, true)
-    this.options.onListed(revision)
+    // A 'cheap' list may be older than what this node already has.
+    if (this.isOutdated(position)) return 0
+    this.replaceContent(changes, position)
+    this.options.onListed({ era: position.era, revision: position.revision })
     return 0
   }
 
-  private applyWatchedChanges (changes: readonly Change[], watchedFrom: number, revision: number): number {
+  /** Replaces all that is known by the content of the store at a position. */
+  private replaceContent (changes: readonly Change[], { era, revision }: StorePosition): void {
+    const restored = this.contentEra !== undefined && era > this.contentEra
+    this.position = { era, revision }
+    this.era = era
+    this.contentEra = era
+    this.announcementFilter.forgetAll()
+    this.options.apply(changes, true, restored)
+  }
+
+  /** Whether a position tells nothing new. */
+  private isOutdated (position: StorePosition): boolean {
+    return position.era < this.era || !isLater(position, this.position)
+  }
+
+  private applyWatchedChanges (changes: readonly Change[], watchedFrom: StorePosition, { era, revision }: StorePosition): number {
     const { random } = this.options
-    this.applyUnknownChanges(changes, revision)
-    const announcement = this.announcementFilter.select(changes, watchedFrom, revision)
-    if (announcement !== undefined) this.options.announceChanges(announcement.from, revision, announcement.changes)
+    this.applyUnknownChanges(changes, { era, revision })
+    const announcement = this.announcementFilter.select(changes, watchedFrom.revision, revision)
+    if (announcement !== undefined) this.options.announceChanges(announcement.from, { era, revision }, announcement.changes)
     // The random part keeps readers from pausing at the same time, which would delay changes for all nodes.
     return changes.length > 0 ? batchDelayMs * (0.75 + random.fraction() / 2) : 0
   }
@@ -155,33 +176,31 @@
    * Applies the changes of a watch that this node does not know yet. Another reader may have announced them, but no announcement
    * contains the configuration, and that reader may end before it has served it.
    */
-  private applyUnknownChanges (changes: readonly Change[], revision: number): void {
-    const known = this.revision !== undefined && revision <= this.revision
+  private applyUnknownChanges (changes: readonly Change[], position: StorePosition): void {
+    const known = this.isOutdated(position)
     const unknown = known ? changes.filter(({ kind }) => kind === 'configuration') : changes
-    if (!known) this.revision = revision
-    if (!known || unknown.length > 0) this.options.apply(unknown, false)
+    if (!known) this.position = position
+    if (!known || unknown.length > 0) this.options.apply(unknown, false, false)
   }
 
-  private scheduleGapFill (ip: string, shortDelay: boolean, revision: number): void {
+  private scheduleGapFill (ip: string, shortDelay: boolean, heard: StorePosition): void {
     if (this.fillingGap || this.closed) return
     this.fillingGap = true
-    this.fillGap(ip, shortDelay, revision)
+    this.fillGap(ip, shortDelay, heard)
       .catch((error: unknown) => { this.options.logger.warn('list-from-node-failed', { from: ip, error: String(error) }) })
       .finally(() => { this.fillingGap = false })
   }
 
   /** Requests the full list from the reader, unless the missing changes have arrived meanwhile. */
-  private async fillGap (ip: string, shortDelay: boolean, revision: number): Promise<void> {
-    const { clock, logger, requestState, apply } = this.options
+  private async fillGap (ip: string, shortDelay: boolean, heard: StorePosition): Promise<void> {
+    const { clock, logger, requestState } = this.options
     await clock.sleep(shortDelay ? gapDelayMs : crossDomainGapDelayMs)
-    const known = this.revision
-    if (this.closed || (known !== undefined && known >= revision)) return
+    const known = this.position
+    if (this.closed || this.isOutdated(heard)) return
     const state = await requestState(ip)
-    logger.info('list-from-node', { from: ip, known, heard: revision, revision: state?.revision ?? 'none' })
-    if (state?.revision === undefined || (this.revision !== undefined && state.revision <= this.revision)) return
-    this.revision = state.revision
-    this.announcementFilter.forgetAll()
-    apply([{ kind: 'configuration', configuration: state.configuration }, ...state.targets.map((target): Change => ({ kind: 'target', target }))], true)
+    logger.info('list-from-node', { from: ip, known: formatPosition(known), heard: formatPosition(heard), revision: formatPosition(state?.position) })
+    if (state?.position === undefined || this.isOutdated(state.position)) return
+    this.replaceContent([{ kind: 'configuration', configuration: state.configuration }, ...state.targets.map((target): Change => ({ kind: 'target', target }))], state.position)
   }
 
   private recordSuccess (): void {
@@ -193,13 +212,18 @@
   private recordFailure (cause: string): number {
     const { logger, random, election } = this.options
     election.recordCall(false)
-    if (this.failures === 0) logger.warn('store-lost', { cause, revision: this.revision })
+    if (this.failures === 0) logger.warn('store-lost', { cause, position: formatPosition(this.position) })
     this.failures++
     const backoff = Math.min(maxBackoffMs, baseBackoffMs * 2 ** Math.min(this.failures, 10))
     return backoff * (0.5 + random.fraction() / 2)
   }
 }
 
+/** Formats a position for a log line. */
+function formatPosition (position: StorePosition | undefined): string {
+  return position === undefined ? 'none' : `${position.era}/${position.revision}`
+}
+
 interface FollowerOptions {
   readonly store: StoreClient
   readonly clock: Clock
@@ -207,12 +231,15 @@
   readonly logger: Logger
   /** Decides whether this node is a reader. */
   readonly election: ReaderElection
-  /** Applies changes; with `fullList` they are the complete content of the store. */
-  readonly apply: (changes: readonly Change[], fullList: boolean) => void
-  /** Called after the full list was read at a revision. */
-  readonly onListed: (revision: number) => void
-  /** Announces to the other nodes all changes after `from`, up to and including `to`. */
-  readonly announceChanges: (from: number, to: number, changes: readonly Change[]) => void
+  /**
+   * Applies changes; with `fullList` they are the complete content of the store, and with `restored` the first one of an era that began
+   * with an earlier copy.
+   */
+  readonly apply: (changes: readonly Change[], fullList: boolean, restored: boolean) => void
+  /** Called after the full list was read at a position. */
+  readonly onListed: (position: StorePosition) => void
+  /** Announces to the other nodes all changes after the revision `from` of an era, up to and including `to`. */
+  readonly announceChanges: (from: number, to: StorePosition, changes: readonly Change[]) => void
   /** Requests the state of the node at an address; undefined if it does not provide it. */
   readonly requestState: (ip: string) => Promise<SharedState | undefined>
   /** Called with an unexpected error, after which the follower has stopped. */
--- a/packages/sidecar/src/core/following/types.ts
+++ b/packages/sidecar/src/core/following/types.ts
@@ -1,10 +1,11 @@
 import type { Configuration } from '../configuration/index.js'
+import type { StorePosition } from '../store/index.js'
 import type { ListedTarget } from '../targets/index.js'
 
 /** State that one node sends to another on request. */
 export interface SharedState {
   readonly configuration: Configuration
   readonly targets: readonly ListedTarget[]
-  /** Revision of the store up to which the targets are known; undefined before the first list. */
-  readonly revision: number | undefined
+  /** Position in the store up to which the targets are known; undefined before the first list. */
+  readonly position: StorePosition | undefined
 }
--- a/packages/sidecar/src/core/readers/announcer.ts
+++ b/packages/sidecar/src/core/readers/announcer.ts
@@ -1,5 +1,5 @@
 import type { Cancel, Clock } from 'auburnturn/core/clock'
-import type { Change } from '../store/index.js'
+import type { Change, StorePosition } from '../store/index.js'
 import { encodeChangesNotice, encodeReaderNotice } from './codec.js'
 import { noticeIntervalMs } from './constants.js'
 import type { ReaderElection } from './reader-election.js'
@@ -9,8 +9,8 @@
 export class Announcer {
   private readonly options: AnnouncerOptions
   private readonly cancel: Cancel
-  /** Revision up to which this node has announced all changes, or at which it has listed the store. */
-  private announcedRevision = 0
+  /** Position up to which this node has announced all changes, or at which it has listed the store. */
+  private announced: StorePosition = { era: 0, revision: 0 }
 
   private constructor (options: AnnouncerOptions) {
     this.options = options
@@ -27,24 +27,24 @@
   announce (state: ReaderState): void {
     const { failureDomain, configurationVersion, otherAddresses, send, onReading } = this.options
     if (state === 'reading') onReading()
-    const bytes = encodeReaderNotice({ kind: 'reader', state, failureDomain, revision: this.announcedRevision, configurationVersion: configurationVersion() })
+    const bytes = encodeReaderNotice({ kind: 'reader', state, failureDomain, ...this.announced, configurationVersion: configurationVersion() })
     for (const ip of otherAddresses()) send(bytes, ip)
   }
 
-  /** Sends changes. If they don't fit in a datagram, a notice with the new revision makes the other nodes request them. */
-  announceChanges (from: number, to: number, changes: readonly Change[]): void {
+  /** Sends changes. If they don't fit in a datagram, a notice with the new position makes the other nodes request them. */
+  announceChanges (from: number, to: StorePosition, changes: readonly Change[]): void {
     const { election, otherAddresses, send } = this.options
-    this.announcedRevision = to
+    this.announced = to
     const listChanges = changes.filter(({ kind }) => kind !== 'configuration')
-    const bytes = encodeChangesNotice({ kind: 'changes', from, to, changes: listChanges })
+    const bytes = encodeChangesNotice({ kind: 'changes', era: to.era, from, to: to.revision, changes: listChanges })
     if (bytes !== undefined) for (const ip of otherAddresses()) send(bytes, ip)
     // The configuration is too large for a datagram: a notice with its version makes the other nodes fetch it.
     if (bytes === undefined || listChanges.length < changes.length) this.announce(election.state)
   }
 
-  /** Records that this node read the full list at a revision. */
-  recordListRevision (revision: number): void {
-    this.announcedRevision = revision
+  /** Records that this node read the full list at a position. */
+  recordList (position: StorePosition): void {
+    this.announced = position
   }
 
   close (): void {
--- a/packages/sidecar/src/core/readers/codec.ts
+++ b/packages/sidecar/src/core/readers/codec.ts
@@ -8,7 +8,7 @@
 
 /** A state is encoded as its index. */
 const readerStates: readonly ReaderState[] = ['trying', 'reading', 'failing', 'stopped']
-const readerHeaderBytes = 14
+const readerHeaderBytes = 20
 
 /** Maximum size of a datagram, in bytes: every link carries it without fragmentation. */
 const maxDatagramBytes = 1_400
@@ -16,13 +16,14 @@
 /** Maximum decompressed size of a datagram, in bytes. */
 const maxInflatedBytes = 256 * 1024
 
-/** Encodes a notice: type, state (1 byte each), revision, configuration version (6 bytes each), then the failure domain. */
-export function encodeReaderNotice ({ state, failureDomain, revision, configurationVersion }: ReaderNotice): Buffer {
+/** Encodes a notice: type, state (1 byte each), era, revision, configuration version (6 bytes each), then the failure domain. */
+export function encodeReaderNotice ({ state, failureDomain, era, revision, configurationVersion }: ReaderNotice): Buffer {
   const header = Buffer.alloc(readerHeaderBytes)
   header.writeUInt8(messageTypes.reader, 0)
   header.writeUInt8(readerStates.indexOf(state), 1)
-  header.writeUIntLE(revision, 2, 6)
-  header.writeUIntLE(configurationVersion, 8, 6)
+  header.writeUIntLE(era, 2, 6)
+  header.writeUIntLE(revision, 8, 6)
+  header.writeUIntLE(configurationVersion, 14, 6)
   return Buffer.concat([header, Buffer.from(failureDomain, 'latin1')])
 }
 
@@ -32,15 +33,15 @@
   const state = readerStates[bytes.readUInt8(1)]
   const failureDomain = asText(bytes.toString('latin1', readerHeaderBytes))
   if (state === undefined || failureDomain === undefined) return undefined
-  return { kind: 'reader', state, failureDomain, revision: bytes.readUIntLE(2, 6), configurationVersion: bytes.readUIntLE(8, 6) }
+  return { kind: 'reader', state, failureDomain, era: bytes.readUIntLE(2, 6), revision: bytes.readUIntLE(8, 6), configurationVersion: bytes.readUIntLE(14, 6) }
 }
 
 /**
  * Encodes changes as compressed JSON; undefined if they don't fit in a datagram, or are too large for the other nodes to decompress;
  * other nodes then request the list.
  */
-export function encodeChangesNotice ({ from, to, changes }: ChangesNotice): Buffer | undefined {
-  const text = Buffer.from(JSON.stringify({ from, to, changes }))
+export function encodeChangesNotice ({ era, from, to, changes }: ChangesNotice): Buffer | undefined {
+  const text = Buffer.from(JSON.stringify({ era, from, to, changes }))
   if (text.length > maxInflatedBytes) return undefined
   const bytes = Buffer.concat([Buffer.from([messageTypes.changes]), deflateRawSync(text)])
   return bytes.length <= maxDatagramBytes ? bytes : undefined
@@ -53,10 +54,11 @@
 export function decodeChangesNotice (bytes: Buffer): ChangesNotice | undefined {
   if (bytes[0] !== messageTypes.changes) return undefined
   const fields = asJsonObject(inflateJson(bytes.subarray(1)))
+  const era = asInteger(fields?.['era'])
   const from = asInteger(fields?.['from'])
   const to = asInteger(fields?.['to'])
   const changes = decodeSharedChanges(fields?.['changes'])
-  return from === undefined || to === undefined || changes === undefined ? undefined : { kind: 'changes', from, to, changes }
+  return era === undefined || from === undefined || to === undefined || changes === undefined ? undefined : { kind: 'changes', era, from, to, changes }
 }
 
 /** Decompresses JSON; undefined when it is damaged, too large or nested too deep. */
--- a/packages/sidecar/src/node/local-state.ts
+++ b/packages/sidecar/src/node/local-state.ts
@@ -5,7 +5,7 @@
 import { applyChanges, UnusableEntries } from '../core/following/index.js'
 import type { SharedState } from '../core/following/index.js'
 import type { Subscribers } from '../core/reports/index.js'
-import type { Change } from '../core/store/index.js'
+import type { Change, StorePosition } from '../core/store/index.js'
 import { Directory, PeerSelection } from '../core/targets/index.js'
 import type { TargetReport } from '../core/targets/index.js'
 
@@ -39,10 +39,10 @@
     return this.configuration.isLoaded && this.hasTargetList
   }
 
-  /** Returns the state that this node provides to others, known up to `revision`; undefined before it has a configuration. */
-  readShared (revision: number | undefined): SharedState | undefined {
+  /** Returns the state that this node provides to others, known up to `position`; undefined before it has a configuration. */
+  readShared (position: StorePosition | undefined): SharedState | undefined {
     const { active } = this.configuration
-    return active === undefined ? undefined : { configuration: active, targets: this.directory.listedTargets, revision }
+    return active === undefined ? undefined : { configuration: active, targets: this.directory.listedTargets, position }
   }
 
   /** Applies changes of the store; with `fullList` they are its complete content. */
--- a/packages/sidecar/src/node/node.ts
+++ b/packages/sidecar/src/node/node.ts
@@ -134,7 +134,7 @@
     const nodesIp = parseHost(listen.nodes)
     await supervisor.add('callers', async () => await this.openCallerServer())
     await supervisor.add('peer-calls', async () => await openPeerCallServer({ ip: nodesIp, port: internalPorts[0], clock, logger, target, service, configuration, memory, inFlightRequests }))
-    await supervisor.add('state', async () => await openStateServer({ address: listen.nodes, inFlightRequests, logger, readState: () => state.readShared(storeSync.knownRevision) }))
+    await supervisor.add('state', async () => await openStateServer({ address: listen.nodes, inFlightRequests, logger, readState: () => state.readShared(storeSync.knownPosition) }))
     await supervisor.add('reports', async () => await this.startMessaging(nodesIp))
     await supervisor.add('follower', async onFailure => storeSync.startFollower(onFailure))
     await supervisor.add('prober', async onFailure => requestPath.startProber(onFailure))
--- a/packages/sidecar/src/node/store-sync.ts
+++ b/packages/sidecar/src/node/store-sync.ts
@@ -6,7 +6,7 @@
 import type { Peers } from '../core/forwarding/index.js'
 import { ReaderElection } from '../core/readers/index.js'
 import type { Announcer, ChangesNotice, ReaderNotice } from '../core/readers/index.js'
-import type { StoreClient } from '../core/store/index.js'
+import type { StoreClient, StorePosition } from '../core/store/index.js'
 import type { LocalState } from './local-state.js'
 
 /** Keeps the local state in step with the store: by own calls while this node is a reader, through other nodes otherwise. */
@@ -26,9 +26,9 @@
     return new StoreSync(options)
   }
 
-  /** Revision of the store up to which all changes are known; undefined before the first list. */
-  get knownRevision (): number | undefined {
-    return this.follower?.knownRevision
+  /** Position in the store up to which all changes are known; undefined before the first list. */
+  get knownPosition (): StorePosition | undefined {
+    return this.follower?.knownPosition
   }
 
   /** Starts to follow the store; replaces the previous follower after a failure. */
@@ -42,13 +42,13 @@
       logger,
       election,
       apply: (changes, fullList) => { state.applyStoreChanges(changes, fullList) },
-      onListed: revision => { announcer()?.recordListRevision(revision) },
+      onListed: position => { announcer()?.recordList(position) },
       announceChanges: (from, to, changes) => { announcer()?.announceChanges(from, to, changes) },
       requestState: async ip => await peers.readState(ip),
       onFailure
     })
     this.follower = follower
-    return { close: async () => { follower.close() }, dump: () => ({ inTouch: follower.isStoreReachable, reads: election.state, revision: follower.knownRevision }) }
+    return { close: async () => { follower.close() }, dump: () => ({ inTouch: follower.isStoreReachable, reads: election.state, position: follower.knownPosition }) }
   }
 
   /** Handles the report of the node at `ip` that a version of the configuration is active on it. */
@@ -57,11 +57,11 @@
   }
 
   /** Handles the notice of the reader at `ip`. */
-  receiveReaderNotice (ip: string, { state, failureDomain, revision, configurationVersion }: ReaderNotice): void {
+  receiveReaderNotice (ip: string, { state, failureDomain, era, revision, configurationVersion }: ReaderNotice): void {
     this.election.receiveNotice(ip, state, failureDomain)
     if (state === 'reading') this.options.state.directory.recordListResponse()
     const sameDomain = failureDomain === this.options.failureDomain
-    this.follower?.receiveRevision(ip, sameDomain || !this.election.hasReaderInDomain, revision)
+    this.follower?.receivePosition(ip, sameDomain || !this.election.hasReaderInDomain, { era, revision })
     this.configurationFetcher.receiveVersion(ip, sameDomain, configurationVersion)
   }
 
--- a/packages/sidecar/src/platform/http-store-client.ts
+++ b/packages/sidecar/src/platform/http-store-client.ts
@@ -5,9 +5,9 @@
 import type { JsonObject } from '../core/decoding/index.js'
 import { ConnectionPool, exchange } from '../core/exchange/index.js'
 import type { BodyMemory, ExchangeResult } from '../core/exchange/index.js'
-import type { Change, StoreAnswer, StoreClient } from '../core/store/index.js'
+import type { Change, StoreAnswer, StoreClient, StorePosition } from '../core/store/index.js'
 import { configurationKey, decodeConfiguration } from './configuration.js'
-import { parsePage } from './store-page.js'
+import { parseEra, parsePage } from './store-page.js'
 import type { Page } from './store-page.js'
 import { decodeTarget, targetKeyPrefix } from './targets.js'
 
@@ -37,9 +37,9 @@
 
 /** Result of a call for a page of items or changes. */
 type PageResult =
-  | Page & { readonly kind: 'page' }
-  /** The store no longer has the history after the requested revision. */
-  | { readonly kind: 'forgotten' }
+  | Page & { readonly kind: 'page', readonly era: number }
+  /** The store, now in this era, does not have the history after the requested position. */
+  | { readonly kind: 'forgotten', readonly era: number }
   | { readonly kind: 'failed', readonly cause: string }
 
 /** HTTP client of the platform's store, which holds the operator's configuration and the entries of the targets. */
@@ -48,6 +48,8 @@
   private readonly clock: Clock
   private readonly memory: BodyMemory
   private readonly seen = SeenContent.create({ key: configurationKey })
+  /** Newest era that an answer has named. */
+  private era = 0
   private connections: ConnectionPool
   /** The connection for checks: an answer to a check can't be taken for that to another call. */
   private readonly checkConnections: ConnectionPool
@@ -71,7 +73,7 @@
    * there repeats whatever changed while the other pages were read.
    */
   async list (mode: 'cheap' | 'newest'): Promise<StoreAnswer> {
-    const pages: Page[] = []
+    const pages: Array<Page & { readonly era: number }> = []
     while (pages.length < maxListPages) {
       const last = pages.at(-1)
       const after = last?.keys.at(-1) ?? ''
@@ -79,6 +81,7 @@
       if (last?.keys.length === 0) return { kind: 'failed', cause: 'list does not advance' }
       const page = await this.fetchListPage(mode, after)
       if (page.kind !== 'page') return page
+      if (page.era !== (pages[0] ?? page).era) return { kind: 'failed', cause: 'list of two eras' }
       if (!isListPage({ prefix: '', after }, page)) return this.refuse('page of another call')
       if (mode === 'newest' && !this.seen.isNewest(page)) return this.refuseAndForget('page of an earlier list')
       pages.push(page)
@@ -87,18 +90,19 @@
   }
 
   /**
-   * Watches for changes after a revision; answers at the first change, or after `waitMs` milliseconds without one. Fails once
+   * Watches for changes after a position; answers at the first change, or after `waitMs` milliseconds without one. Fails once
    * `signal` aborts.
    */
-  async watch (revision: number, waitMs: number, signal?: CancelSignal): Promise<StoreAnswer> {
+  async watch ({ era, revision }: StorePosition, waitMs: number, signal?: CancelSignal): Promise<StoreAnswer> {
     const call = { prefix: '', after: revision, waitMs: Math.round(waitMs) }
     this.onCall('watch')
     const page = await this.fetchPage(`/api/kv-watch?prefix=&after=${revision}&wait_ms=${call.waitMs}`, waitMs + watchTimeoutMarginMs, 'events', signal)
     if (page.kind !== 'page') return page
+    if (page.era !== era) return { kind: 'forgotten', era: page.era }
     if (!isWatchPage(call, page)) return this.refuse('changes of another watch')
     if (isEarly(call, page, page.tookMs)) this.renewConnections()
     this.seen.record(page, page.removedKeys)
-    return { kind: 'changes', changes: decodeEntries(page.entries), revision: page.revision }
+    return { kind: 'changes', changes: decodeEntries(page.entries), era, revision: page.revision }
   }
 
   /** Returns whether the store answers; the call lists what follows the only item with a prefix, stale items allowed. */
@@ -151,12 +155,18 @@
     return this.refuse(cause)
   }
 
-  private completeList (pages: readonly Page[]): StoreAnswer {
-    const revision = pages[0]?.revision ?? 0
+  private completeList (pages: ReadonlyArray<Page & { readonly era: number }>): StoreAnswer {
+    const { era, revision } = pages[0] ?? { era: 0, revision: 0 }
     const list = { keys: pages.flatMap(({ keys }) => keys), revision }
     if (!this.seen.isWhole(list)) return this.refuseAndForget('part of a list')
     this.seen.record(list)
-    return { kind: 'changes', changes: decodeEntries(pages.flatMap(({ entries }) => entries)), revision }
+    return { kind: 'changes', changes: decodeEntries(pages.flatMap(({ entries }) => entries)), era, revision }
+  }
+
+  /** In a new era the store may have lost what was seen of it. */
+  private startEra (era: number): void {
+    this.era = era
+    this.seen.forget()
   }
 
   private async sendGet (path: string, timeoutMs: number, connections: ConnectionPool, signal?: CancelSignal): Promise<ExchangeResult> {
@@ -175,10 +185,13 @@
     const startedAt = this.clock.now()
     const result = await this.sendGet(path, timeoutMs, this.connections, signal)
     if (result.kind !== 'answer') return { kind: 'failed', cause: result.cause }
-    if (result.status === 410) return listField === 'events' ? { kind: 'forgotten' } : this.refuse('answer of a watch')
+    const era = parseEra(result.headers)
+    if (era < this.era) return this.refuse('answer of an earlier era')
+    if (era > this.era) this.startEra(era)
+    if (result.status === 410) return listField === 'events' ? { kind: 'forgotten', era } : this.refuse('answer of a watch')
     if (result.status !== 200) return { kind: 'failed', cause: `status ${result.status}` }
     const page = parsePage(result.body, listField, this.clock.now() - startedAt)
-    return page === undefined ? this.refuse('invalid answer') : { kind: 'page', ...page }
+    return page === undefined ? this.refuse('invalid answer') : { kind: 'page', era, ...page }
   }
 }
 
--- a/packages/sidecar/test/attribution-datagram.test.ts
+++ b/packages/sidecar/test/attribution-datagram.test.ts
@@ -161,8 +161,8 @@
   const kinds: string[] = []
   const transport = await DatagramTransport.create({ ip, port: 27_420, clock: Clock.create(), random: Random.create(1), logger: Logger.createSilent(), onMessage: (_ip, { kind }) => { kinds.push(kind) } })
   const sender = await bind(ip, 0)
-  const notice = encodeReaderNotice({ kind: 'reader', state: 'reading', failureDomain: 'a', revision: 7, configurationVersion: 3 })
-  const changes = encodeChangesNotice({ kind: 'changes', from: 7, to: 8, changes: [] }) ?? Buffer.alloc(0)
+  const notice = encodeReaderNotice({ kind: 'reader', state: 'reading', failureDomain: 'a', era: 1, revision: 7, configurationVersion: 3 })
+  const changes = encodeChangesNotice({ kind: 'changes', era: 1, from: 7, to: 8, changes: [] }) ?? Buffer.alloc(0)
   for (const [message, bytes] of [[2, notice], [1, notice], [2, notice], [2, changes], [1, changes], [1, encodeSubscription()], [3, notice]] as const) {
     sender.send([Buffer.from([9, 0, message, 0]), bytes], 27_420, ip)
   }
--- a/packages/sidecar/test/attribution-state.test.ts
+++ b/packages/sidecar/test/attribution-state.test.ts
@@ -57,7 +57,7 @@
 
 // Guards against a configuration taken for a state, and against reads that stay one answer behind for ever after.
 test('state: an answer that belongs to another read changes nothing', async () => {
-  const state: SharedState = { configuration, targets: [], revision: 7 }
+  const state: SharedState = { configuration, targets: [], position: { era: 1, revision: 7 } }
   await withNode((request, response) => { serveState(request, response, () => state).catch(() => {}) }, async ({ peers, proxy }) => {
     assert.equal(await peers.readState(host), state)
     proxy.misplacement = 'on-request'
@@ -72,13 +72,13 @@
 // Guards against an old state that is taken for the present one, which has the same path.
 test('state: an answer that belongs to an earlier read of the same path changes nothing', async () => {
   let revision = 7
-  await withNode((request, response) => { serveState(request, response, () => ({ configuration, targets: [], revision })).catch(() => {}) }, async ({ peers, proxy }) => {
-    assert.is((await peers.readState(host))?.revision, 7)
+  await withNode((request, response) => { serveState(request, response, () => ({ configuration, targets: [], position: { era: 1, revision } })).catch(() => {}) }, async ({ peers, proxy }) => {
+    assert.is((await peers.readState(host))?.position?.revision, 7)
     revision = 9
     proxy.misplacement = 'on-request'
     assert.is(await peers.readState(host), undefined)
     proxy.misplacement = 'none'
-    assert.is((await peers.readState(host))?.revision, 9)
+    assert.is((await peers.readState(host))?.position?.revision, 9)
   })
 })
 
@@ -95,7 +95,7 @@
 
 // Guards against a crash of the serving node, and a state that its reader can't attribute.
 test('state: a request that is not a read of another node gets no state', async () => {
-  await withNode((request, response) => { serveState(request, response, () => ({ configuration, targets: [], revision: 7 })).catch(() => {}) }, async ({ proxy }) => {
+  await withNode((request, response) => { serveState(request, response, () => ({ configuration, targets: [], position: { era: 1, revision: 7 } })).catch(() => {}) }, async ({ proxy }) => {
     for (const headers of [{}, { 'auburnturn-read': '' }, { 'auburnturn-read': 'x\u00e9' }] as Array<Record<string, string>>) {
       const status = await new Promise((resolve, reject) => {
         get({ host, port: proxy.port, path: '/auburnturn/state', headers, agent: false }, answer => {
--- a/packages/sidecar/test/attribution-store.test.ts
+++ b/packages/sidecar/test/attribution-store.test.ts
@@ -85,10 +85,10 @@
   await withStore(async ({ store, proxy, client }) => {
     assert.is(summarize(await client.list('cheap')), '4 changes to 14')
     proxy.misplacement = 'on-request'
-    assert.is(summarize(await client.watch(14, waitMs)), 'failed')
+    assert.is(summarize(await client.watch({ era: 1, revision: 14 }, waitMs)), 'failed')
     proxy.misplacement = 'none'
     store.put('servers/i-4', entry('ready'))
-    assert.is(summarize(await client.watch(14, waitMs)), '1 changes to 15')
+    assert.is(summarize(await client.watch({ era: 1, revision: 14 }, waitMs)), '1 changes to 15')
     await clock.sleep(20)
     assert.is(proxy.open, 1, 'the connection of the answer is closed')
   })
@@ -98,24 +98,24 @@
 test('store: an answer that belongs to an earlier watch changes nothing', async () => {
   await withStore(async ({ store, proxy, client }) => {
     store.put('servers/i-1', entry('draining'))
-    assert.is(summarize(await client.watch(14, waitMs)), '1 changes to 15')
+    assert.is(summarize(await client.watch({ era: 1, revision: 14 }, waitMs)), '1 changes to 15')
     proxy.misplacement = 'on-request'
-    assert.is(summarize(await client.watch(15, waitMs)), 'failed')
+    assert.is(summarize(await client.watch({ era: 1, revision: 15 }, waitMs)), 'failed')
     proxy.misplacement = 'none'
     store.put('servers/i-1', entry('ready'))
-    assert.is(summarize(await client.watch(15, waitMs)), '1 changes to 16')
+    assert.is(summarize(await client.watch({ era: 1, revision: 15 }, waitMs)), '1 changes to 16')
   })
 })
 
 // Guards against changes that arrive one watch late, since the empty answer to an earlier watch tells nothing of its own.
 test('store: an empty answer that belongs to an earlier watch does not delay the next changes', async () => {
   await withStore(async ({ store, proxy, client }) => {
-    assert.is(summarize(await client.watch(14, waitMs)), '0 changes to 14')
+    assert.is(summarize(await client.watch({ era: 1, revision: 14 }, waitMs)), '0 changes to 14')
     proxy.misplacement = 'on-request'
-    await client.watch(14, waitMs)
+    await client.watch({ era: 1, revision: 14 }, waitMs)
     proxy.misplacement = 'none'
     store.put('servers/i-4', entry('ready'))
-    assert.is(summarize(await client.watch(14, waitMs)), '1 changes to 15')
+    assert.is(summarize(await client.watch({ era: 1, revision: 14 }, waitMs)), '1 changes to 15')
     assert.is(proxy.connections, 2, 'the connection of an answer before its time is not used again')
   })
 })
@@ -159,7 +159,7 @@
   await withStore(async ({ store, proxy, client }) => {
     assert.is(summarize(await client.list('newest')), '4 changes to 14')
     store.remove('servers/i-3')
-    assert.is(summarize(await client.watch(14, waitMs)), '1 changes to 15')
+    assert.is(summarize(await client.watch({ era: 1, revision: 14 }, waitMs)), '1 changes to 15')
     proxy.misplacement = 'on-request'
     assert.is(summarize(await client.list('newest')), 'failed')
     proxy.misplacement = 'none'
@@ -170,7 +170,7 @@
 // Guards against a node that refuses what the store may answer: a stale list, and one without any entry.
 test('store: a stale list is accepted, and so is an empty one', async () => {
   await withAnswer(url => url.pathname.endsWith('watch') ? { events: [], current_rev: 20 } : { items: [], has_more: false, current_rev: 12 }, async client => {
-    assert.is(summarize(await client.watch(20, 0)), '0 changes to 20')
+    assert.is(summarize(await client.watch({ era: 0, revision: 20 }, 0)), '0 changes to 20')
     assert.is(summarize(await client.list('cheap')), '0 changes to 12')
   })
 })
@@ -196,7 +196,7 @@
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   const client = createClient((server.address() as AddressInfo).port)
   assert.is((await client.list('cheap')).kind, 'failed')
-  assert.is((await client.watch(3, 0)).kind, 'forgotten')
+  assert.is((await client.watch({ era: 0, revision: 3 }, 0)).kind, 'forgotten')
   client.close()
   server.close()
   server.closeAllConnections()
--- a/packages/sidecar/test/following.test.ts
+++ b/packages/sidecar/test/following.test.ts
@@ -46,7 +46,7 @@
   const follower = Follower.create({
     store: {
       list: async mode => await answerNext(mode === 'cheap' ? 'list' : 'newest list'),
-      watch: async (revision, waitMs, signal) => {
+      watch: async ({ revision }, waitMs, signal) => {
         waits.push(waitMs)
         const aborted = new Promise<StoreAnswer>(resolve => { signal.addEventListener('abort', () => { resolve({ kind: 'failed', cause: 'left' }) }) })
         return await Promise.race([answerNext(`watch ${revision}`), aborted])
@@ -64,7 +64,7 @@
     election,
     apply: (changes, fullList) => { calls.push(`apply ${changes.length}${fullList ? ' full' : ''}`) },
     onListed: () => {},
-    announceChanges: (from, to, changes) => { calls.push(`announce ${from}-${to}: ${changes.length}`) },
+    announceChanges: (from, to, changes) => { calls.push(`announce ${from}-${to.revision}: ${changes.length}`) },
     requestState: async ip => {
       calls.push(`request ${ip}`)
       return state
@@ -84,8 +84,8 @@
 
 test('the store is listed once, then watched from the revision of the list', async () => {
   const calls = await recordCalls([
-    { kind: 'changes', changes: [], revision: 7 },
-    { kind: 'changes', changes: [{ kind: 'gone', id: 'x' }], revision: 9 }
+    { kind: 'changes', changes: [], era: 1, revision: 7 },
+    { kind: 'changes', changes: [{ kind: 'gone', id: 'x' }], era: 1, revision: 9 }
   ])
   assert.equal(calls, ['list', 'apply 0 full', 'watch 7', 'apply 1', 'announce 7-9: 1', 'watch 9'])
 })
@@ -93,16 +93,16 @@
 test('a store that lost its history is listed again, a failed call is repeated', async () => {
   const calls = await recordCalls([
     { kind: 'failed', cause: 'status 503' },
-    { kind: 'changes', changes: [], revision: 7 },
+    { kind: 'changes', changes: [], era: 1, revision: 7 },
     { kind: 'failed', cause: 'reset' },
-    { kind: 'forgotten' },
-    { kind: 'changes', changes: [], revision: 20 }
+    { kind: 'forgotten', era: 1 },
+    { kind: 'changes', changes: [], era: 1, revision: 20 }
   ])
   assert.equal(calls, ['list', 'list', 'apply 0 full', 'watch 7', 'watch 7', 'newest list', 'apply 0 full', 'watch 20'])
 })
 
 test('the first watch is short until the store has answered one, then watches are long', async () => {
-  const { clock, waits, follower } = createFixture([listedAt7, { kind: 'failed', cause: 'reset' }, { kind: 'changes', changes: [], revision: 7 }])
+  const { clock, waits, follower } = createFixture([listedAt7, { kind: 'failed', cause: 'reset' }, { kind: 'changes', changes: [], era: 1, revision: 7 }])
   await clock.advance(5_000)
   follower.close()
   assert.equal(waits, [1, 1, 3_500])
@@ -118,28 +118,28 @@
 
 test('a reader for which the store has become silent tells the others within a second, so that another node reads before a change is due', async () => {
   for (const silentFrom of [1_000, 1_150, 1_390, 2_810]) {
-    const delayMs = await measureFailureNotice([listedAt7, { kind: 'changes', changes: [], revision: 7 }], silentFrom)
+    const delayMs = await measureFailureNotice([listedAt7, { kind: 'changes', changes: [], era: 1, revision: 7 }], silentFrom)
     assert.ok(delayMs <= 1_010, `silent from ${silentFrom} ms: ${delayMs} ms`)
   }
 })
 
 test('the same while the reader pauses after changes', async () => {
-  const delayMs = await measureFailureNotice([listedAt7, { kind: 'changes', changes: [createTarget('x')], revision: 9 }], 100)
+  const delayMs = await measureFailureNotice([listedAt7, { kind: 'changes', changes: [createTarget('x')], era: 1, revision: 9 }], 100)
   assert.ok(delayMs <= 1_010, `${delayMs} ms`)
 })
 
 test('a reader whose watch the store ends no more, but which it answers, keeps its watch', async () => {
-  const { clock, calls, follower } = createFixture([listedAt7, { kind: 'changes', changes: [], revision: 7 }])
+  const { clock, calls, follower } = createFixture([listedAt7, { kind: 'changes', changes: [], era: 1, revision: 7 }])
   await clock.advance(3_000)
   follower.close()
   assert.equal(calls.filter(call => call.startsWith('watch')), ['watch 7', 'watch 7'])
   assert.not(calls.includes('election failing'))
 })
 
-const listedAt7: StoreAnswer = { kind: 'changes', changes: [], revision: 7 }
+const listedAt7: StoreAnswer = { kind: 'changes', changes: [], era: 1, revision: 7 }
 
 test('after a start of all nodes, an undiscovered node repeats inexpensive lists instead of watching, until it is discovered or times out', async () => {
-  const answers = Array.from({ length: 8 }, (_, index): StoreAnswer => ({ kind: 'changes', changes: [], revision: 7 + index }))
+  const answers = Array.from({ length: 8 }, (_, index): StoreAnswer => ({ kind: 'changes', changes: [], era: 1, revision: 7 + index }))
   const { clock, calls, follower } = createFixture(answers, { discovered: false })
   await clock.advance(3_500)
   assert.equal(calls.filter(call => !call.startsWith('apply')), Array.from({ length: 5 }, () => 'list'))
@@ -157,64 +157,64 @@
 })
 
 test('an inexpensive list that is older than the known revision changes nothing', async () => {
-  const { clock, calls, follower } = createFixture([listedAt7, { kind: 'changes', changes: [createTarget('removed since')], revision: 5 }], { discovered: false })
+  const { clock, calls, follower } = createFixture([listedAt7, { kind: 'changes', changes: [createTarget('removed since')], era: 1, revision: 5 }], { discovered: false })
   await clock.advance(1_200)
   follower.close()
   assert.equal(calls, ['list', 'apply 0 full', 'list'])
-  assert.is(follower.knownRevision, 7)
+  assert.is(follower.knownPosition?.revision, 7)
 })
 
 test('a node that receives notices of readers does not read, and applies their changes', async () => {
   const { clock, calls, follower } = createFixture([listedAt7], { alone: false })
   await clock.advance(2_000)
-  follower.receiveChanges('10.0.0.1', true, { kind: 'changes', from: 5, to: 9, changes: [createTarget('one')] })
-  follower.receiveChanges('10.0.0.2', false, { kind: 'changes', from: 7, to: 9, changes: [createTarget('one')] })
-  follower.receiveRevision('10.0.0.1', true, 9)
+  follower.receiveChanges('10.0.0.1', true, { kind: 'changes', era: 1, from: 5, to: 9, changes: [createTarget('one')] })
+  follower.receiveChanges('10.0.0.2', false, { kind: 'changes', era: 1, from: 7, to: 9, changes: [createTarget('one')] })
+  follower.receivePosition('10.0.0.1', true, { era: 1, revision: 9 })
   await clock.advance(2_000)
   follower.close()
   assert.equal(calls, ['list', 'apply 0 full', 'apply 1'])
-  assert.is(follower.knownRevision, 9)
+  assert.is(follower.knownPosition?.revision, 9)
 })
 
 test('missed changes are requested from the reader that announced later ones', async () => {
-  const state = { configuration: createConfiguration(1), targets: [], revision: 12 }
+  const state = { configuration: createConfiguration(1), targets: [], position: { era: 1, revision: 12 } }
   const { clock, calls, follower } = createFixture([listedAt7], { alone: false, state })
   await clock.advance(1_000)
-  follower.receiveChanges('10.0.0.1', true, { kind: 'changes', from: 9, to: 11, changes: [createTarget('one')] })
+  follower.receiveChanges('10.0.0.1', true, { kind: 'changes', era: 1, from: 9, to: 11, changes: [createTarget('one')] })
   await clock.advance(1_000)
   follower.close()
   assert.equal(calls, ['list', 'apply 0 full', 'request 10.0.0.1', 'apply 1 full'])
-  assert.is(follower.knownRevision, 12)
+  assert.is(follower.knownPosition?.revision, 12)
 })
 
 test('changes that arrive out of order cause no request', async () => {
   const { clock, calls, follower } = createFixture([listedAt7], { alone: false })
   await clock.advance(1_000)
-  follower.receiveChanges('10.0.0.1', true, { kind: 'changes', from: 9, to: 11, changes: [createTarget('two')] })
-  follower.receiveChanges('10.0.0.2', false, { kind: 'changes', from: 7, to: 11, changes: [createTarget('one'), createTarget('two')] })
+  follower.receiveChanges('10.0.0.1', true, { kind: 'changes', era: 1, from: 9, to: 11, changes: [createTarget('two')] })
+  follower.receiveChanges('10.0.0.2', false, { kind: 'changes', era: 1, from: 7, to: 11, changes: [createTarget('one'), createTarget('two')] })
   await clock.advance(1_000)
   follower.close()
   assert.equal(calls, ['list', 'apply 0 full', 'apply 2'])
 })
 
 test('a node whose lists fail gets the full list from a reader', async () => {
-  const state = { configuration: createConfiguration(1), targets: [], revision: 12 }
+  const state = { configuration: createConfiguration(1), targets: [], position: { era: 1, revision: 12 } }
   const { clock, follower } = createFixture(Array.from({ length: 50 }, (): StoreAnswer => ({ kind: 'failed', cause: 'status 503' })), { alone: false, state })
-  follower.receiveRevision('10.0.0.1', true, 12)
+  follower.receivePosition('10.0.0.1', true, { era: 1, revision: 12 })
   await clock.advance(1_000)
   follower.close()
-  assert.is(follower.knownRevision, 12)
+  assert.is(follower.knownPosition?.revision, 12)
 })
 
 test('a target that returns after another reader has announced its removal is announced again', async () => {
   const { clock, calls, follower } = createFixture([
     listedAt7,
-    { kind: 'changes', changes: [createTarget('x')], revision: 9 },
-    { kind: 'changes', changes: [createTarget('x')], revision: 14 }
+    { kind: 'changes', changes: [createTarget('x')], era: 1, revision: 9 },
+    { kind: 'changes', changes: [createTarget('x')], era: 1, revision: 14 }
   ])
   await clock.advance(200)
   // This reader pauses after its first changes; meanwhile another reader announces the removal.
-  follower.receiveChanges('10.0.0.1', true, { kind: 'changes', from: 9, to: 12, changes: [{ kind: 'gone', id: 'x' }] })
+  follower.receiveChanges('10.0.0.1', true, { kind: 'changes', era: 1, from: 9, to: 12, changes: [{ kind: 'gone', id: 'x' }] })
   await clock.advance(5_000)
   follower.close()
   assert.equal(calls.filter(call => call.startsWith('announce')), ['announce 7-9: 1', 'announce 12-14: 1'])
@@ -223,10 +223,10 @@
 test('a target that returns after the full list was read again is announced again', async () => {
   const { clock, calls, follower } = createFixture([
     listedAt7,
-    { kind: 'changes', changes: [createTarget('x')], revision: 9 },
-    { kind: 'forgotten' },
-    { kind: 'changes', changes: [], revision: 20 },
-    { kind: 'changes', changes: [createTarget('x')], revision: 22 }
+    { kind: 'changes', changes: [createTarget('x')], era: 1, revision: 9 },
+    { kind: 'forgotten', era: 1 },
+    { kind: 'changes', changes: [], era: 1, revision: 20 },
+    { kind: 'changes', changes: [createTarget('x')], era: 1, revision: 22 }
   ])
   await clock.advance(5_000)
   follower.close()
@@ -240,8 +240,8 @@
   const { clock, calls, follower } = createFixture([listedAt7, watched])
   await clock.advance(200)
   // The notice of changes has no configuration, and its sender ends before any node has fetched the configuration.
-  follower.receiveChanges('10.0.0.1', true, { kind: 'changes', from: 7, to: 9, changes: [{ kind: 'gone', id: 'x' }] })
-  answerWatch({ kind: 'changes', changes: [{ kind: 'gone', id: 'x' }, configuration], revision: 9 })
+  follower.receiveChanges('10.0.0.1', true, { kind: 'changes', era: 1, from: 7, to: 9, changes: [{ kind: 'gone', id: 'x' }] })
+  answerWatch({ kind: 'changes', changes: [{ kind: 'gone', id: 'x' }, configuration], era: 1, revision: 9 })
   await clock.advance(2_000)
   follower.close()
   assert.equal(calls.filter(call => call.startsWith('apply')), ['apply 0 full', 'apply 1', 'apply 1'])
@@ -286,7 +286,7 @@
     applyConfiguration: apply,
     requestState: async ip => {
       calls.push(`state of ${ip}`)
-      return shared === undefined ? undefined : { configuration: createConfiguration(shared), targets: [], revision: 1 }
+      return shared === undefined ? undefined : { configuration: createConfiguration(shared), targets: [], position: { era: 1, revision: 1 } }
     },
     applyState: state => { apply(state.configuration) }
   })
@@ -311,7 +311,7 @@
 })
 
 test('only the list after a lost history must be the newest', async () => {
-  const { clock, calls, follower } = createFixture([listedAt7, { kind: 'forgotten' }, listedAt7])
+  const { clock, calls, follower } = createFixture([listedAt7, { kind: 'forgotten', era: 1 }, listedAt7])
   await clock.advance(1_000)
   follower.close()
   assert.equal(calls.filter(call => call.endsWith('list')), ['list', 'newest list'])
--- a/packages/sidecar/test/http-store-client.test.ts
+++ b/packages/sidecar/test/http-store-client.test.ts
@@ -18,7 +18,7 @@
 test('a check shows whether the store answers, while a watch is held', async () => {
   const store = await StandInStore.create()
   const { client, calls } = createClient(store.address)
-  const watch = client.watch(10, 1_000, Cancellation.create())
+  const watch = client.watch({ era: 1, revision: 10 }, 1_000, Cancellation.create())
   assert.is(await client.check(), true)
   store.errorStatus = 503
   assert.is(await client.check(), false)
@@ -33,7 +33,7 @@
   const { client } = createClient(server.address)
   const cancellation = Cancellation.create()
   const startedAt = Date.now()
-  const watch = client.watch(10, 60_000, cancellation)
+  const watch = client.watch({ era: 1, revision: 10 }, 60_000, cancellation)
   assert.is(await client.check(), false)
   cancellation.abort()
   assert.equal(await watch, { kind: 'failed', cause: 'left' })
--- a/packages/sidecar/test/odd-entries.test.ts
+++ b/packages/sidecar/test/odd-entries.test.ts
@@ -146,7 +146,7 @@
   const page = { items: [{ key: 'servers/a', value: 'bm8=', revision: 4 }, { key: 'op/config', value: Buffer.from(JSON.stringify(validConfiguration)).toString('base64') }], events: [{ key: 'servers/a', revision: 4, tombstone: true }], current_rev: 9 }
   const bodies = [...oddPages(), ...oddJsonTexts, ...fc.sample(replaceValues(page), { numRuns: 200, seed })]
   await readStore(bodies, async (client, body) => {
-    assertStoreAnswer(await client.watch(1, 1_000))
+    assertStoreAnswer(await client.watch({ era: 0, revision: 1 }, 1_000))
     assertStoreAnswer(await client.list('newest'))
     const configuration = await client.readConfiguration()
     if (configuration !== undefined) assertConfiguration(configuration)
@@ -191,7 +191,7 @@
 })
 
 const validTarget: ListedTarget = { id: 'i-1', service: 'shop', address: '10.0.0.9:8080', ip: '10.0.0.9', failureDomain: 'a', slots: 8, state: 'ready', coldMs: 0 }
-const sharedState = { configuration: decodeConfiguration(validConfiguration), targets: [validTarget, { ...validTarget, id: 'i-2', coldMs: 20 }], revision: 40 }
+const sharedState = { configuration: decodeConfiguration(validConfiguration), targets: [validTarget, { ...validTarget, id: 'i-2', coldMs: 20 }], position: { era: 2, revision: 40 } }
 
 // Guards against odd state that spreads from one node to the others (issue 29).
 test('the state and the configuration of another node are decoded with all values in range, or not at all', () => {
@@ -200,7 +200,7 @@
     if (state === undefined) return
     assertConfiguration(state.configuration)
     state.targets.forEach(assertTarget)
-    assert.ok(state.revision === undefined || isInteger(state.revision))
+    assert.ok(state.position === undefined || (isInteger(state.position.era) && isInteger(state.position.revision)))
   }), { seed, numRuns: 2_000 })
   fc.assert(fc.property(parsedValues(sharedState.configuration), value => {
     const configuration = decodeSharedConfiguration(value)
@@ -244,8 +244,8 @@
 // Guards against a notice that compresses well but is too large for every node that receives it (issue 29).
 test('changes that other nodes could not decompress are not sent', () => {
   const changes = Array.from({ length: 3_000 }, (): Change => ({ kind: 'target', target: validTarget }))
-  assert.is(encodeChangesNotice({ kind: 'changes', from: 1, to: 2, changes }), undefined)
-  const few = { kind: 'changes' as const, from: 1, to: 2, changes: changes.slice(0, 1_000) }
+  assert.is(encodeChangesNotice({ kind: 'changes', era: 1, from: 1, to: 2, changes }), undefined)
+  const few = { kind: 'changes' as const, era: 1, from: 1, to: 2, changes: changes.slice(0, 1_000) }
   assert.equal(decodeChangesNotice(encodeChangesNotice(few) ?? Buffer.alloc(0)), few)
 })
 
--- a/packages/sidecar/test/readers.test.ts
+++ b/packages/sidecar/test/readers.test.ts
@@ -209,13 +209,14 @@
   kind: fc.constant('reader' as const),
   state: fc.constantFrom<ReaderState>('trying', 'reading', 'failing', 'stopped'),
   failureDomain: fc.stringMatching(/^[a-z0-9-]{0,40}$/),
+  era: fc.integer({ min: 0, max: 2 ** 47 }),
   revision: fc.integer({ min: 0, max: 2 ** 47 }),
   configurationVersion: fc.integer({ min: 0, max: 2 ** 47 })
 }, { noNullPrototype: true })
 
 test('notices survive encoding and decoding, and arbitrary bytes do not throw', () => {
   fc.assert(fc.property(noticeArbitrary, notice => { assert.equal(decodeReaderNotice(encodeReaderNotice(notice)), notice) }), { seed: 7 })
-  const changes = { kind: 'changes' as const, from: 3, to: 9, changes: [{ kind: 'gone' as const, id: 'x' }] }
+  const changes = { kind: 'changes' as const, era: 1, from: 3, to: 9, changes: [{ kind: 'gone' as const, id: 'x' }] }
   assert.equal(decodeChangesNotice(encodeChangesNotice(changes) ?? Buffer.alloc(0)), changes)
   fc.assert(fc.property(fc.uint8Array({ maxLength: 60 }), bytes => {
     decodeReaderNotice(Buffer.from(bytes))
@@ -230,7 +231,7 @@
     { kind: 'target' as const, target: { id: `i-${randomId()}`, service: 'svc1a', address: `10.${index % 5}.0.${30 + index}:8101`, ip: `10.${index % 5}.0.${30 + index}`, failureDomain: `zone-${index % 5}`, slots: 11, state: 'ready' as const, coldMs: 3_000 } },
     { kind: 'gone' as const, id: `i-${randomId()}` }
   ]).flat()
-  const notice = { kind: 'changes' as const, from: 100, to: 128, changes }
+  const notice = { kind: 'changes' as const, era: 1, from: 100, to: 128, changes }
   assert.equal(decodeChangesNotice(encodeChangesNotice(notice) ?? Buffer.alloc(0)), notice)
 })
 
@@ -269,9 +270,9 @@
   const announcer = Announcer.create({ clock, election, failureDomain: 'a', configurationVersion: () => 4, otherAddresses: () => ['10.0.0.2'], send: bytes => { sent.push(bytes) }, onReading: () => {} })
   const random = Random.create(5)
   // Random ids compress poorly.
-  announcer.announceChanges(1, 50, Array.from({ length: 200 }, () => ({ kind: 'gone' as const, id: `target-${random.fraction()}` })))
+  announcer.announceChanges(1, { era: 1, revision: 50 }, Array.from({ length: 200 }, () => ({ kind: 'gone' as const, id: `target-${random.fraction()}` })))
   announcer.close()
-  assert.equal(sent.map(bytes => decodeReaderNotice(bytes)), [{ kind: 'reader', state: 'reading', failureDomain: 'a', revision: 50, configurationVersion: 4 }])
+  assert.equal(sent.map(bytes => decodeReaderNotice(bytes)), [{ kind: 'reader', state: 'reading', failureDomain: 'a', era: 1, revision: 50, configurationVersion: 4 }])
 })
 
 test.run()
