Keep targets that have left out of the first list after a restore

Cause: an entry that returns is taken for a new start under the same id. In the first full list of a new era, an id that was removed is left out and one that drains stays draining; what the target writes again after that counts as usual.

--- a/packages/sidecar/src/core/targets/directory.ts
+++ b/packages/sidecar/src/core/targets/directory.ts
@@ -34,6 +34,11 @@
     this.list.recordResponse()
   }
 
+  /** Records that the next list may hold entries as they were some seconds ago: of targets that have left since. */
+  expectEarlierEntries (): void {
+    this.list.expectEarlierEntries()
+  }
+
   /** Replaces all listed targets. */
   replace (targets: readonly ListedTarget[]): void {
     this.list.replace(targets)
--- a/packages/sidecar/src/core/targets/target-list.ts
+++ b/packages/sidecar/src/core/targets/target-list.ts
@@ -15,6 +15,7 @@
 /** The targets in the platform's list, and the ids that were removed from it. */
 export class TargetList {
   private readonly options: TargetListOptions
+  private mayListEarlierEntries = false
   private readonly listings = new Map<string, Listing>()
   /** Ids of targets that were removed from the list: a report does not make them usable again. */
   private readonly removedIds = new Set<string>()
@@ -43,10 +44,17 @@
     this.responseAt = now
   }
 
+  /** Records that the next list may hold earlier entries of targets that have left since. */
+  expectEarlierEntries (): void {
+    this.mayListEarlierEntries = true
+  }
+
   /** Replaces all targets. */
   replace (targets: readonly ListedTarget[]): void {
     const present = new Set(targets.map(({ id }) => id))
-    for (const target of targets) this.put(target)
+    const believed = this.mayListEarlierEntries ? targets.flatMap(target => this.correctEarlierEntry(target)) : targets
+    this.mayListEarlierEntries = false
+    for (const target of believed) this.put(target)
     for (const id of [...this.listings.keys()]) if (!present.has(id)) this.remove(id)
   }
 
@@ -106,6 +114,13 @@
     return [...this.listings.values()]
   }
 
+  /** Returns an entry as it has to be used if it may be an earlier one: not that of a target that has left, nor as ready if it drains. */
+  private correctEarlierEntry (target: ListedTarget): ListedTarget[] {
+    if (this.removedIds.has(target.id)) return []
+    const isDraining = this.listings.get(target.id)?.target.state === 'draining'
+    return [isDraining ? { ...target, state: 'draining' } : target]
+  }
+
   private removeListing (id: string): void {
     const { locationIndex, onRemove } = this.options
     const listing = this.listings.get(id)
--- a/packages/sidecar/src/node/local-state.ts
+++ b/packages/sidecar/src/node/local-state.ts
@@ -45,9 +45,13 @@
     return active === undefined ? undefined : { configuration: active, targets: this.directory.listedTargets, position }
   }
 
-  /** Applies changes of the store; with `fullList` they are its complete content. */
-  applyStoreChanges (changes: readonly Change[], fullList: boolean): void {
+  /**
+   * Applies changes of the store; with `fullList` they are its complete content, and with `restored` the first content of an era that
+   * began with an earlier copy.
+   */
+  applyStoreChanges (changes: readonly Change[], fullList: boolean, restored = false): void {
     this.directory.recordListResponse()
+    if (restored) this.directory.expectEarlierEntries()
     this.applyChanges(changes, fullList)
     this.hasTargetList ||= fullList
     this.finishChange()
--- a/packages/sidecar/src/node/store-sync.ts
+++ b/packages/sidecar/src/node/store-sync.ts
@@ -41,7 +41,7 @@
       random,
       logger,
       election,
-      apply: (changes, fullList) => { state.applyStoreChanges(changes, fullList) },
+      apply: (changes, fullList, restored) => { state.applyStoreChanges(changes, fullList, restored) },
       onListed: position => { announcer()?.recordList(position) },
       announceChanges: (from, to, changes) => { announcer()?.announceChanges(from, to, changes) },
       requestState: async ip => await peers.readState(ip),
