Tell a target that is ending from one that works by a connection that stays open

A target that ends may still accept a connection for a moment and reset it. Only a refused connection proves a crash; a reset one is tried again, up to three times, and one that is open for 10 ms shows a target that works. The gate for suspects moves out of OwnTarget, and the crashes under a request are found by an index.

--- a/packages/sidecar/src/core/exchange/constants.ts
+++ b/packages/sidecar/src/core/exchange/constants.ts
@@ -18,3 +18,9 @@
 
 /** Maximum number of interim answers (1xx) before the final one; a server that sends more is considered faulty. */
 export const maxInterimAnswers = 8
+
+/** A connection that stays open for this long, in milliseconds, is accepted by a server that works. */
+export const openConnectionMs = 10
+
+/** Maximum number of connections with which it is checked whether a server accepts any. */
+export const maxConnectionChecks = 3
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -6,8 +6,8 @@
 import { isAnswerToAttempt } from '../attribution/index.js'
 import { ConnectionPool, exchange } from '../exchange/index.js'
 import type { BodyMemory, Exchange, ExchangeResult } from '../exchange/index.js'
-import { computeFingerprint, findTrialTarget, suspectRetryAfterMs } from '../quarantine/index.js'
-import type { Quarantine, RunningRequest, Treatment } from '../quarantine/index.js'
+import { computeFingerprint } from '../quarantine/index.js'
+import type { Quarantine, RunningRequest } from '../quarantine/index.js'
 import type { RateLimit } from '../rate-limit/index.js'
 import { mayHaveRun, notRun, rejected } from '../requests/index.js'
 import type { AnswerHead, Job, Outcome, Protocol } from '../requests/index.js'
@@ -18,6 +18,7 @@
 import { CrashMonitor } from './crash-monitor.js'
 import { Demands } from './demands.js'
 import { SpeedEstimate } from './speed-estimate.js'
+import { SuspectGate } from './suspect-gate.js'
 import { WorkEstimate } from './work-estimate.js'
 
 /** The target on this VM: its slots and its state. All requests to it go through this class. */
@@ -30,6 +31,7 @@
   private readonly workEstimate = WorkEstimate.create()
   private readonly speedEstimate = SpeedEstimate.create()
   private readonly crashMonitor: CrashMonitor
+  private readonly suspectGate: SuspectGate
   private instanceId = ''
   private reachable = false
   private healthy = true
@@ -46,6 +48,7 @@
     this.slots = Slots.create({ clock, rateLimit: this.demands.rateLimit })
     this.connections = ConnectionPool.create({ address: options.address, limit: maxConnections, clock: options.clock, memory: options.memory })
     this.crashMonitor = CrashMonitor.create({ ...options, readTarget: () => this.instanceId, isStopping: () => this.getState() === 'closing', onRefused: () => { this.recordRefusedConnection() } })
+    this.suspectGate = SuspectGate.create({ ...options, describe: () => ({ id: this.instanceId, state: this.getState() }) })
   }
 
   static create (options: OwnTargetOptions): OwnTarget {
@@ -89,8 +92,8 @@
   async run (job: Job, target: string, signal: CancelSignal): Promise<Outcome> {
     if (this.loadAgeMs > maxLoadAgeMs) await this.options.loadMonitor.refresh()
     const fingerprint = computeFingerprint(job)
-    const treatment = await this.decideTreatment(fingerprint)
-    const immediateOutcome = signal.aborted ? notRun('left') : this.findNotRunOutcome(target) ?? this.findQuarantineOutcome(treatment)
+    const treatment = await this.suspectGate.decide(fingerprint)
+    const immediateOutcome = signal.aborted ? notRun('left') : this.findNotRunOutcome(target) ?? this.suspectGate.findOutcome(treatment)
     if (immediateOutcome !== undefined) return immediateOutcome
     const request = this.createSlotRequest(job)
     const exclusive = treatment.kind === 'alone'
@@ -108,7 +111,7 @@
     }
     this.options.metrics.recordDuration('call_queue_seconds', decision.waitedMs)
     try {
-      return this.findNotRunOutcome(target) ?? this.findChangedOutcome(fingerprint, exclusive) ?? await this.send(job, target, { fingerprint, exclusive }, signal)
+      return this.findNotRunOutcome(target) ?? this.suspectGate.findChangedOutcome(fingerprint, exclusive) ?? await this.send(job, target, { fingerprint, exclusive }, signal)
     } finally {
       this.slots.release(request)
     }
@@ -204,36 +207,6 @@
     }
   }
 
-  /** Decides how a request may run; a suspect waits until other crashes of the same moment are known. */
-  private async decideTreatment (fingerprint: string): Promise<Treatment> {
-    const { clock, quarantine } = this.options
-    const treatment = quarantine.decide(fingerprint)
-    if (treatment.kind !== 'alone' || treatment.waitMs <= 0) return treatment
-    await clock.sleep(treatment.waitMs)
-    return quarantine.decide(fingerprint)
-  }
-
-  /** The outcome of a request that may not run at this target because targets have crashed under it; undefined if it may. */
-  private findQuarantineOutcome (treatment: Treatment): Outcome | undefined {
-    switch (treatment.kind) {
-      case 'usual': return undefined
-      case 'alone': return this.isTrialTarget() ? undefined : notRun('suspect', suspectRetryAfterMs)
-      case 'refused': return notRun('quarantined', treatment.retryAfterMs)
-    }
-  }
-
-  /** The same for a request that has waited; one that has become a suspect meanwhile may not run beside others. */
-  private findChangedOutcome (fingerprint: string, exclusive: boolean): Outcome | undefined {
-    const treatment = this.options.quarantine.decide(fingerprint)
-    return treatment.kind === 'alone' && !exclusive ? notRun('suspect', suspectRetryAfterMs) : this.findQuarantineOutcome(treatment)
-  }
-
-  private isTrialTarget (): boolean {
-    const { address, service, directory } = this.options
-    const others = directory.findCandidates(service, 'any').filter(({ ip }) => !address.startsWith(`${ip}:`))
-    return findTrialTarget([...others, { id: this.instanceId, service, state: this.getState() }])?.id === this.instanceId
-  }
-
   private createSlotRequest (job: Job): SlotRequest {
     const { priority, objectiveAt, deadlineAt, objectiveMs, mayWait } = job
     return { priority, objectiveAt, deadlineAt, mayWait, workMs: this.workEstimate.read(job.route, objectiveMs * initialWorkShare) }
--- a/packages/sidecar/src/core/quarantine/crash-records.ts
+++ b/packages/sidecar/src/core/quarantine/crash-records.ts
@@ -14,6 +14,8 @@
   private readonly clock: Clock
   /** By the id of the incarnation. */
   private readonly records = new Map<string, CrashRecord>()
+  /** The crashes under each request that was not cleared of them, the oldest first; undefined after a change. */
+  private index: Map<string, CrashOfRequest[]> | undefined
 
   private constructor (clock: Clock) {
     this.clock = clock
@@ -40,8 +42,9 @@
 
   /** Returns the crashes under a request, the oldest first and without those that it was cleared of. */
   find (fingerprint: string): CrashOfRequest[] {
-    if (this.records.size === 0) return []
-    return this.list().flatMap(crash => crash.suspects.filter(suspect => suspect.fingerprint === fingerprint && !suspect.cleared).map(suspect => ({ crash, suspect })))
+    this.discardExpired()
+    this.index ??= createIndex(this.list())
+    return this.index.get(fingerprint) ?? []
   }
 
   /** Adds a crash, or what another node knows of it; returns the record if that changes it. */
@@ -50,7 +53,8 @@
     const merged = known === undefined ? crash : { ...known, suspects: mergeSuspects(known.suspects, crash.suspects) }
     if (known !== undefined && describeRecord(known) === describeRecord(merged)) return undefined
     this.records.set(crash.target, merged)
-    this.discardExpired()
+    this.index = undefined
+    this.discardOldest()
     return merged
   }
 
@@ -66,11 +70,28 @@
 
   private discardExpired (): void {
     const now = this.clock.now()
-    for (const { target, at } of this.records.values()) if (now - at > crashRetentionMs) this.records.delete(target)
-    if (this.records.size <= maxCrashRecords) return
-    const oldest = [...this.records.values()].sort((a, b) => a.at - b.at).slice(0, this.records.size - maxCrashRecords)
-    for (const { target } of oldest) this.records.delete(target)
+    for (const { target, at } of this.records.values()) if (now - at > crashRetentionMs) this.delete(target)
+  }
+
+  /** Discards the oldest crashes above the maximum. */
+  private discardOldest (): void {
+    for (const { target } of this.list().slice(0, -maxCrashRecords)) this.delete(target)
+  }
+
+  private delete (target: string): void {
+    this.records.delete(target)
+    this.index = undefined
+  }
+}
+
+function createIndex (crashes: readonly CrashRecord[]): Map<string, CrashOfRequest[]> {
+  const index = new Map<string, CrashOfRequest[]>()
+  for (const crash of crashes) {
+    for (const suspect of crash.suspects) {
+      if (!suspect.cleared) index.set(suspect.fingerprint, [...index.get(suspect.fingerprint) ?? [], { crash, suspect }])
+    }
   }
+  return index
 }
 
 function mergeSuspects (known: readonly Suspect[], added: readonly Suspect[]): Suspect[] {
