--- a/packages/sidecar/test/slots.test.ts
+++ b/packages/sidecar/test/slots.test.ts
@@ -197,4 +197,37 @@
   }), { numRuns: 60, seed: 11 })
 })
 
+// These guard against a suspect that runs beside others, and against suspects that keep all others from the target (issue 32).
+test('a request that runs alone waits for those that run, keeps the others back, and gives them the same time after it', async () => {
+  const harness = new Harness(4)
+  harness.send('before', { workMs: 100 })
+  const order: string[] = []
+  const sendAlone = (name: string): void => {
+    const request = createRequest(harness.clock, { workMs: 50 })
+    harness.slots.acquireAlone(request).decision.then(({ kind }) => {
+      order.push(`${name} ${kind} at ${harness.clock.now()} beside ${harness.slots.running - 1}`)
+      if (kind === 'admitted') harness.clock.after(50, () => { harness.slots.release(request) })
+    }, () => {})
+  }
+  sendAlone('first')
+  sendAlone('second')
+  harness.send('later', { workMs: 20 })
+  assert.is(harness.slots.taken, 4)
+  await harness.clock.advance(149)
+  assert.equal([order, harness.started], [['first admitted at 100 beside 0'], ['before']])
+  await harness.clock.advance(350)
+  assert.equal(harness.started, ['before', 'later'])
+  assert.equal(order[1], 'second admitted at 300 beside 0')
+})
+
+test('a request that runs alone is refused when those that run do not end soon, and the others go on', async () => {
+  const harness = new Harness(2)
+  harness.send('long', { workMs: 1_500 })
+  const kinds: string[] = []
+  harness.slots.acquireAlone(createRequest(harness.clock)).decision.then(({ kind }) => { kinds.push(kind) }, () => {})
+  harness.send('other', { workMs: 10 })
+  await harness.clock.advance(400)
+  assert.equal([kinds, harness.started], [['refused'], ['long', 'other']])
+})
+
 test.run()
