--- a/packages/bench/src/soak/checks/checks.ts
+++ b/packages/bench/src/soak/checks/checks.ts
@@ -1,5 +1,5 @@
 import { checkHistory } from 'auburnturn'
-import { applyDeadlineMs, callerTimeoutMs, drainDeadlineMs, maxAttempts, rateLimitAllowance, rateLimitDelayMs, rateLimitFactor, rateLimitWindowMs, recoveryMs, retryAllowance, retryRatio, retryWindowMs, routeTimeoutMs, reportDelayMs } from '../constants.js'
+import { applyDeadlineMs, callerTimeoutMs, crashingPath, drainDeadlineMs, maxAttempts, maxLateCrashes, rateLimitAllowance, rateLimitDelayMs, rateLimitFactor, rateLimitWindowMs, recoveryMs, retryAllowance, retryRatio, retryWindowMs, routeTimeoutMs, reportDelayMs, stabilizationMs } from '../constants.js'
 import type { PublishedConfiguration, Check, Observation, CallerOutcome, Execution } from '../types.js'
 import { hasNoFault, hasNoUnplannedFault } from './fault-periods.js'
 
@@ -112,12 +112,23 @@
   return [{ rule: 'recovery', detail: `${served.length} of ${afterRecovery.length} served; ${otherResults.slice(0, 4).join(', ')}` }]
 }
 
+/** A request that crashes its targets is not sent to further ones, once three have crashed and all nodes could learn it. */
+const checkCrashingRequests: Check = ({ executions, faultPeriods }) => {
+  const paths = new Set(executions.map(({ path }) => path).filter(path => path.startsWith(crashingPath)))
+  return [...paths].flatMap(path => {
+    const starts = executions.filter(execution => execution.path === path).sort((one, other) => one.startedAt - other.startedAt)
+    const thirdAt = starts[2]?.startedAt ?? Infinity
+    const late = starts.slice(3).filter(({ vm, startedAt }) => startedAt > thirdAt + stabilizationMs && hasNoFault(faultPeriods, [vm], startedAt, startedAt))
+    return late.length > maxLateCrashes ? [{ rule: 'crashing-request', detail: `${path} reached ${late.length} targets later than ${stabilizationMs} ms after the third` }] : []
+  })
+}
+
 /** Processes exit only on request, and within the grace period. */
 const checkProcessExits: Check = ({ unexpectedExits }) => unexpectedExits.map(({ process, reason }) => ({ rule: 'ends', detail: `${process}: ${reason}` }))
 
 /** All checks that a run must pass, by name. */
 export const checks: Readonly<Record<string, Check>> = {
-  checkLibraryRules, checkDrain, checkConfiguration, checkRoute, checkLostAnswers, checkTimeout, checkRetries, checkRateLimits, checkOwnAnswers, checkFalseRejections, checkRecovery, checkProcessExits
+  checkLibraryRules, checkDrain, checkConfiguration, checkRoute, checkLostAnswers, checkTimeout, checkRetries, checkRateLimits, checkOwnAnswers, checkFalseRejections, checkRecovery, checkCrashingRequests, checkProcessExits
 }
 
 const outcomeCache = new WeakMap<Observation, Map<string, CallerOutcome>>()
--- a/packages/bench/src/soak/constants.ts
+++ b/packages/bench/src/soak/constants.ts
@@ -33,6 +33,12 @@
 /** Maximum number of targets that a request may be sent to. */
 export const maxAttempts = 2
 
+/** Beginning of the paths of requests that crash the target that runs them. */
+export const crashingPath = '/pages/crash-'
+
+/** How many times such a request may reach a target later than `stabilizationMs` after it has crashed three. */
+export const maxLateCrashes = 3
+
 /** Timeout of every route, in milliseconds. */
 export const routeTimeoutMs = 3_000
 
--- a/packages/bench/src/soak/inject-fault.ts
+++ b/packages/bench/src/soak/inject-fault.ts
@@ -3,14 +3,17 @@
 import type { DatagramRelay } from './datagram-relay.js'
 import type { TcpProxy, ProxyState } from './tcp-proxy.js'
 import type { StoreWriter } from './store-writer.js'
+import { crashingPath } from './constants.js'
 import { plannedFaults } from './plan.js'
 import { now } from './processes/messages.js'
+import type { CallersCommand } from './processes/messages.js'
 import type { FaultPeriod, Fault, RateLimitPeriod } from './types.js'
 import type { Vm } from './vm.js'
 
 /** Everything that faults act on, and the list in which their periods are recorded. */
 export interface FaultContext {
   readonly vms: readonly Vm[]
+  readonly callers: readonly ManagedProcess[]
   readonly store: ManagedProcess
   readonly storeWriter: StoreWriter
   readonly datagramRelay: DatagramRelay
@@ -34,6 +37,8 @@
     case 'configure': return []
     // It excuses nothing: an answer that belongs to no request must not harm any.
     case 'repeat-answers': return []
+    // Each crash is recorded for the VM on which it happens.
+    case 'crashing-request': return []
     case 'refuse-store':
     case 'pause-store':
     case 'forget-history': return ['store']
@@ -41,7 +46,7 @@
   }
 }
 
-async function applyFault ({ at, name, vm: index, forMs }: Fault, { vms, store, storeWriter, datagramRelay, rateLimits }: FaultContext): Promise<void> {
+async function applyFault ({ at, name, vm: index, forMs }: Fault, { vms, callers, store, storeWriter, datagramRelay, rateLimits }: FaultContext): Promise<void> {
   const vm = vms[index]
   if (vm === undefined) throw new Error(`VM ${index} does not exist`)
   const proxies = Object.values(vm.proxies)
@@ -58,6 +63,9 @@
       return
     // The forms follow from its time, and so from the seed of the plan.
     case 'repeat-answers': return await vm.repeatAnswers(at, forMs)
+    case 'crashing-request':
+      callers[0]?.send({ kind: 'repeat', vms: [...vms.slice(index), ...vms.slice(0, index)].map(({ spec }) => ({ index: spec.index, ip: spec.ip })), path: `${crashingPath}${at}`, forMs } satisfies CallersCommand)
+      return await sleep(forMs)
     case 'delay-link': return await delayTraffic(proxies, forMs)
     case 'reset-link': return resetAllConnections(proxies)
     case 'swallow-requests': return await dropTraffic([vm.proxies.nodes, vm.proxies.peerCalls, vm.proxies.upstream], 'swallow-requests', forMs)
--- a/packages/bench/src/soak/processes/callers.ts
+++ b/packages/bench/src/soak/processes/callers.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from 'node:http'
 import { callerTimeoutMs, ports } from '../constants.js'
 import { now, sendToParent } from './messages.js'
-import type { CallersCommand } from './messages.js'
+import type { CallersCommand, CallerVm } from './messages.js'
 import type { AnswerOwner, CallerOutcome } from '../types.js'
 
 /** Idle time after which a connection is closed, in milliseconds; below the 15 s limit of the nodes. */
@@ -16,16 +16,34 @@
 /** Reports the outcome of one request; `owner` comes with a status. */
 type OutcomeReporter = (result: CallerOutcome['result'], owner?: AnswerOwner) => void
 
-process.on('message', ({ vms, requestsPerSecond }: CallersCommand) => {
-  for (const vm of vms) setInterval(() => { sendRequest(vm) }, 1_000 / requestsPerSecond)
+/** Time between two sendings of a request that is repeated, in milliseconds. */
+const repeatIntervalMs = 250
+
+process.on('message', (command: CallersCommand) => {
+  switch (command.kind) {
+    case 'load':
+      for (const vm of command.vms) setInterval(() => { sendNext(vm) }, 1_000 / command.requestsPerSecond)
+      return
+    case 'repeat': return repeatRequest(command)
+  }
 })
 process.on('disconnect', () => { process.exit(0) })
 sendToParent({ kind: 'ready' })
 
-function sendRequest ({ index, ip }: CallersCommand['vms'][number]): void {
-  const requestIndex = requestCount++
-  const requestId = `${process.pid}-${requestIndex}`
-  const path = paths[requestIndex % paths.length] as string
+function sendNext (vm: CallerVm): void {
+  const prefix = paths[requestCount % paths.length] as string
+  sendRequest(vm, prefix, `${prefix}${requestCount}`)
+}
+
+function repeatRequest ({ vms, path, forMs }: Extract<CallersCommand, { kind: 'repeat' }>): void {
+  let sent = 0
+  const timer = setInterval(() => { sendRequest(vms[sent++ % vms.length] as CallerVm, '/pages/', path) }, repeatIntervalMs)
+  setTimeout(() => { clearInterval(timer) }, forMs)
+}
+
+/** Sends a request; outcomes name the prefix of its route as `path`. */
+function sendRequest ({ index, ip }: CallerVm, path: string, fullPath: string): void {
+  const requestId = `${process.pid}-${requestCount++}`
   const idempotent = path !== '/orders/'
   const sentAt = now()
   sendToParent({ kind: 'event', event: { kind: 'call-sent', sending: requestId, call: requestId, idempotent, ticketed: false, timeoutMs: callerTimeoutMs, at: sentAt } })
@@ -37,7 +55,7 @@
     agent,
     host: ip,
     port: ports.callers,
-    path: `${path}${requestIndex}`,
+    path: fullPath,
     method: idempotent ? 'GET' : 'POST',
     headers: { host: 'shop.example', 'x-attempt-id': requestId, 'x-deadline-ms': String(callerTimeoutMs), ...(idempotent ? {} : { 'content-length': String(body.length) }) }
   }, response => { recordResponse(requestId, response, reportOutcome) })
--- a/packages/bench/src/soak/processes/messages.ts
+++ b/packages/bench/src/soak/processes/messages.ts
@@ -7,6 +7,8 @@
   | { readonly kind: 'event', readonly event: HistoryEvent }
   /** A target started to execute a request. */
   | { readonly kind: 'work', readonly execution: Execution }
+  /** A target is about to crash under the request that it runs. */
+  | { readonly kind: 'crashing', readonly vm: number }
   /** A target answers an execution. */
   | { readonly kind: 'answered', readonly answer: ExecutionAnswer }
   /** A request ended at its caller. */
@@ -28,12 +30,19 @@
   /** Writes earlier messages once more from now on, in forms that follow from the seed; undefined to stop. */
   | { readonly kind: 'repeat', readonly seed: number | undefined }
 
-/** Command to a process of callers: the VMs at which it sends requests, and the rate at each of them. */
-export interface CallersCommand {
-  readonly vms: ReadonlyArray<{ readonly index: number, readonly ip: string }>
-  readonly requestsPerSecond: number
+/** A VM at which callers send requests. */
+export interface CallerVm {
+  readonly index: number
+  readonly ip: string
 }
 
+/** Commands to a process of callers. */
+export type CallersCommand =
+  /** Sends different requests from now on, at this rate at each VM. */
+  | { readonly kind: 'load', readonly vms: readonly CallerVm[], readonly requestsPerSecond: number }
+  /** Sends one request again and again for a time, in turn at the VMs. */
+  | { readonly kind: 'repeat', readonly vms: readonly CallerVm[], readonly path: string, readonly forMs: number }
+
 /** Sends a message to the controlling process. Called before the reported event has effects outside this process. */
 export function sendToParent (message: HelperMessage): void {
   process.send?.(message)
--- a/packages/bench/src/soak/processes/target.ts
+++ b/packages/bench/src/soak/processes/target.ts
@@ -1,6 +1,7 @@
 /** Process of a stand-in target: `target.js VM SERVICE ID IP PORT`. */
 import { RepeatingTarget } from '@auburnturn/stand-ins'
 import type { ReceivedRequest, RunResult } from '@auburnturn/stand-ins'
+import { crashingPath } from '../constants.js'
 import { now, sendToParent } from './messages.js'
 import type { TargetCommand } from './messages.js'
 import { RepetitionFault } from './repetition-fault.js'
@@ -39,9 +40,11 @@
 async function execute ({ id: requestId, path }: ReceivedRequest, reachMiddle: () => void, closed: AbortSignal): Promise<RunResult> {
   const execution = `${id}#${++executionCount}`
   const startedAt = now()
+  if (path.startsWith(crashingPath)) setTimeout(() => { sendToParent({ kind: 'crashing', vm: Number(vm) }) }, workMs / 2)
   sendToParent({ kind: 'event', event: { kind: 'execution-started', execution, sending: requestId, call: requestId, target: id, at: startedAt } })
   sendToParent({ kind: 'work', execution: { requestId, target: id, vm: Number(vm), service, path, startedAt } })
-  await work(reachMiddle, closed)
+  if (path.startsWith(crashingPath)) await awaitCrash(closed)
+  else await work(reachMiddle, closed)
   const result = { status: fault?.chooseStatus() ?? 200, seal: execution, body: `${execution} ran ${requestId}` }
   const completion = closed.aborted ? 'cut' : result.status === 200 ? 'whole' : 'failed'
   sendToParent({ kind: 'event', event: { kind: 'execution-ended', execution, how: completion, content: completion === 'cut' ? '' : result.body, at: now() } })
@@ -49,6 +52,11 @@
   return result
 }
 
+/** Resolves when the connection closes, unless the process is killed before. */
+async function awaitCrash (closed: AbortSignal): Promise<void> {
+  if (!closed.aborted) await new Promise<void>(resolve => { closed.addEventListener('abort', () => { resolve() }, { once: true }) })
+}
+
 /** Resolves at the end of the work, or when the connection closes. */
 async function work (reachMiddle: () => void, closed: AbortSignal): Promise<void> {
   await new Promise<void>(resolve => {
--- a/packages/bench/src/soak/run.ts
+++ b/packages/bench/src/soak/run.ts
@@ -40,6 +40,9 @@
 /** Time for nodes to start and discover each other, in milliseconds. */
 const startupMs = 3_000
 
+/** How long a target that has crashed under a request is down, in milliseconds. */
+const crashDowntimeMs = 1_000
+
 /** How long the load goes on after the recovery time, in milliseconds. */
 const recoveredLoadMs = 2_500
 
@@ -49,7 +52,10 @@
   const recorder = ObservationRecorder.create()
   const specs = createVmSpecs(options.vms, options.networkIndex)
   const storeIp = `127.${options.networkIndex * 3 + 2}.250.1`
-  const onMessage = (message: HelperMessage): void => { recorder.record(message) }
+  const onMessage = (message: HelperMessage): void => {
+    recorder.record(message)
+    if (message.kind === 'crashing') recorder.recordCrash(message.vm, vms[message.vm])
+  }
   const createOptions = (name: string): { log: string, onMessage: (message: HelperMessage) => void, onUnexpectedExit: (reason: string) => void } => ({
     log: join(options.folder, `${name}.log`), onMessage, onUnexpectedExit: reason => { recorder.unexpectedExits.push({ process: name, exitedAt: now(), reason }) }
   })
@@ -63,11 +69,11 @@
   const callers = await Promise.all(Array.from({ length: Math.ceil(options.vms / vmsPerCallerProcess) }, async (_, index) => {
     const helper = await ManagedProcess.startHelper('callers', { ...createOptions(`callers-${index}`), args: [] })
     const vmsOfProcess = specs.slice(index * vmsPerCallerProcess, (index + 1) * vmsPerCallerProcess).map(spec => ({ index: spec.index, ip: spec.ip }))
-    helper.send({ vms: vmsOfProcess, requestsPerSecond: options.requestsPerSecond } satisfies CallersCommand)
+    helper.send({ kind: 'load', vms: vmsOfProcess, requestsPerSecond: options.requestsPerSecond } satisfies CallersCommand)
     return helper
   }))
   const plan = createPlan(options)
-  await injectFaults(plan, { vms, store, storeWriter, datagramRelay, faultPeriods: recorder.faultPeriods, rateLimits: recorder.rateLimits })
+  await injectFaults(plan, { vms, callers, store, storeWriter, datagramRelay, faultPeriods: recorder.faultPeriods, rateLimits: recorder.rateLimits })
   const faultsEndedAt = now()
   await sleep(recoveryMs + recoveredLoadMs)
   await Promise.all([...callers, store].map(async helper => { await helper.kill() }))
@@ -118,10 +124,17 @@
       case 'acknowledged':
         this.storeWriter?.recordAcknowledgement(message.changeId, message.acknowledgedAt)
         break
+      case 'crashing':
       case 'ready':
     }
   }
 
+  /** Ends the target of a VM that crashes under a request, and records the fault. */
+  recordCrash (index: number, vm: Vm | undefined): void {
+    const from = now()
+    vm?.crashTarget(crashDowntimeMs).then(() => { this.faultPeriods.push({ component: index, from, to: now(), planned: false }) }, () => {})
+  }
+
   /** Sorts the events of the different processes by time, and ends the history. */
   createObservation (faultsEndedAt: number): Observation {
     const history = [...this.events].sort((one, other) => one.at - other.at)
--- a/packages/bench/src/soak/types.ts
+++ b/packages/bench/src/soak/types.ts
@@ -3,13 +3,15 @@
 /**
  * A kind of fault. It affects one VM, or the store that all VMs share. `silence-connections` discards all bytes of the open
  * connections without closing them; `forget-history` makes the store drop its change history; `repeat-answers` makes a target
- * write refusals and answers once more that it wrote before on the same connection.
+ * write refusals and answers once more that it wrote before on the same connection; `crashing-request` is one request that crashes each
+ * target that runs it, and that its caller repeats at all VMs.
  */
 export type FaultName =
   | 'terminate-node' | 'kill-node' | 'pause-node' | 'reload-node'
   | 'crash-target' | 'pause-target' | 'drain-target' | 'limit-target' | 'repeat-answers'
   | 'delay-link' | 'reset-link' | 'swallow-requests' | 'swallow-answers' | 'silence-connections' | 'lose-datagrams'
   | 'cut-store' | 'refuse-store' | 'pause-store' | 'forget-history'
+  | 'crashing-request'
   | 'configure'
 
 /** One fault of a plan. Times are in milliseconds; `at` counts from the start of the faults. */
--- a/packages/bench/test/soak.test.ts
+++ b/packages/bench/test/soak.test.ts
@@ -32,7 +32,7 @@
 
 soak('every fault occurs in some plan', () => {
   const names = new Set(Array.from({ length: 200 }, (_, seed) => createPlan({ seed, vms: 9, faultWindowMs: 12_000 })).flat().map(({ name }) => name))
-  assert.is(names.size, 20)
+  assert.is(names.size, 21)
 })
 
 const routes = new Map([['/pages/', 'shop'], ['/orders/', 'ledger']])
@@ -100,6 +100,7 @@
   ['own-answer', 'a sealed failure with another status than that of the target', { outcomes: [createOutcome({ result: 504, owner: { requestId: 's', seal: 'run-of-s' } }), servedOutcome] }],
   ['denied', 'a valid request rejected as invalid', { outcomes: [createOutcome({ requestId: 'proper', result: 400 }), servedOutcome] }],
   ['recovery', 'no request served after the recovery', { outcomes: [createOutcome({ requestId: 'refused', sentAt: 90_000, endedAt: 90_010, result: 503 })] }],
+  ['crashing-request', 'a request that crashed targets and goes on to others', { executions: [createExecution({ requestId: 'last' }), ...Array.from({ length: 10 }, (_, index) => createExecution({ requestId: `c${index}`, path: '/pages/crash-1', startedAt: 10_000 + index * 1_500 }))] }],
   ['ends', 'a node that exited unexpectedly', { unexpectedExits: [{ process: 'node of vm-1', exitedAt: 1, reason: 'code 1' }] }],
   ['served', 'no request executed', { executions: [] }]
 ]
