Count crashes of targets that start again under the id that they had

A target may start again under its old id. Crashes were kept by that id alone, so a request that crashed the same target again and again stayed at one crash and was never convicted, but tried on it each time. Each crash has a number now, given by the node beside the target. The test fails with records kept by the id alone (shown by a changed build).

--- a/packages/sidecar/src/core/quarantine/codec.ts
+++ b/packages/sidecar/src/core/quarantine/codec.ts
@@ -1,5 +1,5 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
-import { asDurationMs, asJsonObject, asText, parseJson } from '../decoding/index.js'
+import { asDurationMs, asInteger, asJsonObject, asText, parseJson } from '../decoding/index.js'
 import { maxSuspectsPerCrash } from './constants.js'
 import type { CrashDigest, CrashNotice, Suspect } from './types.js'
 
@@ -16,9 +16,9 @@
 const clearedFlag = 2
 
 /** Encodes a crash as compressed JSON. */
-export function encodeCrashNotice ({ target, node, ageMs, suspects }: CrashNotice): Buffer {
+export function encodeCrashNotice ({ target, number, node, ageMs, suspects }: CrashNotice): Buffer {
   const list = suspects.slice(0, maxSuspectsPerCrash).map(({ fingerprint, alone, cleared }) => [fingerprint, (alone ? aloneFlag : 0) | (cleared ? clearedFlag : 0)])
-  return Buffer.concat([Buffer.from([messageTypes.crash]), deflateRawSync(JSON.stringify({ target, node, ageMs: Math.round(ageMs), suspects: list }))])
+  return Buffer.concat([Buffer.from([messageTypes.crash]), deflateRawSync(JSON.stringify({ target, number, node, ageMs: Math.round(ageMs), suspects: list }))])
 }
 
 /** Decodes a crash; undefined for any other, incomplete or damaged datagram. */
@@ -26,12 +26,13 @@
   if (bytes[0] !== messageTypes.crash) return undefined
   const fields = asJsonObject(inflateJson(bytes.subarray(1)))
   const target = asText(fields?.['target'])
+  const number = asInteger(fields?.['number'])
   const node = asText(fields?.['node'])
   const ageMs = asDurationMs(fields?.['ageMs'])
   const list = fields?.['suspects']
-  if (target === undefined || target === '' || node === undefined || ageMs === undefined || !Array.isArray(list) || list.length > maxSuspectsPerCrash) return undefined
+  if (target === undefined || target === '' || number === undefined || node === undefined || ageMs === undefined || !Array.isArray(list) || list.length > maxSuspectsPerCrash) return undefined
   const suspects = list.map(decodeSuspect)
-  return suspects.every(suspect => suspect !== undefined) ? { kind: 'crash', target, node, ageMs, suspects } : undefined
+  return suspects.every(suspect => suspect !== undefined) ? { kind: 'crash', target, number, node, ageMs, suspects } : undefined
 }
 
 /** Encodes a digest: type, whether it is an answer (1 byte each), checksum (4 bytes). */
--- a/packages/sidecar/src/core/quarantine/crash-records.ts
+++ b/packages/sidecar/src/core/quarantine/crash-records.ts
@@ -12,7 +12,7 @@
 /** The crashes that this node knows. Records of several nodes merge in any order and any number of times to the same result. */
 export class CrashRecords {
   private readonly clock: Clock
-  /** By the id of the incarnation. */
+  /** By the id of the incarnation and the number of its crash. */
   private readonly records = new Map<string, CrashRecord>()
   /** The crashes under each request that was not cleared of them, the oldest first; undefined after a change. */
   private index: Map<string, CrashOfRequest[]> | undefined
@@ -47,12 +47,17 @@
     return this.index.get(fingerprint) ?? []
   }
 
+  /** Number of known crashes of targets with this id. */
+  countCrashes (target: string): number {
+    return this.list().filter(crash => crash.target === target).length
+  }
+
   /** Adds a crash, or what another node knows of it; returns the record if that changes it. */
   merge (crash: CrashRecord): CrashRecord | undefined {
-    const known = this.records.get(crash.target)
+    const known = this.records.get(formatKey(crash))
     const merged = known === undefined ? crash : { ...known, suspects: mergeSuspects(known.suspects, crash.suspects) }
     if (known !== undefined && describeRecord(known) === describeRecord(merged)) return undefined
-    this.records.set(crash.target, merged)
+    this.records.set(formatKey(crash), merged)
     this.index = undefined
     this.discardOldest()
     return merged
@@ -70,20 +75,24 @@
 
   private discardExpired (): void {
     const now = this.clock.now()
-    for (const { target, at } of this.records.values()) if (now - at > crashRetentionMs) this.delete(target)
+    for (const crash of this.records.values()) if (now - crash.at > crashRetentionMs) this.delete(crash)
   }
 
   /** Discards the oldest crashes above the maximum. */
   private discardOldest (): void {
-    for (const { target } of this.list().slice(0, -maxCrashRecords)) this.delete(target)
+    for (const crash of this.list().slice(0, -maxCrashRecords)) this.delete(crash)
   }
 
-  private delete (target: string): void {
-    this.records.delete(target)
+  private delete (crash: CrashRecord): void {
+    this.records.delete(formatKey(crash))
     this.index = undefined
   }
 }
 
+function formatKey ({ target, number }: Pick<CrashRecord, 'target' | 'number'>): string {
+  return `${target} ${number}`
+}
+
 function createIndex (crashes: readonly CrashRecord[]): Map<string, CrashOfRequest[]> {
   const index = new Map<string, CrashOfRequest[]>()
   for (const crash of crashes) {
@@ -104,6 +113,6 @@
 }
 
 /** Returns a text that is equal for equal knowledge of a crash, whatever the order of its suspects. */
-function describeRecord ({ target, suspects }: CrashRecord): string {
-  return [target, ...suspects.map(({ fingerprint, alone, cleared }) => `${fingerprint} ${String(alone)} ${String(cleared)}`).sort()].join()
+function describeRecord ({ suspects, ...crash }: CrashRecord): string {
+  return [formatKey(crash), ...suspects.map(({ fingerprint, alone, cleared }) => `${fingerprint} ${String(alone)} ${String(cleared)}`).sort()].join()
 }
--- a/packages/sidecar/src/core/quarantine/crash-sync.ts
+++ b/packages/sidecar/src/core/quarantine/crash-sync.ts
@@ -37,8 +37,8 @@
   }
 
   /** Handles a crash that another node knows. */
-  receiveNotice ({ target, node, ageMs, suspects }: CrashNotice): void {
-    this.options.quarantine.receive({ target, node, at: this.options.clock.now() - ageMs, suspects })
+  receiveNotice ({ target, number, node, ageMs, suspects }: CrashNotice): void {
+    this.options.quarantine.receive({ target, number, node, at: this.options.clock.now() - ageMs, suspects })
   }
 
   /** Handles the checksum of another node. */
@@ -63,8 +63,8 @@
     if (ip !== undefined) send(encodeCrashDigest({ kind: 'crash-digest', checksum: quarantine.checksum, isAnswer: false }), ip)
   }
 
-  private sendRecord ({ target, node, at, suspects }: CrashRecord, ip: string): void {
-    this.options.send(encodeCrashNotice({ kind: 'crash', target, node, ageMs: this.options.clock.now() - at, suspects }), ip)
+  private sendRecord ({ target, number, node, at, suspects }: CrashRecord, ip: string): void {
+    this.options.send(encodeCrashNotice({ kind: 'crash', target, number, node, ageMs: this.options.clock.now() - at, suspects }), ip)
   }
 }
 
--- a/packages/sidecar/src/core/quarantine/quarantine.ts
+++ b/packages/sidecar/src/core/quarantine/quarantine.ts
@@ -59,7 +59,7 @@
 
   /** Records a crash of the target on this VM. */
   recordCrash ({ target, at, suspects }: DetectedCrash): void {
-    const crash = { target, node: this.options.ip, at, suspects }
+    const crash = { target, number: this.records.countCrashes(target), node: this.options.ip, at, suspects }
     this.receive(crash)
     this.options.onChange(crash)
   }
--- a/packages/sidecar/src/core/quarantine/types.ts
+++ b/packages/sidecar/src/core/quarantine/types.ts
@@ -30,8 +30,10 @@
 
 /** A crash as all nodes of the service know it. */
 export interface CrashRecord {
-  /** Id of the incarnation that crashed. */
+  /** Id of the incarnation that crashed; a target may start again under the same one. */
   readonly target: string
+  /** Counts the crashes under the same id. */
+  readonly number: number
   /** Address of the node that detected it. */
   readonly node: string
   /** Clock milliseconds of this node. */
--- a/packages/sidecar/test/quarantine.test.ts
+++ b/packages/sidecar/test/quarantine.test.ts
@@ -172,11 +172,20 @@
   assert.is(quarantine.decide(fingerprint).kind, 'usual')
 })
 
+// Guards against a request that crashes one target again and again and is never convicted, as it starts under its old id (issue 32).
+test('a target that starts again under the id that it had can crash once more', () => {
+  const quarantine = createQuarantine(ManualClock.create())
+  quarantine.recordCrash(createCrash('i-1', 0, [fingerprint]))
+  assert.is(quarantine.decide(fingerprint).kind, 'alone')
+  quarantine.recordCrash(createCrash('i-1', 3_000, [fingerprint]))
+  assert.is(quarantine.decide(fingerprint).kind, 'refused')
+})
+
 test('records are bounded and expire', async () => {
   const clock = ManualClock.create()
   const records = CrashRecords.create({ clock })
   for (let count = 0; count < 1_000; count++) {
-    records.merge({ target: `i-${count}`, node: '10.0.0.1', at: clock.now(), suspects: [{ fingerprint, alone: false, cleared: false }] })
+    records.merge({ target: `i-${count}`, number: 0, node: '10.0.0.1', at: clock.now(), suspects: [{ fingerprint, alone: false, cleared: false }] })
     await clock.advance(1)
   }
   assert.is(records.size, 100)
@@ -258,7 +267,7 @@
 })
 
 test('notices and digests survive encoding and decoding, and arbitrary bytes do not throw', () => {
-  const notice = { kind: 'crash' as const, target: 'i-1', node: '10.0.0.1', ageMs: 40, suspects: [{ fingerprint, alone: true, cleared: false }, { fingerprint: neighbour, alone: false, cleared: true }] }
+  const notice = { kind: 'crash' as const, target: 'i-1', number: 3, node: '10.0.0.1', ageMs: 40, suspects: [{ fingerprint, alone: true, cleared: false }, { fingerprint: neighbour, alone: false, cleared: true }] }
   assert.equal(decodeCrashNotice(encodeCrashNotice(notice)), notice)
   const digest = { kind: 'crash-digest' as const, checksum: 0xfedcba98, isAnswer: true }
   assert.equal(decodeCrashDigest(encodeCrashDigest(digest)), digest)
