--- a/packages/sidecar/src/core/quarantine/codec.ts
+++ b/packages/sidecar/src/core/quarantine/codec.ts
@@ -3,7 +3,10 @@
 import { maxSuspectsPerCrash } from './constants.js'
 import type { CrashDigest, CrashNotice, Suspect } from './types.js'
 
-/** Message type in the first byte of each datagram. Lower values are notices of store readers, see `readers/codec.ts`. */
+/**
+ * Message type in the first byte of each datagram. Other values are reports and notices of store readers, see `reports/codec.ts` and
+ * `readers/codec.ts`.
+ */
 const messageTypes = { crash: 6, digest: 7 } as const
 
 const digestBytes = 6
--- a/packages/sidecar/src/core/readers/codec.ts
+++ b/packages/sidecar/src/core/readers/codec.ts
@@ -3,8 +3,11 @@
 import { decodeSharedChanges } from '../store/index.js'
 import type { ChangesNotice, ReaderNotice, ReaderState } from './types.js'
 
-/** Message type in the first byte of each datagram. Lower values are reports, see `reports/codec.ts`. */
-export const messageTypes = { reader: 4, changes: 5 } as const
+/**
+ * Message type in the first byte of each datagram. Lower values are reports, see `reports/codec.ts`. Type 4 was a notice without an era,
+ * which nodes of an earlier version send.
+ */
+export const messageTypes = { reader: 8, changes: 5 } as const
 
 /** A state is encoded as its index. */
 const readerStates: readonly ReaderState[] = ['trying', 'reading', 'failing', 'stopped']
