Send the notice of a crash before the outcome of its request, and repeat it more often

The first notice left with the next tick of the timer wheel, after the outcome.

OwnTarget is split: TargetSender sends and judges what comes back. JSON is decompressed in one place.

--- a/packages/sidecar/src/core/forwarding/compression.ts
+++ b/packages/sidecar/src/core/forwarding/compression.ts
@@ -1,5 +1,5 @@
-import { deflateRawSync, inflateRawSync } from 'node:zlib'
-import { parseJson } from '../decoding/index.js'
+import { deflateRawSync } from 'node:zlib'
+import { inflateJson } from '../decoding/index.js'
 import { maxDecompressedBytes } from './constants.js'
 
 /** Compresses data for another node: lists of targets are repetitive, and traffic between failure domains is expensive. */
@@ -9,10 +9,5 @@
 
 /** Decompresses data from another node; undefined when it is damaged, or too large or nested too deep to be a valid state. */
 export function decompressJson (bytes: Buffer): unknown {
-  try {
-    return parseJson(inflateRawSync(bytes, { maxOutputLength: maxDecompressedBytes }))
-  } catch {
-    // The calling code logs that the other node served nothing.
-    return undefined
-  }
+  return inflateJson(bytes, maxDecompressedBytes)
 }
--- a/packages/sidecar/src/core/own-target/own-target.ts
+++ b/packages/sidecar/src/core/own-target/own-target.ts
@@ -3,22 +3,21 @@
 import type { Metrics } from 'auburnturn/core/metrics'
 import { Slots } from '../admission/index.js'
 import type { AdmissionDecision, SlotRequest } from '../admission/index.js'
-import { isAnswerToAttempt } from '../attribution/index.js'
-import { ConnectionPool, exchange } from '../exchange/index.js'
-import type { BodyMemory, Exchange, ExchangeResult } from '../exchange/index.js'
+import type { BodyMemory, Exchange } from '../exchange/index.js'
 import { computeFingerprint } from '../quarantine/index.js'
 import type { Quarantine, RunningRequest } from '../quarantine/index.js'
 import type { RateLimit } from '../rate-limit/index.js'
-import { mayHaveRun, notRun, rejected } from '../requests/index.js'
+import { notRun } from '../requests/index.js'
 import type { AnswerHead, Job, Outcome, Protocol } from '../requests/index.js'
 import { FailureRate, usableSlotShare } from '../targets/index.js'
 import type { Directory, TargetReport, TargetState } from '../targets/index.js'
-import { classifyAnswer, isRefusal, isTargetFailure } from './classify-answer.js'
-import { connectTimeoutMs, defaultSlots, freshDurationMs, initialWorkShare, maxConnections, maxLoadAgeMs, maxNonIdempotentIdleMs, unhealthyFailureShare } from './constants.js'
+import { isTargetFailure } from './classify-answer.js'
+import { defaultSlots, freshDurationMs, initialWorkShare, maxLoadAgeMs, unhealthyFailureShare } from './constants.js'
 import { CrashMonitor } from './crash-monitor.js'
 import { Demands } from './demands.js'
 import { SpeedEstimate } from './speed-estimate.js'
 import { SuspectGate } from './suspect-gate.js'
+import { TargetSender } from './target-sender.js'
 import { WorkEstimate } from './work-estimate.js'
 
 /** The target on this VM: its slots and its state. All requests to it go through this class. */
@@ -26,7 +25,7 @@
   readonly slots: Slots
   private readonly demands: Demands
   private readonly options: OwnTargetOptions
-  private readonly connections: ConnectionPool
+  private readonly sender: TargetSender
   private readonly failures = FailureRate.create()
   private readonly workEstimate = WorkEstimate.create()
   private readonly speedEstimate = SpeedEstimate.create()
@@ -46,8 +45,14 @@
     const { clock, logger, metrics } = options
     this.demands = Demands.create({ clock, logger, metrics, onDraining: () => { this.slots.refuseQueued('closed') } })
     this.slots = Slots.create({ clock, rateLimit: this.demands.rateLimit })
-    this.connections = ConnectionPool.create({ address: options.address, limit: maxConnections, clock: options.clock, memory: options.memory })
     this.crashMonitor = CrashMonitor.create({ ...options, readTarget: () => this.instanceId, isStopping: () => this.getState() === 'closing', onRefused: () => { this.recordRefusedConnection() } })
+    this.sender = TargetSender.create({
+      ...options,
+      crashMonitor: this.crashMonitor,
+      onRefused: () => { this.recordRefusedConnection() },
+      onAnswer: head => { this.updateFromAnswer(head) },
+      estimateRetryAfterMs: () => this.slots.estimateRetryAfterMs()
+    })
     this.suspectGate = SuspectGate.create({ ...options, describe: () => ({ id: this.instanceId, state: this.getState() }) })
   }
 
@@ -147,7 +152,7 @@
 
   /** Closes the connections to the target. */
   disconnect (): void {
-    this.connections.close()
+    this.sender.close()
   }
 
   private getState (): TargetState {
@@ -213,34 +218,15 @@
   }
 
   private async send (job: Job, target: string, running: RunningRequest, signal: CancelSignal): Promise<Outcome> {
-    const { clock, protocol } = this.options
+    const { clock, quarantine } = this.options
     const startedAt = clock.now()
     const { slowness } = this
-    const timeoutMs = job.deadlineAt - startedAt
-    if (timeoutMs <= 0) return notRun('expired')
-    if (!job.idempotent) this.connections.closeIdleLongerThan(maxNonIdempotentIdleMs)
-    this.crashMonitor.start(running)
-    const result = await (this.options.exchange ?? exchange)({
-      connections: this.connections,
-      clock,
-      method: job.method,
-      path: job.path,
-      headers: protocol.writeRequest(job.headers, { id: job.id, timeoutMs, caller: job.caller, target }),
-      body: job.body,
-      connectMs: connectTimeoutMs,
-      timeoutMs,
-      // A request that isn't idempotent runs to its end, even if its caller disconnects.
-      signal: job.idempotent ? signal : undefined,
-      belongs: ({ status, headers }) => isAnswerToAttempt(job.id, protocol.readAnswer(status, headers).id)
-    }).catch(error => {
-      this.crashMonitor.cancel(running)
-      throw error
-    })
-    const crashed = await this.crashMonitor.end(running, result)
-    const outcome = crashed ? mayHaveRun('crashed') : this.processResult(result)
-    if (outcome.kind === 'answer') this.options.quarantine.recordAnswer(running.fingerprint)
-    if (outcome.kind === 'answer') this.workEstimate.record(job.route, clock.now() - startedAt, slowness)
-    this.failures.record(clock.now(), isTargetFailure(outcome))
+    const outcome = await this.sender.send(job, target, running, signal)
+    if (outcome.kind === 'answer') {
+      quarantine.recordAnswer(running.fingerprint)
+      this.workEstimate.record(job.route, clock.now() - startedAt, slowness)
+    }
+    if (outcome.kind !== 'not-run' || outcome.cause !== 'expired') this.failures.record(clock.now(), isTargetFailure(outcome))
     return outcome
   }
 
@@ -250,24 +236,6 @@
     const loadAgeMs = Math.round(this.loadAgeMs)
     this.options.logger.info('refused', { request: job.id, cause, retryAfterMs, leftMs: remainingMs, running, waiting, limit, slowness: this.slowness, rateLimit: this.rateLimit.perSecond, rateLimitAgeMs: Math.round(this.rateLimit.ageMs), loadMsAgo: loadAgeMs, target: this.instanceId })
   }
-
-  /** Decides whether a request ran, and updates the state of the target. */
-  private processResult (result: ExchangeResult): Outcome {
-    if (result.kind === 'unsent') {
-      if (result.cause === 'connect-failed') this.recordRefusedConnection()
-      return result.cause === 'left' ? notRun('left') : notRun('unreachable')
-    }
-    if (result.kind === 'lost') {
-      // The other connections may have become unresponsive together with this one.
-      if (result.cause === 'timeout') this.connections.closeIdle()
-      return mayHaveRun(result.cause)
-    }
-    const { status, headers, body } = result
-    const head = this.options.protocol.readAnswer(status, headers)
-    this.updateFromAnswer(head)
-    if (isRefusal(status, head)) return rejected(result, head, this.slots.estimateRetryAfterMs())
-    return classifyAnswer({ status, headers: this.options.protocol.filterAnswer(headers), body, head })
-  }
 }
 
 /** Keeps the reported load of the target up to date. */
--- a/packages/sidecar/src/core/quarantine/codec.ts
+++ b/packages/sidecar/src/core/quarantine/codec.ts
@@ -1,5 +1,5 @@
-import { deflateRawSync, inflateRawSync } from 'node:zlib'
-import { asDurationMs, asInteger, asJsonObject, asText, parseJson } from '../decoding/index.js'
+import { deflateRawSync } from 'node:zlib'
+import { asDurationMs, asInteger, asJsonObject, asText, inflateJson } from '../decoding/index.js'
 import { maxSuspectsPerCrash } from './constants.js'
 import type { CrashDigest, CrashNotice, Suspect } from './types.js'
 
@@ -27,7 +27,7 @@
 /** Decodes a crash; undefined for any other, incomplete or damaged datagram. */
 export function decodeCrashNotice (bytes: Buffer): CrashNotice | undefined {
   if (bytes[0] !== messageTypes.crash) return undefined
-  const fields = asJsonObject(inflateJson(bytes.subarray(1)))
+  const fields = asJsonObject(inflateJson(bytes.subarray(1), maxInflatedBytes))
   const target = asText(fields?.['target'])
   const number = asInteger(fields?.['number'])
   const node = asText(fields?.['node'])
@@ -59,13 +59,3 @@
   if (typeof fingerprint !== 'string' || !fingerprintPattern.test(fingerprint) || typeof flags !== 'number') return undefined
   return { fingerprint, alone: (flags & aloneFlag) !== 0, cleared: (flags & clearedFlag) !== 0 }
 }
-
-/** Decompresses JSON; undefined when it is damaged, too large or nested too deep. */
-function inflateJson (bytes: Buffer): unknown {
-  try {
-    return parseJson(inflateRawSync(bytes, { maxOutputLength: maxInflatedBytes }))
-  } catch {
-    // The calling code logs datagrams that can't be decoded.
-    return undefined
-  }
-}
--- a/packages/sidecar/src/core/quarantine/constants.ts
+++ b/packages/sidecar/src/core/quarantine/constants.ts
@@ -31,8 +31,8 @@
 /** Maximum number of requests that are remembered as answered; the oldest is forgotten first. */
 export const maxAnsweredRequests = 2_000
 
-/** Delays after which a notice of a crash is sent, in milliseconds: datagrams may be lost. */
-export const noticeDelaysMs = [0, 100, 300] as const
+/** Delays after which the notice of a crash is sent again, in milliseconds: datagrams may be lost. */
+export const repeatDelaysMs = [50, 100, 200, 400, 800, 1_600, 2_400] as const
 
 /** Interval at which nodes compare the crashes that they know, in milliseconds. */
 export const digestIntervalMs = 500
--- a/packages/sidecar/src/core/quarantine/crash-sync.ts
+++ b/packages/sidecar/src/core/quarantine/crash-sync.ts
@@ -1,7 +1,7 @@
 import type { Cancel, Clock } from 'auburnturn/core/clock'
 import type { Random } from 'auburnturn/core/random'
 import { encodeCrashDigest, encodeCrashNotice } from './codec.js'
-import { digestIntervalMs, initialSyncMs, noticeDelaysMs } from './constants.js'
+import { digestIntervalMs, initialSyncMs, repeatDelaysMs } from './constants.js'
 import type { Quarantine } from './quarantine.js'
 import type { CrashDigest, CrashNotice, CrashRecord } from './types.js'
 
@@ -26,14 +26,10 @@
     return new CrashSync(options)
   }
 
-  /** Sends a crash to all nodes of the service. */
+  /** Sends a crash to all nodes of the service: now, before the outcome of the request can make another node send it on, and again later. */
   announce (record: CrashRecord): void {
-    const { clock, peers } = this.options
-    for (const delayMs of noticeDelaysMs) {
-      clock.timerWheel.after(delayMs, () => {
-        if (!this.closed) for (const ip of peers()) this.sendRecord(record, ip)
-      })
-    }
+    this.sendToAll(record)
+    for (const delayMs of repeatDelaysMs) this.options.clock.timerWheel.after(delayMs, () => { this.sendToAll(record) })
   }
 
   /** Handles a crash that another node knows. */
@@ -63,6 +59,11 @@
     if (ip !== undefined) send(encodeCrashDigest({ kind: 'crash-digest', checksum: quarantine.checksum, isAnswer: false }), ip)
   }
 
+  private sendToAll (record: CrashRecord): void {
+    if (this.closed) return
+    for (const ip of this.options.peers()) this.sendRecord(record, ip)
+  }
+
   private sendRecord ({ target, number, node, at, suspects }: CrashRecord, ip: string): void {
     this.options.send(encodeCrashNotice({ kind: 'crash', target, number, node, ageMs: this.options.clock.now() - at, suspects }), ip)
   }
--- a/packages/sidecar/src/core/readers/codec.ts
+++ b/packages/sidecar/src/core/readers/codec.ts
@@ -1,5 +1,5 @@
-import { deflateRawSync, inflateRawSync } from 'node:zlib'
-import { asInteger, asJsonObject, asText, parseJson } from '../decoding/index.js'
+import { deflateRawSync } from 'node:zlib'
+import { asInteger, asJsonObject, asText, inflateJson } from '../decoding/index.js'
 import { decodeSharedChanges } from '../store/index.js'
 import type { ChangesNotice, ReaderNotice, ReaderState } from './types.js'
 
@@ -56,20 +56,10 @@
  */
 export function decodeChangesNotice (bytes: Buffer): ChangesNotice | undefined {
   if (bytes[0] !== messageTypes.changes) return undefined
-  const fields = asJsonObject(inflateJson(bytes.subarray(1)))
+  const fields = asJsonObject(inflateJson(bytes.subarray(1), maxInflatedBytes))
   const era = asInteger(fields?.['era'])
   const from = asInteger(fields?.['from'])
   const to = asInteger(fields?.['to'])
   const changes = decodeSharedChanges(fields?.['changes'])
   return era === undefined || from === undefined || to === undefined || changes === undefined ? undefined : { kind: 'changes', era, from, to, changes }
 }
-
-/** Decompresses JSON; undefined when it is damaged, too large or nested too deep. */
-function inflateJson (bytes: Buffer): unknown {
-  try {
-    return parseJson(inflateRawSync(bytes, { maxOutputLength: maxInflatedBytes }))
-  } catch {
-    // The calling code logs datagrams that can't be decoded.
-    return undefined
-  }
-}
--- a/packages/sidecar/test/quarantine.test.ts
+++ b/packages/sidecar/test/quarantine.test.ts
@@ -247,6 +247,16 @@
   for (const { sync } of nodes) sync.close()
 })
 
+// Guards against a second attempt that reaches the trial target before the crash of the first one is known there (issue 32).
+test('the notice of a crash leaves before the outcome of its request', () => {
+  const clock = ManualClock.create()
+  let sent = 0
+  const [node] = createSyncedNodes(3, clock, () => sent++ < 0)
+  node?.quarantine.recordCrash(createCrash('i-1', 0, [fingerprint]))
+  assert.is(sent, 2)
+  node?.sync.close()
+})
+
 test('a node that starts later, or was cut off, learns what the others know; nodes that know nothing send nothing', async () => {
   const clock = ManualClock.create()
   let cut = true
