Record a target of the soak under its id only once its process runs

The command went to the process that had just been killed, and its period was recorded for the next id.

--- a/packages/bench/src/soak/vm.ts
+++ b/packages/bench/src/soak/vm.ts
@@ -162,14 +162,16 @@
   private async startTarget (): Promise<void> {
     const { folder, onMessage, storeWriter } = this.options
     const { index, name, service, ip } = this.spec
-    this.targetId = `i-${index}-${++this.targetStartCount}`
+    const id = `i-${index}-${++this.targetStartCount}`
     this.target = await ManagedProcess.startHelper('target', {
       log: join(folder, `${name}-target.log`),
-      args: [String(index), service, this.targetId, ip, String(ports.upstream)],
+      args: [String(index), service, id, ip, String(ports.upstream)],
       onMessage,
       onUnexpectedExit: reason => { this.reportUnexpectedExit('target', reason) }
     })
-    storeWriter.listTarget(this.targetId, this.spec)
+    // Only now, so that a command for the process before it is not recorded for this one.
+    this.targetId = id
+    storeWriter.listTarget(id, this.spec)
   }
 
   private startNode (): void {
