--- a/packages/sidecar/src/core/admission/slots.ts
+++ b/packages/sidecar/src/core/admission/slots.ts
@@ -95,9 +95,8 @@
    */
   acquireAlone (request: SlotRequest): SlotAcquisition {
     const maxWaitMs = request.deadlineAt - this.clock.now() - request.workMs
-    const expectedWaitMs = 2 * this.loneRuns.waiting * request.workMs
-    const cause = this.accepting ? expectedWaitMs > maxWaitMs ? 'overloaded' : undefined : 'closed'
-    if (cause !== undefined || maxWaitMs <= 0) return createDecidedAcquisition(this.createRefusal(cause ?? 'expired'))
+    const cause = this.findLoneRefusalCause(request, maxWaitMs)
+    if (cause !== undefined) return createDecidedAcquisition(this.createRefusal(cause))
     const { decision, cancel } = this.loneRuns.add(request, maxWaitMs)
     this.startNext()
     return { decision, waitsForRate: false, cancel }
@@ -151,6 +150,15 @@
     return estimateWaitMs(aheadMs, this.work) > maxWaitMs ? 'overloaded' : undefined
   }
 
+  /** The same for a request that has to run alone, and may wait for `maxWaitMs`. */
+  private findLoneRefusalCause ({ workMs }: SlotRequest, maxWaitMs: number): RefusalCause | undefined {
+    if (!this.accepting) return 'closed'
+    if (maxWaitMs <= 0) return 'expired'
+    // Others get as much time as each request that runs alone.
+    const expectedWaitMs = 2 * this.loneRuns.waiting * workMs
+    return expectedWaitMs > maxWaitMs ? 'overloaded' : undefined
+  }
+
   private enqueue (request: SlotRequest, now: number): SlotAcquisition {
     const waitsForRate = this.rateLimit.computeWaitMs(this.queue.length) > 0
     // A request that can no longer finish in time is refused at that time, not at its deadline.
