Count shared crashes as one for the length of a conviction too

A request that was in flight when four targets crashed by themselves, and was alone at a fifth crash, was refused for 32 minutes instead of 30 s: the conviction counted shared crashes as one, its length counted each. The test fails with the length as before (1,920,000 ms). The convictions that were logged are bounded as well.

--- a/packages/sidecar/src/core/quarantine/quarantine.ts
+++ b/packages/sidecar/src/core/quarantine/quarantine.ts
@@ -3,7 +3,7 @@
 import type { Metrics } from 'auburnturn/core/metrics'
 import { chooseTreatment } from 'auburnturn/core/quarantine'
 import { AnsweredRequests } from './answered-requests.js'
-import { convictionGrowth, convictionMs, crashSettlingMs, maxCrashes } from './constants.js'
+import { convictionGrowth, convictionMs, crashSettlingMs, maxCrashes, maxCrashRecords } from './constants.js'
 import { CrashRecords } from './crash-records.js'
 import type { CrashOfRequest } from './crash-records.js'
 import type { CrashRecord, DetectedCrash, Treatment } from './types.js'
@@ -52,7 +52,7 @@
     const now = this.options.clock.now()
     const trial: Treatment = { kind: 'alone', waitMs: Math.max(0, this.records.lastAt + crashSettlingMs - now) }
     if (kind === 'alone') return trial
-    const retryAfterMs = computeConvictionEnd(crashes) - now
+    const retryAfterMs = computeConvictionEnd(crashes, loneCrashes) - now
     // A convicted request gets a trial in the end: the conviction may be wrong, or the targets may be mended.
     return retryAfterMs > 0 ? { kind, retryAfterMs } : trial
   }
@@ -83,6 +83,12 @@
     return { crashes: this.records.list(), convicted: [...this.convictions.keys()] }
   }
 
+  private rememberConviction (fingerprint: string, crashes: number): void {
+    this.convictions.set(fingerprint, crashes)
+    const [oldest] = this.convictions.keys()
+    if (oldest !== undefined && this.convictions.size > maxCrashRecords) this.convictions.delete(oldest)
+  }
+
   private clear (fingerprint: string): void {
     for (const record of this.records.clear(fingerprint)) this.options.onChange(record)
     this.convictions.delete(fingerprint)
@@ -94,17 +100,21 @@
     const crashes = this.records.find(fingerprint)
     const decision = this.decide(fingerprint)
     if (decision.kind !== 'refused' || this.convictions.get(fingerprint) === crashes.length) return
-    this.convictions.set(fingerprint, crashes.length)
+    this.rememberConviction(fingerprint, crashes.length)
     metrics.count('requests_convicted_total')
     const evidence = crashes.map(({ crash, suspect }) => `${crash.target}/${crash.node}/${Math.round(clock.now() - crash.at)}ms/${suspect.alone ? 'alone' : 'shared'}`)
     logger.warn('request-convicted', { fingerprint, crashes: evidence.join(), refusedForMs: Math.round(decision.retryAfterMs) })
   }
 }
 
-/** When a convicted request is tried again, in clock milliseconds; the crashes are in the order of time. */
-function computeConvictionEnd (crashes: readonly CrashOfRequest[]): number {
+/**
+ * When a convicted request is tried again, in clock milliseconds; the crashes are in the order of time. All that it shared with others
+ * count as one, as for the conviction itself.
+ */
+function computeConvictionEnd (crashes: readonly CrashOfRequest[], loneCrashes: number): number {
   const lastAt = crashes[crashes.length - 1]?.crash.at ?? -Infinity
-  return lastAt + convictionMs * convictionGrowth ** (crashes.length - maxCrashes)
+  const counted = loneCrashes + (crashes.length > loneCrashes ? 1 : 0)
+  return lastAt + convictionMs * convictionGrowth ** (counted - maxCrashes)
 }
 
 interface QuarantineOptions {
--- a/packages/sidecar/test/quarantine.test.ts
+++ b/packages/sidecar/test/quarantine.test.ts
@@ -158,6 +158,15 @@
   assert.is(quarantine.decide(neighbour).kind, 'alone')
 })
 
+// Guards against a conviction of half an hour after targets that crashed by themselves, all at once (issue 32).
+test('crashes that a request shared with others, however many, do not lengthen its conviction', () => {
+  const clock = ManualClock.create()
+  const quarantine = createQuarantine(clock)
+  for (const target of ['i-1', 'i-2', 'i-3', 'i-4']) quarantine.recordCrash(createCrash(target, 0, [fingerprint, neighbour]))
+  quarantine.recordCrash(createCrash('i-5', 0, [fingerprint]))
+  assert.equal(quarantine.decide(fingerprint), { kind: 'refused', retryAfterMs: convictionMs })
+})
+
 test('a conviction ends with a trial, a crash of the trial lengthens it, and an answer ends it', async () => {
   const clock = ManualClock.create()
   const quarantine = createQuarantine(clock)
