--- a/review/stand-ins/deployment.mjs
+++ b/review/stand-ins/deployment.mjs
@@ -18,6 +18,7 @@
     this.recordFile = join(caseFolder, 'record.txt')
     this.folder = mkdtempSync(join(tmpdir(), 'review-'))
     this.startedAt = Date.now()
+    process.once('exit', () => { rmSync(this.folder, { recursive: true, force: true }) })
     this.machines = []
     this.targets = []
     this.version = 4
@@ -69,7 +70,6 @@
     await Promise.all(this.machines.map(machine => machine.close()))
     for (const target of this.targets) target.close()
     this.store.close()
-    rmSync(this.folder, { recursive: true, force: true })
   }
 }
 
--- a/review/stand-ins/machine.mjs
+++ b/review/stand-ins/machine.mjs
@@ -14,6 +14,13 @@
 /** Pause before the platform starts a process again that has ended, in milliseconds. */
 const restartDelayMs = 500
 
+/** Processes of nodes that run. */
+const children = new Set()
+
+// Ends all processes that were started, however the script ends.
+process.once('exit', () => { for (const child of children) child.kill('SIGKILL') })
+for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => { process.exit(2) })
+
 /** Returns the program and its arguments from the deploy file. */
 function readCommand () {
   const [, run] = /^run = "(.*)"$/m.exec(readFileSync(join(root, 'deploy/system.toml'), 'utf8'))
@@ -73,10 +80,12 @@
     const { program, options } = readCommand()
     const child = spawn(program, options, { cwd: root, stdio: ['ignore', 'pipe', 'pipe'], env: { PATH: process.env.PATH, AUBURNTURN_SETTINGS: this.file } })
     this.child = child
+    children.add(child)
     this.record(`${this.name}: process ${child.pid} starts`)
     child.stdout.on('data', chunk => { this.output += chunk })
     child.stderr.on('data', chunk => { this.output += chunk })
     child.once('exit', (code, signal) => {
+      children.delete(child)
       this.ends.push({ code, signal, at: Date.now() })
       this.record(`${this.name}: process ${child.pid} ends, ${signal ?? `code ${code}`}`)
       if (this.restarts) setTimeout(() => { if (this.restarts) this.start() }, restartDelayMs)
