--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -39,7 +39,7 @@
   const run = target.run.bind(target)
   let answers = 0
   target.run = parts => {
-    if (++answers % answersForEachEndless !== 1) return run(parts)
+    if (++answers % answersForEachEndless !== 0) return run(parts)
     const { response, attempt, head } = parts
     record(`${target.id} answers ${attempt} without end`)
     const lines = Object.entries({ ...head, 'x-attempt-id': attempt, 'x-response-seal': `seal.${target.id}`, 'transfer-encoding': 'chunked' }).map(([name, value]) => `${name}: ${value}\r\n`)
